--- /dev/null
+++ b/internal/simwire/host.go
@@ -0,0 +1,214 @@
+// Package simwire speaks the simulator's wire: one JSON batch of events a
+// line in, one JSON reply a line out. It hosts instances of the decision
+// module and shares nothing between them but the numbered lists that the
+// wire itself declares as belonging to the process.
+package simwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+
+	"foxlane/rules"
+)
+
+// listCount is how many numbered lists the wire has.
+const listCount = 16
+
+type instance struct {
+	module   *rules.Module
+	settings rules.Settings
+	crashed  bool
+}
+
+// Host runs the instances of one adapter process.
+type Host struct {
+	instances map[int]*instance
+	lists     [listCount][]rules.Engine
+	listSet   [listCount]bool
+	clock     int64
+	started   bool
+	reply     encoder
+}
+
+// NewHost returns a host without instances.
+func NewHost() *Host {
+	return &Host{instances: make(map[int]*instance)}
+}
+
+// Serve answers every line of r on w until r ends.
+func (h *Host) Serve(r io.Reader, w io.Writer) error {
+	in := bufio.NewReaderSize(r, 1<<20)
+	for n := 1; ; n++ {
+		line, err := readLine(in)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("reading batch %d: %w", n, err)
+		}
+		if len(bytes.TrimSpace(line)) > 0 {
+			reply, err := h.Batch(line)
+			if err != nil {
+				return fmt.Errorf("batch %d: %w", n, err)
+			}
+			if _, err := w.Write(reply); err != nil {
+				return fmt.Errorf("writing reply %d: %w", n, err)
+			}
+		} else if err == nil {
+			return fmt.Errorf("batch %d: empty line", n)
+		}
+		if err != nil {
+			return nil
+		}
+	}
+}
+
+// readLine reads up to and with the next line feed, however long the line is.
+func readLine(in *bufio.Reader) ([]byte, error) {
+	line, err := in.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	whole := append([]byte(nil), line...)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		line, err = in.ReadSlice('\n')
+		whole = append(whole, line...)
+	}
+	return whole, err
+}
+
+// Batch answers one batch. The reply ends in a line feed and is valid until
+// the next call.
+func (h *Host) Batch(line []byte) ([]byte, error) {
+	var b batch
+	if err := json.Unmarshal(line, &b); err != nil {
+		return nil, fmt.Errorf("malformed: %w", err)
+	}
+	if b.TS == nil {
+		return nil, errors.New("no ts")
+	}
+	if b.Managers == nil {
+		return nil, errors.New("no managers")
+	}
+	if h.started && *b.TS < h.clock {
+		return nil, fmt.Errorf("ts %d is before %d", *b.TS, h.clock)
+	}
+	h.clock, h.started = *b.TS, true
+	h.reply.open()
+	for i := range b.Managers {
+		if err := h.group(&b.Managers[i]); err != nil {
+			return nil, err
+		}
+	}
+	return h.reply.close(), nil
+}
+
+func (h *Host) group(g *batchGroup) error {
+	if g.Who == nil {
+		return errors.New("no who")
+	}
+	who := *g.Who
+	h.reply.openGroup(who)
+	for i := range g.Input {
+		if err := h.event(who, &g.Input[i]); err != nil {
+			return fmt.Errorf("manager %d, event %d (%s): %w", who, i, g.Input[i].Cmd, err)
+		}
+	}
+	h.reply.closeGroup()
+	return nil
+}
+
+func (h *Host) event(who int, w *wireEvent) error {
+	switch w.Cmd {
+	case "Register":
+		return h.register(w)
+	case "Init":
+		return h.start(who, w)
+	case "Teardown":
+		if h.instances[who] == nil {
+			return errors.New("no such instance")
+		}
+		delete(h.instances, who)
+		h.reply.dropGroup()
+		return nil
+	}
+	inst := h.instances[who]
+	if inst == nil {
+		return errors.New("no such instance")
+	}
+	var event rules.Event
+	var err error
+	if w.Cmd == "BackendsChanged" {
+		event, err = h.fleet(w)
+	} else {
+		event, err = w.decode(&inst.settings)
+	}
+	if err != nil {
+		return err
+	}
+	h.decide(inst, event)
+	return nil
+}
+
+func (h *Host) register(w *wireEvent) error {
+	if w.Sheet < 0 || w.Sheet >= listCount {
+		return fmt.Errorf("sheet %d is out of range", w.Sheet)
+	}
+	engines, err := decodeEngines(w.Lines)
+	if err != nil {
+		return err
+	}
+	h.lists[w.Sheet], h.listSet[w.Sheet] = engines, true
+	return nil
+}
+
+func (h *Host) start(who int, w *wireEvent) error {
+	seed, err := strconv.ParseUint(w.RandomSeed.String(), 10, 64)
+	if err != nil {
+		signed, err := strconv.ParseInt(w.RandomSeed.String(), 10, 64)
+		if err != nil {
+			return fmt.Errorf("randomSeed: %w", err)
+		}
+		seed = uint64(signed)
+	}
+	settings, err := decodeSettings(w.BootInfo)
+	if err != nil {
+		return err
+	}
+	h.instances[who] = &instance{module: rules.New(settings, seed), settings: settings}
+	h.reply.dropGroup()
+	return nil
+}
+
+func (h *Host) fleet(w *wireEvent) (rules.Event, error) {
+	mode, err := word("kind", w.Kind, listModes)
+	if err != nil {
+		return nil, err
+	}
+	if mode == rules.ListFailed {
+		return rules.FleetChange{Mode: mode}, nil
+	}
+	if w.Sheet < 0 || w.Sheet >= listCount || !h.listSet[w.Sheet] {
+		return nil, fmt.Errorf("sheet %d was never registered", w.Sheet)
+	}
+	return rules.FleetChange{Mode: mode, Engines: h.lists[w.Sheet]}, nil
+}
+
+// decide hands an event to the module. A panic there is answered with a crash
+// report, and the instance is not asked again: its state can't be trusted.
+func (h *Host) decide(inst *instance, event rules.Event) {
+	if inst.crashed {
+		return
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			inst.crashed = true
+			h.reply.crash(fmt.Sprint(r))
+		}
+	}()
+	for _, a := range inst.module.Handle(rules.Time(h.clock), event) {
+		h.reply.action(a)
+	}
+}
--- /dev/null
+++ b/internal/simwire/reply.go
@@ -0,0 +1,144 @@
+package simwire
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"foxlane/rules"
+)
+
+// encoder builds a reply line. Replies are written once for every batch and
+// billed as CPU, so it appends text instead of going through reflection.
+type encoder struct {
+	buf        []byte
+	groupStart int // where the open group begins
+	cmdsStart  int // where its commands begin
+}
+
+func (e *encoder) open() { e.buf = append(e.buf[:0], `{"managers":[`...) }
+
+func (e *encoder) close() []byte {
+	e.buf = append(e.buf, "]}\n"...)
+	return e.buf
+}
+
+func (e *encoder) openGroup(who int) {
+	e.groupStart = len(e.buf)
+	if e.buf[len(e.buf)-1] != '[' {
+		e.buf = append(e.buf, ',')
+	}
+	e.buf = append(e.buf, `{"who":`...)
+	e.buf = strconv.AppendInt(e.buf, int64(who), 10)
+	e.buf = append(e.buf, `,"cmds":[`...)
+	e.cmdsStart = len(e.buf)
+}
+
+// closeGroup ends the group; a group without commands is left out.
+func (e *encoder) closeGroup() {
+	if len(e.buf) == e.cmdsStart {
+		e.buf = e.buf[:e.groupStart]
+		return
+	}
+	e.buf = append(e.buf, "]}"...)
+}
+
+// dropGroup forgets the commands of the open group: they were those of an
+// instance that has ended within this batch.
+func (e *encoder) dropGroup() { e.buf = e.buf[:e.cmdsStart] }
+
+func (e *encoder) cmd(name string) {
+	if len(e.buf) > e.cmdsStart {
+		e.buf = append(e.buf, ',')
+	}
+	e.buf = append(e.buf, `{"cmd":"`...)
+	e.buf = append(e.buf, name...)
+	e.buf = append(e.buf, '"')
+}
+
+func (e *encoder) text(key, value string) {
+	quoted, err := json.Marshal(value)
+	if err != nil { // a string always marshals
+		panic(fmt.Sprintf("encoding %q: %v", value, err))
+	}
+	e.key(key)
+	e.buf = append(e.buf, quoted...)
+}
+
+func (e *encoder) int(key string, value int64) {
+	e.key(key)
+	e.buf = strconv.AppendInt(e.buf, value, 10)
+}
+
+func (e *encoder) key(key string) {
+	e.buf = append(e.buf, ',', '"')
+	e.buf = append(e.buf, key...)
+	e.buf = append(e.buf, '"', ':')
+}
+
+func (e *encoder) end() { e.buf = append(e.buf, '}') }
+
+func (e *encoder) crash(reason string) {
+	e.cmd("Crash")
+	e.text("msg", reason)
+	e.end()
+}
+
+// action appends one action of the module.
+func (e *encoder) action(a rules.Action) {
+	switch a := a.(type) {
+	case rules.Send:
+		e.cmd("Dispatch")
+		e.text("xid", string(a.ID))
+		e.int("engine", int64(a.Engine))
+		if a.Timeout != 0 {
+			e.int("tryFor", int64(a.Timeout))
+		}
+	case rules.SetTerms:
+		e.cmd("GrantAndRank")
+		e.text("xid", string(a.ID))
+		e.key("workspaceMb")
+		e.buf = strconv.AppendFloat(e.buf, a.MemoryMB, 'f', -1, 64)
+		e.int("priority", int64(a.Priority))
+	case rules.Cancel:
+		e.cmd("Abandon")
+		e.text("xid", string(a.ID))
+		e.int("leg", int64(a.Attempt))
+	case rules.Refuse:
+		e.cmd("Busy")
+		e.text("xid", string(a.ID))
+		if a.RetryAfter > 0 {
+			e.int("holdOff", int64(a.RetryAfter))
+		}
+	case rules.Fail:
+		e.cmd("ReportFailure")
+		e.text("xid", string(a.ID))
+	case rules.SetTimer:
+		e.cmd("Arm")
+		e.int("at", int64(a.At))
+		e.text("handle", a.Token)
+	case rules.Probe:
+		e.cmd("Poll")
+		e.int("engine", int64(a.Engine))
+	case rules.CloseIdle:
+		e.cmd("DropConns")
+		e.int("engine", int64(a.Engine))
+	case rules.TellPeers:
+		e.cmd("Signal")
+		e.text("whom", "all")
+		e.text("content", base64.StdEncoding.EncodeToString(a.Payload))
+	case rules.Subscribe:
+		e.cmd("Listen")
+		e.key("active")
+		e.buf = strconv.AppendBool(e.buf, a.On)
+	case rules.FetchList:
+		e.cmd("GetList")
+	case rules.Log:
+		e.cmd("Remark")
+		e.text("msg", a.Text)
+	default:
+		panic(fmt.Sprintf("no wire form for %T", a))
+	}
+	e.end()
+}
--- /dev/null
+++ b/internal/simwire/settings.go
@@ -0,0 +1,227 @@
+package simwire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+
+	"foxlane/rules"
+)
+
+type wireClass struct {
+	Aim                 int64   `json:"aim"`
+	AimStretch          float64 `json:"aimStretch"`
+	DedupWindow         int64   `json:"dedupWindow"`
+	Effect              string  `json:"effect"`
+	GiveUp              int64   `json:"giveUp"`
+	Group               string  `json:"group"`
+	LateValue           float64 `json:"lateValue"`
+	Stream              bool    `json:"stream"`
+	Worth               float64 `json:"worth"`
+	SerialByKey         bool    `json:"serialByKey"`
+	StaysIn             []int   `json:"staysIn"`
+	MachineTypesAllowed []int   `json:"machineTypesAllowed"`
+}
+
+type wireInfo struct {
+	Classes []wireClass `json:"classes"`
+	Clients struct {
+		MarksRetry bool `json:"marksRetry"`
+	} `json:"clients"`
+	Extra struct {
+		ClassThreads  []int     `json:"classThreads"`
+		CPUOfKind     []float64 `json:"cpuOfKind"`
+		RAMOfKindMB   []float64 `json:"ramOfKindMb"`
+		IsLoad        []bool    `json:"isLoad"`
+		YieldsToLoads []bool    `json:"yieldsToLoads"`
+		MostGrant     float64   `json:"mostGrant"`
+		OnShortage    string    `json:"onShortage"`
+		RanksHeeded   bool      `json:"ranksHeeded"`
+		TakesGrants   bool      `json:"takesGrants"`
+		TellsCost     bool      `json:"tellsCost"`
+	} `json:"extra"`
+	Fees struct {
+		CrossZone float64 `json:"crossZone"`
+		LateFail  float64 `json:"lateFail"`
+		Peer      float64 `json:"peer"`
+		Probe     float64 `json:"probe"`
+		Waste     float64 `json:"waste"`
+	} `json:"fees"`
+	Limits struct {
+		Cancel         bool  `json:"cancel"`
+		ConnectTimeout int64 `json:"connectTimeout"`
+		MaxAttempts    int   `json:"maxAttempts"`
+		MaxRetryAfter  int64 `json:"maxRetryAfter"`
+		ParallelTries  bool  `json:"parallelTries"`
+		PeerMessages   bool  `json:"peerMessages"`
+		Probes         bool  `json:"probes"`
+		RetryAfter     bool  `json:"retryAfter"`
+	} `json:"limits"`
+	MachineTypes   []string `json:"machineTypes"`
+	Me             int      `json:"me"`
+	MembershipMode string   `json:"membershipMode"`
+	OverShareWorth float64  `json:"overShareWorth"`
+	Parties        []struct {
+		Fraction  float64 `json:"fraction"`
+		QuotaPerS float64 `json:"quotaPerS"`
+	} `json:"parties"`
+	Report struct {
+		Fields []string `json:"fields"`
+		How    string   `json:"how"`
+	} `json:"report"`
+	Rules struct {
+		AnswerSlack       int64    `json:"answerSlack"`
+		AskEvery          int64    `json:"askEvery"`
+		Cold              int64    `json:"cold"`
+		ColdFrom          float64  `json:"coldFrom"`
+		ExtraPerRequest   *float64 `json:"extraPerRequest"`
+		FreeResends       *float64 `json:"freeResends"`
+		KeyRest           int64    `json:"keyRest"`
+		LookBack          int64    `json:"lookBack"`
+		OverloadFactor    float64  `json:"overloadFactor"`
+		StopSendingWithin int64    `json:"stopSendingWithin"`
+		TipAfter          int64    `json:"tipAfter"`
+	} `json:"rules"`
+	Siblings     int    `json:"siblings"`
+	Tick         int64  `json:"tick"`
+	WeightSource string `json:"weightSource"`
+	Zone         int    `json:"zone"`
+}
+
+// choice looks a word of the settings up; the empty word is the first value.
+func choice[T ~int](what, word string, words ...string) (T, error) {
+	for i, w := range words {
+		if w == word {
+			return T(i), nil
+		}
+	}
+	if word == "" {
+		return 0, nil
+	}
+	return 0, fmt.Errorf("settings: %s has unknown value %q", what, word)
+}
+
+// decodeSettings turns the settings object of an Init into rules.Settings.
+func decodeSettings(raw json.RawMessage) (rules.Settings, error) {
+	var w wireInfo
+	var s rules.Settings
+	if len(raw) == 0 || string(raw) == "null" {
+		return s, errors.New("settings: missing")
+	}
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return s, fmt.Errorf("settings: %w", err)
+	}
+	if len(w.Classes) == 0 {
+		return s, errors.New("settings: no classes")
+	}
+	s = rules.Settings{
+		Siblings:       max(w.Siblings, 1),
+		Me:             w.Me,
+		Zone:           w.Zone,
+		Tick:           rules.Time(w.Tick),
+		AskMembership:  w.MembershipMode == "ask",
+		OverShareWorth: w.OverShareWorth,
+		MostGrant:      w.Extra.MostGrant,
+		TakesGrants:    w.Extra.TakesGrants,
+		TakesPriority:  w.Extra.RanksHeeded,
+		TellsCost:      w.Extra.TellsCost,
+		MarksRetry:     w.Clients.MarksRetry,
+		ReportFields:   w.Report.Fields,
+		ScaleIsSize:    w.WeightSource == "nominal" || w.WeightSource == "rough",
+		Limits: rules.Limits{
+			MaxAttempts:    w.Limits.MaxAttempts,
+			ParallelTries:  w.Limits.ParallelTries,
+			Cancel:         w.Limits.Cancel,
+			Probes:         w.Limits.Probes,
+			PeerMessages:   w.Limits.PeerMessages,
+			RetryAfter:     w.Limits.RetryAfter,
+			MaxRetryAfter:  rules.Time(w.Limits.MaxRetryAfter),
+			ConnectTimeout: rules.Time(w.Limits.ConnectTimeout),
+		},
+		Duties: rules.Duties{
+			AnswerSlack:    rules.Time(w.Rules.AnswerSlack),
+			DrainGrace:     rules.Time(w.Rules.StopSendingWithin),
+			AskEvery:       rules.Time(w.Rules.AskEvery),
+			ColdFrom:       w.Rules.ColdFrom,
+			ColdFor:        rules.Time(w.Rules.Cold),
+			OverloadFactor: w.Rules.OverloadFactor,
+			TipAfter:       rules.Time(w.Rules.TipAfter),
+			KeyRest:        rules.Time(w.Rules.KeyRest),
+			RationWindow:   rules.Time(w.Rules.LookBack),
+		},
+		Fees: rules.Fees{
+			CrossZone: w.Fees.CrossZone, Waste: w.Fees.Waste, Probe: w.Fees.Probe,
+			Peer: w.Fees.Peer, LateFail: w.Fees.LateFail,
+		},
+	}
+	if w.Rules.ExtraPerRequest != nil || w.Rules.FreeResends != nil {
+		s.Duties.Rationed = true
+		if w.Rules.ExtraPerRequest != nil {
+			s.Duties.ExtraPerTaken = *w.Rules.ExtraPerRequest
+		}
+		if w.Rules.FreeResends != nil {
+			s.Duties.FreeResends = *w.Rules.FreeResends
+		}
+	}
+	var err error
+	if s.Report, err = choice[rules.ReportMode]("report.how", w.Report.How, "silent", "piggyback", "pull"); err != nil {
+		return s, err
+	}
+	s.WhenShort, err = choice[rules.Shortage]("extra.onShortage", w.Extra.OnShortage, "wait", "shrink", "page")
+	if err != nil {
+		return s, err
+	}
+	for _, p := range w.Parties {
+		s.Tenants = append(s.Tenants, rules.Tenant{QuotaPerS: p.QuotaPerS, Fraction: p.Fraction})
+	}
+	for i := range max(len(w.MachineTypes), len(w.Extra.CPUOfKind), len(w.Extra.RAMOfKindMB)) {
+		s.Kinds = append(s.Kinds, rules.Kind{Cores: at(w.Extra.CPUOfKind, i), MemoryMB: at(w.Extra.RAMOfKindMB, i)})
+	}
+	for i, c := range w.Classes {
+		class, err := decodeClass(c, w, i)
+		if err != nil {
+			return s, err
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	return s, nil
+}
+
+func decodeClass(c wireClass, w wireInfo, i int) (rules.Class, error) {
+	class := rules.Class{
+		Aim:         rules.Time(c.Aim),
+		AimStretch:  c.AimStretch,
+		GiveUp:      rules.Time(c.GiveUp),
+		LateValue:   c.LateValue,
+		Worth:       c.Worth,
+		DedupWindow: rules.Time(c.DedupWindow),
+		Stream:      c.Stream,
+		Ordered:     c.SerialByKey,
+		Zones:       c.StaysIn,
+		Kinds:       c.MachineTypesAllowed,
+		Threads:     max(at(w.Extra.ClassThreads, i), 1),
+		IsLoad:      at(w.Extra.IsLoad, i),
+		WaitsOnLoad: at(w.Extra.YieldsToLoads, i),
+	}
+	var err error
+	if class.Effect, err = choice[rules.Effect]("effect", c.Effect, "pure", "token", "side_effect"); err != nil {
+		return class, fmt.Errorf("class %d: %w", i, err)
+	}
+	if class.Group, err = choice[rules.Group]("group", c.Group, "all", "zone", "cell"); err != nil {
+		return class, fmt.Errorf("class %d: %w", i, err)
+	}
+	if math.IsNaN(c.Worth) || c.Worth < 0 {
+		return class, fmt.Errorf("class %d: settings: worth %v is out of range", i, c.Worth)
+	}
+	return class, nil
+}
+
+// at is the i-th value of a list, or zero where the list is shorter.
+func at[T any](list []T, i int) T {
+	if i < len(list) {
+		return list[i]
+	}
+	var zero T
+	return zero
+}
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,806 @@
+package rules
+
+// All decisions of a gateway. The types it speaks in are in api.go.
+//
+// The ordinary path: a request is held in the queue of its class and tenant;
+// release draws a class, a tenant and a request by lottery; the memory gate
+// and the thread bound say which engines may take it; of two random ones of
+// these the less busy gets it. Everything else guards that path.
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+)
+
+const (
+	threadsPerCore  = 1.5              // thread bound of a whole engine, in threads a core
+	learnWindow     = 10 * Second      // memory of the learned ratios
+	aimPart         = 0.5              // an attempt should leave this part of the wanted time to the queue
+	shareGrow       = 1.05             // growth of our share by an outcome in time while we use it up
+	shareCut        = 0.9              // cut of our share by an outcome that took too long
+	shareMost       = 2.0              // most of an engine's bound that we ever take for ours
+	coldSafety      = 0.5              // part of our share of a cold engine's budget that we use
+	drawsPerClass   = 3                // held requests looked at before a class is passed over
+	sweepEvery      = 50 * Millisecond // how often held requests are reconsidered without an event
+	badGain         = 0.25             // weight of the newest outcome in an engine's failure share
+	badLimit        = 0.3              // failure share from which an engine only gets a trickle
+	restFirst       = 500 * Millisecond
+	restMost        = 4 * Second
+	overdueQuantile = 0.75 // an attempt is compared with this quantile of its class
+	overdueTimes    = 2.5  // and is overdue at so many times that
+	killGain        = 0.2  // weight of the newest verdict on whether cancelling pays
+	killStart       = 0.7  // belief that cancelling pays before anything was seen
+	killLeast       = 0.4  // belief below which overdue attempts are left alone
+	askAgain        = Second
+)
+
+// New returns the module of a gateway that has just started.
+func New(s Settings, seed uint64) *Module {
+	m := &Module{s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		byID: map[EngineID]*engine{}, open: map[RequestID]*request{}, lanes: map[string]*lane{}}
+	for _, c := range s.Classes {
+		k := &class{Class: c, spread: 1.5, pays: killStart}
+		k.ratio.span, k.need.span, k.needSq.span, k.usual.span = learnWindow, learnWindow, learnWindow, learnWindow
+		for range max(1, len(s.Tenants)) {
+			k.queues = append(k.queues, &queue{})
+		}
+		m.classes = append(m.classes, k)
+	}
+	return m
+}
+
+// Handle takes one event and returns what to do. The result is valid until the next call.
+func (m *Module) Handle(now Time, event Event) []Action {
+	m.out, m.now = m.out[:0], now
+	if !m.begun {
+		m.begun, m.born = true, now
+		m.subscribe()
+	}
+	switch e := event.(type) {
+	case FleetChange:
+		m.fleet(e)
+	case Arrival:
+		m.arrive(e.Request)
+	case Outcome:
+		m.outcome(e)
+	case StreamOpened:
+		if r := m.open[e.ID]; r != nil {
+			r.stream = true
+		}
+	case Departure:
+		if r := m.open[e.ID]; r != nil && !r.over {
+			m.end(r)
+		}
+	case Alarm:
+		m.alarm(e.Token)
+	}
+	m.release()
+	return m.out
+}
+
+func (m *Module) do(a Action) { m.out = append(m.out, a) }
+
+// ---- the list of engines
+
+func (m *Module) subscribe() {
+	if m.s.AskMembership {
+		m.do(Subscribe{On: true})
+	}
+}
+
+// fleet follows the list. A failed or silent list leaves the last one standing.
+func (m *Module) fleet(f FleetChange) {
+	if f.Mode == ListFailed {
+		m.do(SetTimer{At: m.now + askAgain, Token: "ask"})
+		return
+	}
+	if f.Mode != ListDelta {
+		for _, e := range m.engines {
+			e.State = EngineGone
+		}
+	}
+	for _, entry := range f.Engines {
+		e := m.byID[entry.ID]
+		if e == nil {
+			e = &engine{share: 1 / float64(m.s.Siblings), slow: 1}
+			m.byID[entry.ID] = e
+			m.engines = append(m.engines, e)
+		}
+		if entry.StartedAt != e.StartedAt {
+			e.bad, e.restTill = 0, 0
+		}
+		e.Engine = entry
+	}
+	m.forgetEngines()
+}
+
+// forgetEngines frees what has left the list and runs nothing of ours. A cold engine is kept: should
+// the list name it again, what we sent it before still counts.
+func (m *Module) forgetEngines() {
+	kept := m.engines[:0]
+	for _, e := range m.engines {
+		if e.State == EngineGone && e.out == 0 && !m.cold(e) {
+			delete(m.byID, e.ID)
+			continue
+		}
+		kept = append(kept, e)
+	}
+	m.engines = kept
+}
+
+func (m *Module) kind(e *engine) Kind {
+	if e.Kind < len(m.s.Kinds) {
+		return m.s.Kinds[e.Kind]
+	}
+	return Kind{}
+}
+
+// ---- requests
+
+func (m *Module) arrive(q Request) {
+	if m.open[q.ID] != nil {
+		return
+	}
+	c := m.classes[q.Class]
+	r := &request{Request: q, class: c, queue: c.queues[min(q.Tenant, len(c.queues)-1)], arrived: m.now, slot: -1}
+	m.open[q.ID] = r
+	if m.s.Duties.Rationed {
+		m.taken = append(recent(m.taken, m.now-m.s.Duties.RationWindow), m.now)
+	}
+	c.usual.add(m.now, m.predict(r), 1)
+	m.do(SetTimer{At: q.Due, Token: "r" + string(q.ID)})
+	if c.Ordered && q.OrderKey != "" {
+		m.queueUp(r)
+		return
+	}
+	m.hold(r)
+}
+
+// predict is the request's expected work, all threads together.
+func (m *Module) predict(r *request) float64 {
+	if r.HasWork {
+		return float64(r.Work) * r.class.ratio.mean(1)
+	}
+	return r.class.usual.mean(float64(r.class.Aim))
+}
+
+// runTime is how long the work takes on an engine of the given slowdown.
+func (r *request) runTime(work, slow float64) Time {
+	return Time(work / float64(max(1, r.class.Threads)) * slow)
+}
+
+// wanted is how long after its arrival an answer still earns full worth.
+func (r *request) wanted(work float64) Time {
+	return r.class.Aim + Time(r.class.AimStretch*work/float64(max(1, r.class.Threads)))
+}
+
+func (m *Module) hold(r *request) {
+	if r.over || r.slot >= 0 {
+		return
+	}
+	work := m.predict(r)
+	r.late = m.now+r.runTime(work, 1) > r.arrived+r.wanted(work)
+	r.key = r.queue.clock + m.rng.ExpFloat64()*work
+	r.queue.total += work
+	r.queued = work
+	heap.Push(r.queue, r)
+	m.held++
+	m.review(r)
+}
+
+func (m *Module) unhold(r *request) {
+	if r.slot < 0 {
+		return
+	}
+	heap.Remove(r.queue, r.slot)
+	r.queue.total -= r.queued
+	m.held--
+}
+
+// review settles what time has done to a request: it is late, hopeless, overdue or due.
+func (m *Module) review(r *request) {
+	if r.over || r.stream {
+		return
+	}
+	work := m.predict(r)
+	run := r.runTime(work, 1)
+	if m.now >= r.Due || r.running == 0 && m.now+run >= r.Due {
+		m.finish(r)
+		return
+	}
+	if r.running > 0 {
+		m.checkOverdue(r)
+		return
+	}
+	turn := r.arrived + r.wanted(work) - run
+	if m.now < turn {
+		m.wake(r, turn)
+		return
+	}
+	if !r.late && r.slot >= 0 {
+		r.late = true
+		heap.Fix(r.queue, r.slot)
+	}
+	m.wake(r, r.Due-run)
+}
+
+func (m *Module) wake(r *request, at Time) {
+	if at > m.now && at < r.Due {
+		m.do(SetTimer{At: at, Token: "r" + string(r.ID)})
+	}
+}
+
+// finish gives the final answer now: a refusal where the rules allow that promise, else a failure.
+func (m *Module) finish(r *request) {
+	if m.mayRefuse(r) {
+		m.do(Refuse{ID: r.ID})
+	} else {
+		m.do(Fail{ID: r.ID})
+	}
+	m.end(r)
+}
+
+// end closes a request and withdraws what still runs for it.
+func (m *Module) end(r *request) {
+	m.unhold(r)
+	r.over = true
+	for i := range r.attempts {
+		if !r.attempts[i].done && m.s.Limits.Cancel && !r.stream {
+			m.do(Cancel{ID: r.ID, Attempt: i})
+		}
+	}
+	m.forget(r)
+}
+
+// forget frees a request that is over and has no attempt out.
+func (m *Module) forget(r *request) {
+	if !r.over || r.running > 0 {
+		return
+	}
+	delete(m.open, r.ID)
+	if r.lane != nil {
+		m.leaveLane(r)
+	}
+}
+
+// ---- what the rules allow
+
+// mayRefuse answers whether we can promise that a retry is harmless.
+func (m *Module) mayRefuse(r *request) bool {
+	c := r.class
+	return c.Effect == EffectSafe || c.Effect == EffectKeyed && c.Group == GroupAll || !r.mayHaveRun()
+}
+
+func (r *request) mayHaveRun() bool {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; !a.done || !a.verdict.NeverRan() {
+			return true
+		}
+	}
+	return false
+}
+
+// maySend is the one place that says whether the rules allow a (further) attempt on an engine.
+func (m *Module) maySend(r *request, e *engine) bool {
+	return e.State == EngineServing && m.placed(r, e) && m.mayRepeat(r, e) && m.coldRoom(r, e)
+}
+
+func (m *Module) placed(r *request, e *engine) bool {
+	return contains(r.class.Zones, e.Zone) && contains(r.class.Kinds, e.Kind)
+}
+
+func (m *Module) mayRepeat(r *request, e *engine) bool {
+	if len(r.attempts) == 0 {
+		return true
+	}
+	if r.running > 0 && !m.s.Limits.ParallelTries || !m.rationLeft() || !m.triesLeft(r) {
+		return false
+	}
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.done && a.verdict.NeverRan() || r.class.Effect == EffectSafe {
+			continue
+		}
+		if r.class.Effect == EffectUnsafe || m.now-a.at >= r.class.DedupWindow || !r.class.sameGroup(a, e) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *class) sameGroup(a *attempt, e *engine) bool {
+	switch c.Group {
+	case GroupZone:
+		return a.zone == e.Zone
+	case GroupCell:
+		return a.cell == e.Cell
+	}
+	return true
+}
+
+func (m *Module) triesLeft(r *request) bool {
+	return m.s.Limits.MaxAttempts <= 0 || len(r.attempts) < m.s.Limits.MaxAttempts
+}
+
+// rationLeft answers whether one more further attempt stays within the site's ration.
+func (m *Module) rationLeft() bool {
+	d := m.s.Duties
+	if !d.Rationed {
+		return true
+	}
+	m.taken = recent(m.taken, m.now-d.RationWindow+m.s.Tick)
+	m.extras = recent(m.extras, m.now-d.RationWindow-m.s.Tick)
+	return float64(len(m.extras)+1) <= d.FreeResends+d.ExtraPerTaken*float64(len(m.taken))
+}
+
+func (m *Module) cold(e *engine) bool {
+	return e.StartedAt != 0 && m.now < e.StartedAt+m.s.Duties.ColdFor
+}
+
+// coldRoom keeps a cold engine from being pushed over: all gateways together may send it only so
+// much within the tip window, so each keeps to its part, whatever part of the traffic it has. A
+// gateway that has just started does not know what it sent before, and waits a window.
+func (m *Module) coldRoom(r *request, e *engine) bool {
+	d := m.s.Duties
+	if !m.cold(e) {
+		e.sent = nil
+		return true
+	}
+	if m.now < m.born+d.TipAfter {
+		return false
+	}
+	for len(e.sent) > 0 && e.sent[0].at < m.now-d.TipAfter-m.s.Tick {
+		e.sent = e.sent[1:]
+	}
+	spent := r.class.usual.mean(math.Inf(1))
+	for _, s := range e.sent {
+		spent += s.work
+	}
+	whole := d.OverloadFactor * d.ColdFrom * m.kind(e).Cores * float64(d.TipAfter)
+	return spent <= coldSafety*whole/float64(m.s.Siblings)
+}
+
+// ---- the ordinary path
+
+// release sends held requests while there is one that an engine may take.
+func (m *Module) release() {
+	for m.held > 0 && m.anyRoom() && m.releaseOne() {
+	}
+	if m.held > 0 && !m.sweepOn {
+		m.sweepOn = true
+		m.do(SetTimer{At: m.now + sweepEvery, Token: "sweep"})
+	}
+}
+
+func (m *Module) anyRoom() bool {
+	for _, e := range m.engines {
+		if e.State == EngineServing && (e.out == 0 || e.threads < m.bound(e)) {
+			return true
+		}
+	}
+	return false
+}
+
+// releaseOne draws classes, without putting back, until a request of one goes out.
+func (m *Module) releaseOne() bool {
+	passed := make([]bool, len(m.classes))
+	for range m.classes {
+		c := m.drawClass(passed)
+		if c < 0 {
+			return false
+		}
+		passed[c] = true
+		if m.releaseFrom(m.classes[c].drawTenant(m.rng)) {
+			return true
+		}
+	}
+	return false
+}
+
+// drawClass is the class lottery: the share of time that a class's worth gives it, over the mean
+// predicted time of its held requests, is its odds.
+func (m *Module) drawClass(passed []bool) int {
+	odds := make([]float64, len(m.classes))
+	for i, c := range m.classes {
+		var n int
+		var total float64
+		worth := 0.0
+		for _, q := range c.queues {
+			n += q.Len()
+			total += q.total
+			if q.Len() > 0 && !q.held[0].late {
+				worth = c.Worth
+			} else if q.Len() > 0 {
+				worth = max(worth, c.Worth*c.LateValue/4)
+			}
+		}
+		if n > 0 && !passed[i] {
+			odds[i] = max(worth, 1e-9) * float64(n) / max(total, 1)
+		}
+	}
+	return draw(m.rng, odds)
+}
+
+// drawTenant draws a tenant's queue with odds of one over its held requests' mean predicted time.
+func (c *class) drawTenant(rng *rand.Rand) *queue {
+	odds := make([]float64, len(c.queues))
+	for i, q := range c.queues {
+		if q.Len() > 0 {
+			odds[i] = float64(q.Len()) / max(q.total, 1)
+		}
+	}
+	return c.queues[max(draw(rng, odds), 0)]
+}
+
+// releaseFrom takes the first drawn requests of a queue and sends the first that fits somewhere.
+// The rest keep their place.
+func (m *Module) releaseFrom(q *queue) bool {
+	var aside []*request
+	sent := false
+	for len(aside) < drawsPerClass && q.Len() > 0 && !sent {
+		r := heap.Pop(q).(*request)
+		if e := m.pick(r); e != nil {
+			q.clock = max(q.clock, r.key)
+			q.total -= r.queued
+			m.held--
+			m.send(r, e)
+			sent = true
+			break
+		}
+		aside = append(aside, r)
+	}
+	for _, r := range aside {
+		heap.Push(q, r)
+	}
+	return sent
+}
+
+// pick takes the less busy of two random engines that may take the request.
+func (m *Module) pick(r *request) *engine {
+	var a, b *engine
+	n := 0
+	for _, e := range m.engines { // a and b: a uniform pair of those eligible
+		if !m.fits(r, e) || !m.maySend(r, e) {
+			continue
+		}
+		n++
+		switch k := m.rng.IntN(n); {
+		case n == 1:
+			a = e
+		case n == 2 && k == 0:
+			a, b = e, a
+		case n == 2:
+			b = e
+		case k == 0:
+			a = e
+		case k == 1:
+			b = e
+		}
+	}
+	if b == nil || a != nil && a.busy() <= b.busy() {
+		return a
+	}
+	return b
+}
+
+// busy is our own estimate of the time the engine still has for us, a core each.
+func (e *engine) busy() float64 { return e.work * e.slow }
+
+func (m *Module) bound(e *engine) float64 { return threadsPerCore * m.kind(e).Cores * e.share }
+
+// fits is the memory gate, the thread bound and the trickle to an engine that fails.
+func (m *Module) fits(r *request, e *engine) bool {
+	if !m.trusted(r, e) {
+		return false
+	}
+	if e.out == 0 {
+		return true
+	}
+	memory := m.kind(e).MemoryMB
+	return e.threads < m.bound(e) &&
+		(memory == 0 || e.memory+m.grant(r, e) <= memory*min(1, e.share))
+}
+
+// trusted keeps all but a trickle from an engine that fails more than the rest. Where most of the
+// fleet fails the cause is shared, and leaving engines out would only add load to the others.
+func (m *Module) trusted(r *request, e *engine) bool {
+	if e.bad < badLimit && m.now >= e.restTill {
+		return true
+	}
+	failing := 0
+	for _, o := range m.engines {
+		if o.bad >= badLimit || m.now < o.restTill {
+			failing++
+		}
+	}
+	if 2*failing > len(m.engines) {
+		return true
+	}
+	return r.class.Effect == EffectSafe && e.out == 0 && m.now >= e.restTill
+}
+
+// grant is the memory we ask for: the need of most requests with such an estimate.
+func (m *Module) grant(r *request, e *engine) float64 {
+	mean := r.class.need.mean(1)
+	spread := math.Sqrt(max(0, r.class.needSq.mean(mean*mean)-mean*mean))
+	grant := r.MemoryMB * (mean + spread)
+	if m.s.MostGrant > 0 {
+		grant = min(grant, m.s.MostGrant*m.kind(e).MemoryMB)
+	}
+	return grant
+}
+
+func (m *Module) send(r *request, e *engine) {
+	grant := m.grant(r, e)
+	if m.s.TakesGrants || m.s.TakesPriority {
+		terms := SetTerms{ID: r.ID, MemoryMB: math.Ceil(grant), Priority: m.priority(r)}
+		if terms != r.terms {
+			r.terms = terms
+			m.do(terms)
+		}
+	}
+	m.do(Send{ID: r.ID, Engine: e.ID})
+	if len(r.attempts) > 0 {
+		m.extras = append(m.extras, m.now)
+	}
+	work := m.predict(r)
+	a := attempt{engine: e, zone: e.Zone, cell: e.Cell, at: m.now, threads: float64(max(1, r.class.Threads)),
+		memory: grant, work: work, expected: float64(r.runTime(work, e.slow))}
+	r.attempts = append(r.attempts, a)
+	r.running++
+	e.out++
+	e.threads += a.threads
+	e.memory += a.memory
+	e.work += a.work
+	if m.cold(e) {
+		e.sent = append(e.sent, sending{m.now, r.class.usual.mean(work)})
+	}
+	m.wake(r, m.overdueAt(r, &a))
+}
+
+// priority favours the class that earns most for its work.
+func (m *Module) priority(r *request) int {
+	best, own := 0.0, 0.0
+	for _, c := range m.classes {
+		density := c.Worth / max(1, c.usual.mean(math.Inf(1)))
+		best = max(best, density)
+		if c == r.class {
+			own = density
+		}
+	}
+	if own >= best {
+		return 3
+	}
+	return 1
+}
+
+// ---- outcomes
+
+func (m *Module) outcome(o Outcome) {
+	r := m.open[o.ID]
+	if r == nil || o.Attempt >= len(r.attempts) || r.attempts[o.Attempt].done {
+		return
+	}
+	a := &r.attempts[o.Attempt]
+	a.done, a.verdict = true, o.Verdict
+	r.running--
+	e := a.engine
+	m.learn(r, a, o)
+	e.out--
+	e.threads -= a.threads
+	e.memory -= a.memory
+	e.work -= a.work
+	if e.out == 0 {
+		e.threads, e.memory, e.work = 0, 0, 0
+		if e.State == EngineGone {
+			m.forgetEngines()
+		}
+	}
+	m.restLane(r, o.Verdict)
+	if o.Closed && !r.over {
+		m.end(r)
+	}
+	if r.over {
+		m.forget(r)
+		return
+	}
+	if r.running == 0 {
+		m.again(r)
+	}
+}
+
+// again holds a request for a further attempt where one may still help, else ends it.
+func (m *Module) again(r *request) {
+	if !m.triesLeft(r) || r.mayHaveRun() && r.class.Effect == EffectUnsafe {
+		m.finish(r)
+		return
+	}
+	m.hold(r)
+}
+
+// learn takes from an outcome all it tells of its class and its engine. Time-outs and cancels
+// count too: figures of survivors alone would look better than things are.
+func (m *Module) learn(r *request, a *attempt, o Outcome) {
+	c, e := r.class, a.engine
+	switch o.Verdict {
+	case VerdictMoot:
+		return
+	case VerdictError, VerdictReset, VerdictConnectFailed:
+		m.failed(e)
+		return
+	case VerdictFull:
+		e.share = max(e.share*shareCut, m.leastShare())
+		return
+	case VerdictOK:
+		e.bad -= badGain * e.bad
+		e.rest = 0
+	}
+	work := a.work
+	if o.Verdict == VerdictOK && o.TrueWork > 0 {
+		work = float64(o.TrueWork)
+		if r.HasWork {
+			c.ratio.add(m.now, work, float64(r.Work))
+		}
+		if r.MemoryMB > 0 && o.TrueMemoryMB > 0 {
+			x := o.TrueMemoryMB / r.MemoryMB
+			c.need.add(m.now, x, 1)
+			c.needSq.add(m.now, x*x, 1)
+		}
+	}
+	lag := float64(o.Latency)
+	m.learnSpread(r, a, lag, o.Verdict == VerdictOK)
+	if a.cut {
+		return
+	}
+	if o.Verdict == VerdictOK {
+		alone := float64(r.runTime(work, 1)) + float64(2*m.s.Tick)
+		e.slow += 0.1 * (min(max(lag/alone, 1), 5) - e.slow)
+	}
+	if lag > aimPart*float64(r.wanted(work)) {
+		e.share = max(e.share*shareCut, m.leastShare())
+	} else if o.Verdict == VerdictOK && (e.threads >= 0.7*m.bound(e) || e.memory >= 0.7*m.kind(e).MemoryMB*e.share) {
+		e.share = min(e.share*shareGrow, shareMost)
+	}
+}
+
+func (m *Module) leastShare() float64 { return 0.5 / float64(m.s.Siblings) }
+
+// failed marks an engine that failed an attempt and lets it rest, longer each time.
+func (m *Module) failed(e *engine) {
+	e.bad += badGain * (1 - e.bad)
+	if e.bad >= badLimit {
+		e.rest = min(max(2*e.rest, restFirst), restMost)
+		e.restTill = m.now + e.rest
+	}
+}
+
+// ---- bad plans and other overdue attempts
+
+// learnSpread follows how far run times lie from the predicted ones, and whether cancelling paid:
+// it did if the next attempt took less than the cancelled one had taken by then.
+func (m *Module) learnSpread(r *request, a *attempt, lag float64, ok bool) {
+	c := r.class
+	x := lag / max(a.expected, 1)
+	if x > c.spread {
+		c.spread = min(c.spread*(1+0.1*overdueQuantile), 100)
+	} else {
+		c.spread = max(c.spread*(1-0.1*(1-overdueQuantile)), 1)
+	}
+	if ok && r.cutAge > 0 {
+		paid := 0.0
+		if Time(lag) < r.cutAge {
+			paid = 1
+		}
+		c.pays += killGain * (paid - c.pays)
+	}
+}
+
+func (m *Module) overdueAt(r *request, a *attempt) Time {
+	return a.at + Time(overdueTimes*r.class.spread*a.expected)
+}
+
+// checkOverdue cancels an attempt that takes far longer than such attempts do, to try elsewhere:
+// a bad plan, a stalled or an unreachable engine. Only where the repeat is allowed and can end in
+// time, and only while it has paid: on rough estimates long runs are just long.
+func (m *Module) checkOverdue(r *request) {
+	if r.running != 1 || r.class.Effect != EffectSafe || !m.s.Limits.Cancel || r.cutAge > 0 {
+		return
+	}
+	i := len(r.attempts) - 1
+	a := &r.attempts[i]
+	if a.done || a.cut || !m.triesLeft(r) || !m.rationLeft() || r.class.pays < killLeast {
+		return
+	}
+	if at := m.overdueAt(r, a); m.now < at {
+		m.wake(r, at)
+		return
+	}
+	if m.now+Time(a.expected) >= r.Due {
+		return
+	}
+	a.cut, r.cutAge = true, m.now-a.at
+	m.do(Cancel{ID: r.ID, Attempt: i})
+}
+
+// ---- timers
+
+func (m *Module) alarm(token string) {
+	switch {
+	case token == "sweep":
+		m.sweepOn = false
+	case token == "ask":
+		m.subscribe()
+	case token != "" && token[0] == 'r':
+		if r := m.open[RequestID(token[1:])]; r != nil {
+			m.review(r)
+		}
+	case token != "" && token[0] == 'k':
+		if l := m.lanes[token[1:]]; l != nil {
+			m.turn(l)
+		}
+	}
+}
+
+// ---- order by key
+
+func (m *Module) queueUp(r *request) {
+	l := m.lanes[r.OrderKey]
+	if l == nil {
+		l = &lane{key: r.OrderKey}
+		m.lanes[r.OrderKey] = l
+	}
+	r.lane = l
+	l.line = append(l.line, r)
+	m.turn(l)
+}
+
+func (m *Module) turn(l *lane) {
+	if len(l.line) == 0 {
+		if m.now >= l.rest {
+			delete(m.lanes, l.key)
+		}
+		return
+	}
+	if r := l.line[0]; !r.over && len(r.attempts) == 0 {
+		if m.now < l.rest {
+			m.do(SetTimer{At: l.rest, Token: "k" + l.key})
+			return
+		}
+		m.hold(r)
+	}
+}
+
+// restLane: an attempt that may still run keeps its key idle for a time after it was given up.
+func (m *Module) restLane(r *request, v Verdict) {
+	if r.lane != nil && (v == VerdictTimeout || v == VerdictReset || v == VerdictCancelled) {
+		r.lane.rest = max(r.lane.rest, m.now+m.s.Duties.KeyRest)
+	}
+}
+
+func (m *Module) leaveLane(r *request) {
+	l := r.lane
+	for i, o := range l.line {
+		if o == r {
+			l.line = append(l.line[:i], l.line[i+1:]...)
+			break
+		}
+	}
+	if len(l.line) == 0 && m.now < l.rest {
+		m.do(SetTimer{At: l.rest, Token: "k" + l.key})
+	}
+	m.turn(l)
+}
+
+// ---- the order of a queue
+
+// Less makes a queue a race: each held request draws an exponential time with mean its predicted
+// work, and the shortest goes first. So the odds of the next draw are one over predicted time, as
+// the design has it, at the cost of a heap. Requests that can't be in time any more go last.
+func (q *queue) Less(i, j int) bool {
+	a, b := q.held[i], q.held[j]
+	if a.late != b.late {
+		return b.late
+	}
+	return a.key < b.key
+}
--- /dev/null
+++ b/rules/state.go
@@ -0,0 +1,100 @@
+package rules
+
+import "math/rand/v2"
+
+// This file holds what the module remembers. It decides nothing.
+
+// Module decides for one gateway.
+type Module struct {
+	s       Settings
+	rng     *rand.Rand
+	now     Time
+	born    Time
+	begun   bool
+	sweepOn bool
+	out     []Action
+	engines []*engine // in the order they were first listed
+	byID    map[EngineID]*engine
+	open    map[RequestID]*request
+	classes []*class
+	lanes   map[string]*lane
+	held    int
+	taken   []Time // arrivals within the ration's window
+	extras  []Time // further attempts within it
+}
+
+type engine struct {
+	Engine
+	out      int     // attempts of ours without an outcome
+	threads  float64 // theirs
+	memory   float64 // granted to them
+	work     float64 // predicted for them
+	share    float64 // what we take for our part of it; learned
+	slow     float64 // learned slowdown against running alone
+	bad      float64 // learned share of failures
+	rest     Time
+	restTill Time
+	sent     []sending // while it is cold: what we sent within the tip window
+}
+
+type sending struct {
+	at   Time
+	work float64
+}
+
+type class struct {
+	Class
+	queues []*queue // by tenant
+	ratio  window   // true over told work
+	need   window   // needed over told memory
+	needSq window
+	usual  window  // work of a request
+	spread float64 // quantile of run time over the predicted one
+	pays   float64 // belief that cancelling an overdue attempt pays
+}
+
+type attempt struct {
+	engine   *engine
+	zone     int
+	cell     int
+	at       Time
+	threads  float64
+	memory   float64
+	work     float64
+	expected float64
+	done     bool
+	cut      bool // we cancelled it as overdue
+	verdict  Verdict
+}
+
+type request struct {
+	Request
+	class    *class
+	queue    *queue
+	arrived  Time
+	attempts []attempt
+	running  int
+	over     bool
+	stream   bool
+	late     bool
+	key      float64 // place in the queue
+	queued   float64 // predicted work while held
+	slot     int     // index in the queue's heap; -1: not held
+	lane     *lane
+	terms    SetTerms
+	cutAge   Time
+}
+
+// lane is the line of requests of one key: the first has its turn, the rest wait for it to be over.
+type lane struct {
+	key  string
+	line []*request
+	rest Time // nothing is sent for the next one before
+}
+
+// queue holds the requests of one class and tenant that wait, as a heap (see Less).
+type queue struct {
+	held  []*request
+	total float64 // predicted work of all
+	clock float64 // key of the last drawn
+}
--- /dev/null
+++ b/rules/tools.go
@@ -0,0 +1,81 @@
+package rules
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+// This file holds plain tools: a heap's upkeep, a forgetting mean, a draw. It decides nothing.
+
+func (q *queue) Len() int { return len(q.held) }
+func (q *queue) Swap(i, j int) {
+	q.held[i], q.held[j] = q.held[j], q.held[i]
+	q.held[i].slot, q.held[j].slot = i, j
+}
+func (q *queue) Push(x any) {
+	r := x.(*request)
+	r.slot = len(q.held)
+	q.held = append(q.held, r)
+}
+func (q *queue) Pop() any {
+	n := len(q.held) - 1
+	r := q.held[n]
+	q.held[n], q.held = nil, q.held[:n]
+	r.slot = -1
+	return r
+}
+
+// window is a mean that forgets: what is older than its span counts little.
+type window struct {
+	span        Time
+	sum, weight float64
+	at          Time
+}
+
+func (w *window) add(now Time, sum, weight float64) {
+	keep := math.Exp(-float64(now-w.at) / float64(w.span))
+	w.sum, w.weight, w.at = w.sum*keep+sum, w.weight*keep+weight, now
+}
+
+func (w *window) mean(unknown float64) float64 {
+	if w.weight < 1e-9 {
+		return unknown
+	}
+	return w.sum / w.weight
+}
+
+// draw returns an index with the given odds, or -1 where all are zero.
+func draw(rng *rand.Rand, odds []float64) int {
+	total, last := 0.0, -1
+	for _, o := range odds {
+		total += o
+	}
+	x := rng.Float64() * total
+	for i, o := range odds {
+		if o > 0 {
+			if last = i; x < o {
+				return i
+			}
+		}
+		x -= o
+	}
+	return last
+}
+
+// recent drops the times before from.
+func recent(times []Time, from Time) []Time {
+	for len(times) > 0 && times[0] < from {
+		times = times[1:]
+	}
+	return times
+}
+
+// contains answers whether a value is in the list, or there is no list.
+func contains(list []int, v int) bool {
+	for _, x := range list {
+		if x == v {
+			return true
+		}
+	}
+	return list == nil
+}
