Give every class the same priority value, as the design does by default

Equal time shares serve it first.

It could harm where one class is truly meant to starve another; no setting says so today.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -19,6 +19,7 @@
 	aimPart         = 0.5              // an attempt should leave this part of the wanted time to the queue
 	shareGrow       = 1.05             // growth of our share by an outcome in time while we use it up
 	shareCut        = 0.9              // cut of our share by an outcome that took too long
+	usedPart        = 0.7              // part of our share in use from which it counts as used up
 	shareMost       = 2.0              // most of an engine's bound that we ever take for ours
 	coldSafety      = 0.5              // part of our share of a cold engine's budget that we use
 	drawsPerClass   = 3                // held requests looked at before a class is passed over
@@ -41,7 +42,9 @@
 		byID: map[EngineID]*engine{}, open: map[RequestID]*request{}, lanes: map[string]*lane{}}
 	for _, c := range s.Classes {
 		k := &class{Class: c, spread: 1.5, pays: killStart}
-		k.ratio.span, k.need.span, k.needSq.span, k.usual.span = learnWindow, learnWindow, learnWindow, learnWindow
+		for _, w := range []*window{&k.ratio, &k.need, &k.needSq, &k.usual} {
+			w.span = learnWindow
+		}
 		for range max(1, len(s.Tenants)) {
 			k.queues = append(k.queues, &queue{})
 		}
@@ -143,7 +146,8 @@
 		return
 	}
 	c := m.classes[q.Class]
-	r := &request{Request: q, class: c, queue: c.queues[min(q.Tenant, len(c.queues)-1)], arrived: m.now, slot: -1}
+	r := &request{Request: q, class: c, arrived: m.now, slot: -1}
+	r.queue = c.queues[min(q.Tenant, len(c.queues)-1)]
 	m.open[q.ID] = r
 	if m.s.Duties.Rationed {
 		m.taken = append(recent(m.taken, m.now-m.s.Duties.RationWindow), m.now)
@@ -398,25 +402,24 @@
 	return false
 }
 
-// drawClass is the class lottery: the share of time that a class's worth gives it, over the mean
-// predicted time of its held requests, is its odds.
+// drawClass is the class lottery. Every class has the same share of time; that over the mean
+// predicted time of its held requests is its odds. Requests that are late already count for what
+// they still earn.
 func (m *Module) drawClass(passed []bool) int {
 	odds := make([]float64, len(m.classes))
 	for i, c := range m.classes {
-		var n int
-		var total float64
-		worth := 0.0
+		n, total, earns := 0, 0.0, 0.0
 		for _, q := range c.queues {
 			n += q.Len()
 			total += q.total
 			if q.Len() > 0 && !q.held[0].late {
-				worth = c.Worth
+				earns = 1
 			} else if q.Len() > 0 {
-				worth = max(worth, c.Worth*c.LateValue/4)
+				earns = max(earns, c.LateValue, 1e-6)
 			}
 		}
 		if n > 0 && !passed[i] {
-			odds[i] = max(worth, 1e-9) * float64(n) / max(total, 1)
+			odds[i] = earns * float64(n) / max(total, 1)
 		}
 	}
 	return draw(m.rng, odds)
@@ -659,11 +662,16 @@
 	}
 	if lag > aimPart*float64(r.wanted(work)) {
 		e.share = max(e.share*shareCut, m.leastShare())
-	} else if o.Verdict == VerdictOK && (e.threads >= 0.7*m.bound(e) || e.memory >= 0.7*m.kind(e).MemoryMB*e.share) {
+	} else if o.Verdict == VerdictOK && m.usedUp(e) {
 		e.share = min(e.share*shareGrow, shareMost)
 	}
 }
 
+// usedUp answers whether we come near what we may put on an engine, so that more would be used.
+func (m *Module) usedUp(e *engine) bool {
+	return e.threads >= usedPart*m.bound(e) || e.memory >= usedPart*m.kind(e).MemoryMB*e.share
+}
+
 func (m *Module) leastShare() float64 { return 0.5 / float64(m.s.Siblings) }
 
 // failed marks an engine that failed an attempt and lets it rest, longer each time.
