--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,9 +16,10 @@
 const (
 	threadsPerCore  = 1.5              // thread bound of a whole engine, in threads a core
 	learnWindow     = 10 * Second      // memory of the learned ratios
-	aimPart         = 0.5              // an attempt should leave this part of the wanted time to the queue
-	shareGrow       = 1.05             // growth of our share by an outcome in time while we use it up
-	shareCut        = 0.9              // cut of our share by an outcome that took too long
+	slowLimit       = 2.5              // an attempt slower than this times its run alone means too much at once
+	shareGrow       = 0.3              // growth of our share by a second of an engine's good work
+	shareCut        = 0.5              // cut of our share by an engine's second in slow attempts
+	shareCutMost    = 0.3              // most that one attempt cuts
 	usedPart        = 0.7              // part of our share in use from which it counts as used up
 	shareMost       = 2.0              // most of an engine's bound that we ever take for ours
 	coldSafety      = 0.5              // part of our share of a cold engine's budget that we use
@@ -559,7 +560,7 @@
 	if m.cold(e) {
 		e.sent = append(e.sent, sending{m.now, r.class.usual.mean(work)})
 	}
-	m.wake(r, m.overdueAt(r, &a))
+	m.wake(r, a.at+Time(slowLimit*float64(r.runTime(work, 1)))+1)
 }
 
 // priority favours the class that earns most for its work.
@@ -633,7 +634,7 @@
 		m.failed(e)
 		return
 	case VerdictFull:
-		e.share = max(e.share*shareCut, m.leastShare())
+		m.cutShare(e, shareCutMost)
 		return
 	case VerdictOK:
 		e.bad -= badGain * e.bad
@@ -656,24 +657,36 @@
 	if a.cut {
 		return
 	}
+	alone := float64(r.runTime(work, 1)) + float64(2*m.s.Tick)
 	if o.Verdict == VerdictOK {
-		alone := float64(r.runTime(work, 1)) + float64(2*m.s.Tick)
 		e.slow += 0.1 * (min(max(lag/alone, 1), 5) - e.slow)
 	}
-	if lag > aimPart*float64(r.wanted(work)) {
-		e.share = max(e.share*shareCut, m.leastShare())
+	part := 1 / (m.kind(e).Cores*float64(Second) + 1)
+	if lag > slowLimit*alone {
+		m.tooSlow(a, lag)
 	} else if o.Verdict == VerdictOK && m.usedUp(e) {
-		e.share = min(e.share*shareGrow, shareMost)
+		e.share = min(e.share+shareGrow*work*part, shareMost)
 	}
 }
 
+// tooSlow cuts our share of an engine for an attempt that takes too long, by the part of the engine
+// that it held. It counts once, and as soon as it is seen: outcomes alone would tell of survivors.
+func (m *Module) tooSlow(a *attempt, lag float64) {
+	if !a.slow {
+		a.slow = true
+		m.cutShare(a.engine, shareCut*a.threads*lag/(m.kind(a.engine).Cores*float64(Second)+1))
+	}
+}
+
+func (m *Module) cutShare(e *engine, by float64) {
+	e.share = max(e.share*(1-min(by, shareCutMost)), 0.5/float64(m.s.Siblings))
+}
+
 // usedUp answers whether we come near what we may put on an engine, so that more would be used.
 func (m *Module) usedUp(e *engine) bool {
 	return e.threads >= usedPart*m.bound(e) || e.memory >= usedPart*m.kind(e).MemoryMB*e.share
 }
 
-func (m *Module) leastShare() float64 { return 0.5 / float64(m.s.Siblings) }
-
 // failed marks an engine that failed an attempt and lets it rest, longer each time.
 func (m *Module) failed(e *engine) {
 	e.bad += badGain * (1 - e.bad)
@@ -712,6 +725,15 @@
 // a bad plan, a stalled or an unreachable engine. Only where the repeat is allowed and can end in
 // time, and only while it has paid: on rough estimates long runs are just long.
 func (m *Module) checkOverdue(r *request) {
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		limit := slowLimit * float64(r.runTime(a.work, 1))
+		if age := float64(m.now - a.at); !a.done && age >= limit {
+			m.tooSlow(a, age)
+		} else if !a.done {
+			m.wake(r, a.at+Time(limit)+1)
+		}
+	}
 	if r.running != 1 || r.class.Effect != EffectSafe || !m.s.Limits.Cancel || r.cutAge > 0 {
 		return
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -63,6 +63,7 @@
 	work     float64
 	expected float64
 	done     bool
+	slow     bool // it has counted as too slow
 	cut      bool // we cancelled it as overdue
 	verdict  Verdict
 }
