Take slow and overdue limits from the scatter of true over told work

Slowdown is learned by class and engine, limits come from the deviation of the logarithm of true over predicted work, and any slow attempt cuts the share by 5%.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -14,27 +14,30 @@
 )
 
 const (
-	threadsPerCore  = 1.5              // thread bound of a whole engine, in threads a core
-	learnWindow     = 10 * Second      // memory of the learned ratios
-	slowLimit       = 2.5              // an attempt slower than this times its run alone means too much at once
-	shareGrow       = 0.3              // growth of our share by a second of an engine's good work
-	shareCut        = 0.5              // cut of our share by an engine's second in slow attempts
-	shareCutMost    = 0.3              // most that one attempt cuts
-	usedPart        = 0.7              // part of our share in use from which it counts as used up
-	shareMost       = 2.0              // most of an engine's bound that we ever take for ours
-	coldSafety      = 0.5              // part of our share of a cold engine's budget that we use
-	drawsPerClass   = 3                // held requests looked at before a class is passed over
-	sweepEvery      = 50 * Millisecond // how often held requests are reconsidered without an event
-	badGain         = 0.25             // weight of the newest outcome in an engine's failure share
-	badLimit        = 0.3              // failure share from which an engine only gets a trickle
-	restFirst       = 500 * Millisecond
-	restMost        = 4 * Second
-	overdueQuantile = 0.75 // an attempt is compared with this quantile of its class
-	overdueTimes    = 2.5  // and is overdue at so many times that
-	killGain        = 0.2  // weight of the newest verdict on whether cancelling pays
-	killStart       = 0.7  // belief that cancelling pays before anything was seen
-	killLeast       = 0.4  // belief below which overdue attempts are left alone
-	askAgain        = Second
+	threadsPerCore = 1.5         // thread bound of a whole engine, in threads a core
+	learnWindow    = 10 * Second // memory of the learned ratios
+	slowLimit      = 1.6         // an attempt slower than this times its run alone means too much at once
+	slowPart       = 0.1         // and takes over this part of the time in which it is wanted
+	shareGrow      = 0.3         // growth of our share by a second of an engine's good work
+	shareCut       = 0.5         // cut of our share by an engine's second in slow attempts
+	shareCutLeast  = 0.05        // least and most that one slow attempt cuts
+	shareCutMost   = 0.3
+	usedPart       = 0.7              // part of our share in use from which it counts as used up
+	shareMost      = 2.0              // most of an engine's bound that we ever take for ours
+	coldSafety     = 0.5              // part of our share of a cold engine's budget that we use
+	drawsPerClass  = 3                // held requests looked at before a class is passed over
+	sweepEvery     = 50 * Millisecond // how often held requests are reconsidered without an event
+	badGain        = 0.25             // weight of the newest outcome in an engine's failure share
+	badLimit       = 0.3              // failure share from which an engine only gets a trickle
+	restFirst      = 500 * Millisecond
+	restMost       = 4 * Second
+	overdueTimes   = 1.2 // overdue: over this times the run time that estimates two deviations off give
+	slowMost       = 5   // slowdown that is believed at most
+	slowGain       = 0.1 // weight of the newest outcome in an engine's slowdown
+	killGain       = 0.2 // weight of the newest verdict on whether cancelling pays
+	killStart      = 0.7 // belief that cancelling pays before anything was seen
+	killLeast      = 0.4 // belief below which overdue attempts are left alone
+	askAgain       = Second
 )
 
 // New returns the module of a gateway that has just started.
@@ -42,8 +45,8 @@
 	m := &Module{s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		byID: map[EngineID]*engine{}, open: map[RequestID]*request{}, lanes: map[string]*lane{}}
 	for _, c := range s.Classes {
-		k := &class{Class: c, spread: 1.5, pays: killStart}
-		for _, w := range []*window{&k.ratio, &k.need, &k.needSq, &k.usual} {
+		k := &class{Class: c, pays: killStart}
+		for _, w := range []*window{&k.ratio, &k.usual, &k.need.mean, &k.need.square, &k.miss.mean, &k.miss.square} {
 			w.span = learnWindow
 		}
 		for range max(1, len(s.Tenants)) {
@@ -107,7 +110,7 @@
 	for _, entry := range f.Engines {
 		e := m.byID[entry.ID]
 		if e == nil {
-			e = &engine{share: 1 / float64(m.s.Siblings), slow: 1}
+			e = &engine{share: 1 / float64(m.s.Siblings), slow: make([]float64, len(m.classes))}
 			m.byID[entry.ID] = e
 			m.engines = append(m.engines, e)
 		}
@@ -489,7 +492,10 @@
 }
 
 // busy is our own estimate of the time the engine still has for us, a core each.
-func (e *engine) busy() float64 { return e.work * e.slow }
+func (e *engine) busy() float64 { return e.work }
+
+// slowness is the learned slowdown of a class on the engine, against running alone.
+func (e *engine) slowness(class int) float64 { return 1 + e.slow[class] }
 
 func (m *Module) bound(e *engine) float64 { return threadsPerCore * m.kind(e).Cores * e.share }
 
@@ -526,9 +532,7 @@
 
 // grant is the memory we ask for: the need of most requests with such an estimate.
 func (m *Module) grant(r *request, e *engine) float64 {
-	mean := r.class.need.mean(1)
-	spread := math.Sqrt(max(0, r.class.needSq.mean(mean*mean)-mean*mean))
-	grant := r.MemoryMB * (mean + spread)
+	grant := r.MemoryMB * (r.class.need.mean.mean(1) + r.class.need.deviation())
 	if m.s.MostGrant > 0 {
 		grant = min(grant, m.s.MostGrant*m.kind(e).MemoryMB)
 	}
@@ -550,7 +554,8 @@
 	}
 	work := m.predict(r)
 	a := attempt{engine: e, zone: e.Zone, cell: e.Cell, at: m.now, threads: float64(max(1, r.class.Threads)),
-		memory: grant, work: work, expected: float64(r.runTime(work, e.slow))}
+		memory: grant, expected: float64(r.runTime(work, e.slowness(r.Class)))}
+	a.work = a.expected * a.threads
 	r.attempts = append(r.attempts, a)
 	r.running++
 	e.out++
@@ -560,7 +565,7 @@
 	if m.cold(e) {
 		e.sent = append(e.sent, sending{m.now, r.class.usual.mean(work)})
 	}
-	m.wake(r, a.at+Time(slowLimit*float64(r.runTime(work, 1)))+1)
+	m.wake(r, m.slowAt(r, &a))
 }
 
 // priority favours the class that earns most for its work.
@@ -640,29 +645,28 @@
 		e.bad -= badGain * e.bad
 		e.rest = 0
 	}
-	work := a.work
+	work := m.predict(r)
 	if o.Verdict == VerdictOK && o.TrueWork > 0 {
+		c.miss.add(m.now, math.Log(float64(o.TrueWork)/max(work, 1)))
 		work = float64(o.TrueWork)
 		if r.HasWork {
 			c.ratio.add(m.now, work, float64(r.Work))
 		}
 		if r.MemoryMB > 0 && o.TrueMemoryMB > 0 {
-			x := o.TrueMemoryMB / r.MemoryMB
-			c.need.add(m.now, x, 1)
-			c.needSq.add(m.now, x*x, 1)
+			c.need.add(m.now, o.TrueMemoryMB/r.MemoryMB)
 		}
 	}
 	lag := float64(o.Latency)
-	m.learnSpread(r, a, lag, o.Verdict == VerdictOK)
+	m.learnPays(r, lag, o.Verdict)
 	if a.cut {
 		return
 	}
 	alone := float64(r.runTime(work, 1)) + float64(2*m.s.Tick)
 	if o.Verdict == VerdictOK {
-		e.slow += 0.1 * (min(max(lag/alone, 1), 5) - e.slow)
+		e.slow[r.Class] += slowGain * (min(max(lag/alone, 1), slowMost) - 1 - e.slow[r.Class])
 	}
 	part := 1 / (m.kind(e).Cores*float64(Second) + 1)
-	if lag > slowLimit*alone {
+	if lag > max(slowLimit*alone, slowPart*float64(r.wanted(work))) {
 		m.tooSlow(a, lag)
 	} else if o.Verdict == VerdictOK && m.usedUp(e) {
 		e.share = min(e.share+shareGrow*work*part, shareMost)
@@ -679,7 +683,7 @@
 }
 
 func (m *Module) cutShare(e *engine, by float64) {
-	e.share = max(e.share*(1-min(by, shareCutMost)), 0.5/float64(m.s.Siblings))
+	e.share = max(e.share*(1-min(max(by, shareCutLeast), shareCutMost)), 0.5/float64(m.s.Siblings))
 }
 
 // usedUp answers whether we come near what we may put on an engine, so that more would be used.
@@ -698,27 +702,28 @@
 
 // ---- bad plans and other overdue attempts
 
-// learnSpread follows how far run times lie from the predicted ones, and whether cancelling paid:
-// it did if the next attempt took less than the cancelled one had taken by then.
-func (m *Module) learnSpread(r *request, a *attempt, lag float64, ok bool) {
-	c := r.class
-	x := lag / max(a.expected, 1)
-	if x > c.spread {
-		c.spread = min(c.spread*(1+0.1*overdueQuantile), 100)
-	} else {
-		c.spread = max(c.spread*(1-0.1*(1-overdueQuantile)), 1)
+// learnPays follows whether cancelling pays: it did if the next attempt took less than the
+// cancelled one had taken by then.
+func (m *Module) learnPays(r *request, lag float64, v Verdict) {
+	if v != VerdictOK || r.cutAge == 0 {
+		return
 	}
-	if ok && r.cutAge > 0 {
-		paid := 0.0
-		if Time(lag) < r.cutAge {
-			paid = 1
-		}
-		c.pays += killGain * (paid - c.pays)
+	paid := 0.0
+	if Time(lag) < r.cutAge {
+		paid = 1
 	}
+	r.class.pays += killGain * (paid - r.class.pays)
+}
+
+// slowAt is when an attempt counts as slow before its outcome is known.
+func (m *Module) slowAt(r *request, a *attempt) Time {
+	work := m.predict(r) * math.Exp(r.class.miss.deviation())
+	return a.at + Time(max(slowLimit*float64(r.runTime(work, 1)), slowPart*float64(r.wanted(work)))) + 1
 }
 
 func (m *Module) overdueAt(r *request, a *attempt) Time {
-	return a.at + Time(overdueTimes*r.class.spread*a.expected)
+	usual := a.expected + float64(2*m.s.Tick)
+	return a.at + Time(overdueTimes*usual*math.Exp(2*r.class.miss.deviation()))
 }
 
 // checkOverdue cancels an attempt that takes far longer than such attempts do, to try elsewhere:
@@ -727,11 +732,10 @@
 func (m *Module) checkOverdue(r *request) {
 	for i := range r.attempts {
 		a := &r.attempts[i]
-		limit := slowLimit * float64(r.runTime(a.work, 1))
-		if age := float64(m.now - a.at); !a.done && age >= limit {
-			m.tooSlow(a, age)
+		if at := m.slowAt(r, a); !a.done && m.now >= at {
+			m.tooSlow(a, float64(m.now-a.at))
 		} else if !a.done {
-			m.wake(r, a.at+Time(limit)+1)
+			m.wake(r, at)
 		}
 	}
 	if r.running != 1 || r.class.Effect != EffectSafe || !m.s.Limits.Cancel || r.cutAge > 0 {
--- a/rules/state.go
+++ b/rules/state.go
@@ -25,13 +25,13 @@
 
 type engine struct {
 	Engine
-	out      int     // attempts of ours without an outcome
-	threads  float64 // theirs
-	memory   float64 // granted to them
-	work     float64 // predicted for them
-	share    float64 // what we take for our part of it; learned
-	slow     float64 // learned slowdown against running alone
-	bad      float64 // learned share of failures
+	out      int       // attempts of ours without an outcome
+	threads  float64   // theirs
+	memory   float64   // granted to them
+	work     float64   // engine time predicted for them
+	share    float64   // what we take for our part of it; learned
+	slow     []float64 // learned further run time by class, against running alone
+	bad      float64   // learned share of failures
 	rest     Time
 	restTill Time
 	sent     []sending // while it is cold: what we sent within the tip window
@@ -46,11 +46,10 @@
 	Class
 	queues []*queue // by tenant
 	ratio  window   // true over told work
-	need   window   // needed over told memory
-	needSq window
-	usual  window  // work of a request
-	spread float64 // quantile of run time over the predicted one
-	pays   float64 // belief that cancelling an overdue attempt pays
+	need   scatter  // needed over told memory
+	miss   scatter  // logarithm of true over predicted work
+	usual  window   // work of a request
+	pays   float64  // belief that cancelling an overdue attempt pays
 }
 
 type attempt struct {
--- a/rules/tools.go
+++ b/rules/tools.go
@@ -44,6 +44,19 @@
 	return w.sum / w.weight
 }
 
+// scatter follows the mean and the deviation of a figure.
+type scatter struct{ mean, square window }
+
+func (s *scatter) add(now Time, x float64) {
+	s.mean.add(now, x, 1)
+	s.square.add(now, x*x, 1)
+}
+
+func (s *scatter) deviation() float64 {
+	mean := s.mean.mean(0)
+	return math.Sqrt(max(0, s.square.mean(0)-mean*mean))
+}
+
 // draw returns an index with the given odds, or -1 where all are zero.
 func draw(rng *rand.Rand, odds []float64) int {
 	total, last := 0.0, -1
