--- a/rules/rules.go
+++ b/rules/rules.go
@@ -20,7 +20,7 @@
 	slowPart       = 0.1         // and takes over this part of the time in which it is wanted
 	shareGrow      = 0.3         // growth of our share by a second of an engine's good work
 	shareCut       = 0.5         // cut of our share by an engine's second in slow attempts
-	shareCutLeast  = 0.05        // least and most that one slow attempt cuts
+	shareCutLeast  = 0.03        // least and most that one slow attempt cuts
 	shareCutMost   = 0.3
 	usedPart       = 0.7              // part of our share in use from which it counts as used up
 	shareMost      = 2.0              // most of an engine's bound that we ever take for ours
@@ -110,7 +110,7 @@
 	for _, entry := range f.Engines {
 		e := m.byID[entry.ID]
 		if e == nil {
-			e = &engine{share: 1 / float64(m.s.Siblings), slow: make([]float64, len(m.classes))}
+			e = &engine{share: 1 / float64(m.s.Siblings), slow: make([]float64, len(m.classes)), loads: map[int]int{}}
 			m.byID[entry.ID] = e
 			m.engines = append(m.engines, e)
 		}
@@ -136,13 +136,6 @@
 	m.engines = kept
 }
 
-func (m *Module) kind(e *engine) Kind {
-	if e.Kind < len(m.s.Kinds) {
-		return m.s.Kinds[e.Kind]
-	}
-	return Kind{}
-}
-
 // ---- requests
 
 func (m *Module) arrive(q Request) {
@@ -501,7 +494,7 @@
 
 // fits is the memory gate, the thread bound and the trickle to an engine that fails.
 func (m *Module) fits(r *request, e *engine) bool {
-	if !m.trusted(r, e) {
+	if !m.trusted(r, e) || r.waitsOnLoad() && e.loads[r.DataSet] > 0 {
 		return false
 	}
 	if e.out == 0 {
@@ -512,6 +505,11 @@
 		(memory == 0 || e.memory+m.grant(r, e) <= memory*min(1, e.share))
 }
 
+// waitsOnLoad answers whether a load of the same data set on its engine makes the request stand
+// still, with all the memory it was granted. It goes elsewhere, and how long it took says little of
+// the engine: another gateway's load may have held it up.
+func (r *request) waitsOnLoad() bool { return r.class.IsLoad || r.class.WaitsOnLoad }
+
 // trusted keeps all but a trickle from an engine that fails more than the rest. Where most of the
 // fleet fails the cause is shared, and leaving engines out would only add load to the others.
 func (m *Module) trusted(r *request, e *engine) bool {
@@ -556,12 +554,7 @@
 	a := attempt{engine: e, zone: e.Zone, cell: e.Cell, at: m.now, threads: float64(max(1, r.class.Threads)),
 		memory: grant, expected: float64(r.runTime(work, e.slowness(r.Class)))}
 	a.work = a.expected * a.threads
-	r.attempts = append(r.attempts, a)
-	r.running++
-	e.out++
-	e.threads += a.threads
-	e.memory += a.memory
-	e.work += a.work
+	r.begin(a)
 	if m.cold(e) {
 		e.sent = append(e.sent, sending{m.now, r.class.usual.mean(work)})
 	}
@@ -592,19 +585,10 @@
 		return
 	}
 	a := &r.attempts[o.Attempt]
-	a.done, a.verdict = true, o.Verdict
-	r.running--
-	e := a.engine
 	m.learn(r, a, o)
-	e.out--
-	e.threads -= a.threads
-	e.memory -= a.memory
-	e.work -= a.work
-	if e.out == 0 {
-		e.threads, e.memory, e.work = 0, 0, 0
-		if e.State == EngineGone {
-			m.forgetEngines()
-		}
+	r.conclude(a, o.Verdict)
+	if a.engine.State == EngineGone {
+		m.forgetEngines()
 	}
 	m.restLane(r, o.Verdict)
 	if o.Closed && !r.over {
@@ -658,7 +642,7 @@
 	}
 	lag := float64(o.Latency)
 	m.learnPays(r, lag, o.Verdict)
-	if a.cut {
+	if a.cut || r.waitsOnLoad() {
 		return
 	}
 	alone := float64(r.runTime(work, 1)) + float64(2*m.s.Tick)
@@ -732,9 +716,9 @@
 func (m *Module) checkOverdue(r *request) {
 	for i := range r.attempts {
 		a := &r.attempts[i]
-		if at := m.slowAt(r, a); !a.done && m.now >= at {
+		if at := m.slowAt(r, a); !a.done && m.now >= at && !r.waitsOnLoad() {
 			m.tooSlow(a, float64(m.now-a.at))
-		} else if !a.done {
+		} else if !a.done && !r.waitsOnLoad() {
 			m.wake(r, at)
 		}
 	}
@@ -814,12 +798,7 @@
 
 func (m *Module) leaveLane(r *request) {
 	l := r.lane
-	for i, o := range l.line {
-		if o == r {
-			l.line = append(l.line[:i], l.line[i+1:]...)
-			break
-		}
-	}
+	l.remove(r)
 	if len(l.line) == 0 && m.now < l.rest {
 		m.do(SetTimer{At: l.rest, Token: "k" + l.key})
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -34,7 +34,8 @@
 	bad      float64   // learned share of failures
 	rest     Time
 	restTill Time
-	sent     []sending // while it is cold: what we sent within the tip window
+	loads    map[int]int // ours that run there, by data set
+	sent     []sending   // while it is cold: what we sent within the tip window
 }
 
 type sending struct {
@@ -98,3 +99,52 @@
 	total float64 // predicted work of all
 	clock float64 // key of the last drawn
 }
+
+// begin books an attempt on its engine.
+func (r *request) begin(a attempt) {
+	r.attempts = append(r.attempts, a)
+	r.running++
+	e := a.engine
+	e.out++
+	e.threads += a.threads
+	e.memory += a.memory
+	e.work += a.work
+	if r.class.IsLoad {
+		e.loads[r.DataSet]++
+	}
+}
+
+// conclude takes an attempt off its engine.
+func (r *request) conclude(a *attempt, v Verdict) {
+	a.done, a.verdict = true, v
+	r.running--
+	e := a.engine
+	e.out--
+	e.threads -= a.threads
+	e.memory -= a.memory
+	e.work -= a.work
+	if r.class.IsLoad {
+		if e.loads[r.DataSet]--; e.loads[r.DataSet] <= 0 {
+			delete(e.loads, r.DataSet)
+		}
+	}
+	if e.out == 0 { // no rounding error stays behind
+		e.threads, e.memory, e.work = 0, 0, 0
+	}
+}
+
+func (l *lane) remove(r *request) {
+	for i, o := range l.line {
+		if o == r {
+			l.line = append(l.line[:i], l.line[i+1:]...)
+			return
+		}
+	}
+}
+
+func (m *Module) kind(e *engine) Kind {
+	if e.Kind < len(m.s.Kinds) {
+		return m.s.Kinds[e.Kind]
+	}
+	return Kind{}
+}
