--- a/rules/rules.go
+++ b/rules/rules.go
@@ -46,9 +46,7 @@
 		byID: map[EngineID]*engine{}, open: map[RequestID]*request{}, lanes: map[string]*lane{}}
 	for _, c := range s.Classes {
 		k := &class{Class: c, pays: killStart}
-		for _, w := range []*window{&k.ratio, &k.usual, &k.need.mean, &k.need.square, &k.miss.mean, &k.miss.square} {
-			w.span = learnWindow
-		}
+		k.remember(learnWindow)
 		for range max(1, len(s.Tenants)) {
 			k.queues = append(k.queues, &queue{})
 		}
@@ -110,7 +108,8 @@
 	for _, entry := range f.Engines {
 		e := m.byID[entry.ID]
 		if e == nil {
-			e = &engine{share: 1 / float64(m.s.Siblings), slow: make([]float64, len(m.classes)), loads: map[int]int{}}
+			e = newEngine(len(m.classes))
+			e.share = 1 / float64(m.s.Siblings)
 			m.byID[entry.ID] = e
 			m.engines = append(m.engines, e)
 		}
--- a/rules/state.go
+++ b/rules/state.go
@@ -148,3 +148,14 @@
 	}
 	return Kind{}
 }
+
+func newEngine(classes int) *engine {
+	return &engine{slow: make([]float64, classes), loads: map[int]int{}}
+}
+
+// remember sets the span that all learned figures of a class look back.
+func (c *class) remember(span Time) {
+	for _, w := range []*window{&c.ratio, &c.usual, &c.need.mean, &c.need.square, &c.miss.mean, &c.miss.square} {
+		w.span = span
+	}
+}
