--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,6 +31,7 @@
 	badLimit       = 0.3              // failure share from which an engine only gets a trickle
 	restFirst      = 500 * Millisecond
 	restMost       = 4 * Second
+	overduePart    = 0.4 // overdue: over this part of the time in which it is wanted, and
 	overdueTimes   = 1.2 // overdue: over this times the run time that estimates two deviations off give
 	slowMost       = 5   // slowdown that is believed at most
 	slowGain       = 0.1 // weight of the newest outcome in an engine's slowdown
@@ -705,8 +706,8 @@
 }
 
 func (m *Module) overdueAt(r *request, a *attempt) Time {
-	usual := a.expected + float64(2*m.s.Tick)
-	return a.at + Time(overdueTimes*usual*math.Exp(2*r.class.miss.deviation()))
+	long := overdueTimes * a.expected * math.Exp(2*r.class.miss.deviation())
+	return a.at + Time(max(long, overduePart*float64(r.wanted(m.predict(r)))))
 }
 
 // checkOverdue cancels an attempt that takes far longer than such attempts do, to try elsewhere:
