--- a/rules/rules.go
+++ b/rules/rules.go
@@ -17,10 +17,13 @@
 	threadsPerCore = 1.5         // thread bound of a whole engine, in threads a core
 	learnWindow    = 10 * Second // memory of the learned ratios
 	slowLimit      = 1.6         // an attempt slower than this times its run alone means too much at once
-	slowPart       = 0.1         // and takes over this part of the time in which it is wanted
-	shareGrow      = 0.3         // growth of our share by a second of an engine's good work
-	shareCut       = 0.5         // cut of our share by an engine's second in slow attempts
-	shareCutLeast  = 0.03        // least and most that one slow attempt cuts
+	baseQuantile   = 0.1        // of all outcomes' slowdown: what even an engine with room shows now
+	baseGain       = 0.2
+	baseMost       = 2.5
+	slowPart       = 0.1  // and takes over this part of the time in which it is wanted
+	shareGrow      = 0.3  // growth of our share by a second of an engine's good work
+	shareCut       = 0.5  // cut of our share by an engine's second in slow attempts
+	shareCutLeast  = 0.03 // least and most that one slow attempt cuts
 	shareCutMost   = 0.3
 	usedPart       = 0.7              // part of our share in use from which it counts as used up
 	shareMost      = 2.0              // most of an engine's bound that we ever take for ours
@@ -43,7 +46,7 @@
 
 // New returns the module of a gateway that has just started.
 func New(s Settings, seed uint64) *Module {
-	m := &Module{s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+	m := &Module{s: s, base: 1, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		byID: map[EngineID]*engine{}, open: map[RequestID]*request{}, lanes: map[string]*lane{}}
 	for _, c := range s.Classes {
 		k := &class{Class: c, pays: killStart}
@@ -647,16 +650,27 @@
 	}
 	alone := float64(r.runTime(work, 1)) + float64(2*m.s.Tick)
 	if o.Verdict == VerdictOK {
+		m.learnBase(lag / alone)
 		e.slow[r.Class] += slowGain * (min(max(lag/alone, 1), slowMost) - 1 - e.slow[r.Class])
 	}
 	part := 1 / (m.kind(e).Cores*float64(Second) + 1)
-	if lag > max(slowLimit*alone, slowPart*float64(r.wanted(work))) {
+	if lag > max(slowLimit*m.base*alone, slowPart*float64(r.wanted(work))) {
 		m.tooSlow(a, lag)
 	} else if o.Verdict == VerdictOK && m.usedUp(e) {
 		e.share = min(e.share+shareGrow*work*part, shareMost)
 	}
 }
 
+// learnBase follows how slow even the quicker outcomes are, over all engines. Where something that
+// all share slows every engine, less load would not help, and cutting our share only wastes room.
+func (m *Module) learnBase(slowdown float64) {
+	if slowdown > m.base {
+		m.base = min(m.base*(1+baseGain*baseQuantile), baseMost)
+	} else {
+		m.base = max(m.base*(1-baseGain*(1-baseQuantile)), 1)
+	}
+}
+
 // tooSlow cuts our share of an engine for an attempt that takes too long, by the part of the engine
 // that it held. It counts once, and as soon as it is seen: outcomes alone would tell of survivors.
 func (m *Module) tooSlow(a *attempt, lag float64) {
@@ -702,7 +716,7 @@
 // slowAt is when an attempt counts as slow before its outcome is known.
 func (m *Module) slowAt(r *request, a *attempt) Time {
 	work := m.predict(r) * math.Exp(r.class.miss.deviation())
-	return a.at + Time(max(slowLimit*float64(r.runTime(work, 1)), slowPart*float64(r.wanted(work)))) + 1
+	return a.at + Time(max(slowLimit*float64(r.runTime(work, m.base)), slowPart*float64(r.wanted(work)))) + 1
 }
 
 func (m *Module) overdueAt(r *request, a *attempt) Time {
--- a/rules/state.go
+++ b/rules/state.go
@@ -19,8 +19,9 @@
 	classes []*class
 	lanes   map[string]*lane
 	held    int
-	taken   []Time // arrivals within the ration's window
-	extras  []Time // further attempts within it
+	base    float64 // slowdown of even the quicker outcomes
+	taken   []Time  // arrivals within the ration's window
+	extras  []Time  // further attempts within it
 }
 
 type engine struct {
