Take a report of queries that wait for memory as a slow attempt

The other sites do not report waiting queries. Guards against any memory jam; a stuck report would hold our share at its least.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -649,12 +649,15 @@
 		return
 	}
 	alone := float64(r.runTime(work, 1)) + float64(2*m.s.Tick)
+	waiting := o.Load["queue"] >= 1 // queries wait for memory there: more is granted than there is
 	if o.Verdict == VerdictOK {
-		m.learnBase(lag / alone)
+		if !waiting {
+			m.learnBase(lag / alone)
+		}
 		e.slow[r.Class] += slowGain * (min(max(lag/alone, 1), slowMost) - 1 - e.slow[r.Class])
 	}
 	part := 1 / (m.kind(e).Cores*float64(Second) + 1)
-	if lag > max(slowLimit*m.base*alone, slowPart*float64(r.wanted(work))) {
+	if waiting || lag > max(slowLimit*m.base*alone, slowPart*float64(r.wanted(work))) {
 		m.tooSlow(a, lag)
 	} else if o.Verdict == VerdictOK && m.usedUp(e) {
 		e.share = min(e.share+shareGrow*work*part, shareMost)
