--- a/rules/rules.go
+++ b/rules/rules.go
@@ -17,7 +17,7 @@
 	threadsPerCore = 1.5         // thread bound of a whole engine, in threads a core
 	learnWindow    = 10 * Second // memory of the learned ratios
 	slowLimit      = 1.6         // an attempt slower than this times its run alone means too much at once
-	baseQuantile   = 0.1        // of all outcomes' slowdown: what even an engine with room shows now
+	baseQuantile   = 0.1         // of all outcomes' slowdown: what even an engine with room shows now
 	baseGain       = 0.2
 	baseMost       = 2.5
 	slowPart       = 0.1  // and takes over this part of the time in which it is wanted
@@ -214,6 +214,7 @@
 		return
 	}
 	if r.running > 0 {
+		m.checkSlow(r)
 		m.checkOverdue(r)
 		return
 	}
@@ -727,31 +728,43 @@
 	return a.at + Time(max(long, overduePart*float64(r.wanted(m.predict(r)))))
 }
 
-// checkOverdue cancels an attempt that takes far longer than such attempts do, to try elsewhere:
-// a bad plan, a stalled or an unreachable engine. Only where the repeat is allowed and can end in
-// time, and only while it has paid: on rough estimates long runs are just long.
-func (m *Module) checkOverdue(r *request) {
+// checkSlow counts attempts that have been out too long against our share of their engines.
+func (m *Module) checkSlow(r *request) {
 	for i := range r.attempts {
 		a := &r.attempts[i]
-		if at := m.slowAt(r, a); !a.done && m.now >= at && !r.waitsOnLoad() {
+		if a.done || r.waitsOnLoad() {
+			continue
+		}
+		if at := m.slowAt(r, a); m.now >= at {
 			m.tooSlow(a, float64(m.now-a.at))
-		} else if !a.done && !r.waitsOnLoad() {
+		} else {
 			m.wake(r, at)
 		}
 	}
-	if r.running != 1 || r.class.Effect != EffectSafe || !m.s.Limits.Cancel || r.cutAge > 0 {
-		return
-	}
+}
+
+// checkOverdue cancels an attempt that takes far longer than such attempts do, to try elsewhere:
+// a bad plan, a stalled or an unreachable engine. Only where the repeat is allowed, and only while it
+// has paid: on rough estimates long runs are just long. Where no further attempt can help it ends the
+// request a little later, rather than let a bad plan run up to the client's deadline.
+func (m *Module) checkOverdue(r *request) {
 	i := len(r.attempts) - 1
 	a := &r.attempts[i]
-	if a.done || a.cut || !m.triesLeft(r) || !m.rationLeft() || r.class.pays < killLeast {
+	if r.running != 1 || a.done || a.cut || r.class.Effect != EffectSafe || !m.s.Limits.Cancel ||
+		r.class.pays < killLeast {
 		return
 	}
-	if at := m.overdueAt(r, a); m.now < at {
-		m.wake(r, at)
+	late := m.overdueAt(r, a) - a.at
+	again := m.triesLeft(r) && m.rationLeft() && m.now+Time(a.expected) < r.Due
+	if !again || r.cutAge > 0 {
+		late += late / 2
+	}
+	if m.now < a.at+late {
+		m.wake(r, a.at+late)
 		return
 	}
-	if m.now+Time(a.expected) >= r.Due {
+	if !again {
+		m.finish(r)
 		return
 	}
 	a.cut, r.cutAge = true, m.now-a.at
