--- a/rules/rules.go
+++ b/rules/rules.go
@@ -38,6 +38,7 @@
 	overdueTimes   = 1.2 // overdue: over this times the run time that estimates two deviations off give
 	slowMost       = 5   // slowdown that is believed at most
 	slowGain       = 0.1 // weight of the newest outcome in an engine's slowdown
+	missStart      = 0.5 // deviation of estimates that is assumed before any was seen
 	killGain       = 0.2 // weight of the newest verdict on whether cancelling pays
 	killStart      = 0.7 // belief that cancelling pays before anything was seen
 	killLeast      = 0.4 // belief below which overdue attempts are left alone
@@ -51,6 +52,8 @@
 	for _, c := range s.Classes {
 		k := &class{Class: c, pays: killStart}
 		k.remember(learnWindow)
+		k.miss.start(0, missStart)
+		k.need.start(1, missStart/2)
 		for range max(1, len(s.Tenants)) {
 			k.queues = append(k.queues, &queue{})
 		}
@@ -223,6 +226,10 @@
 		m.wake(r, turn)
 		return
 	}
+	if r.class.LateValue <= 0 {
+		m.finish(r)
+		return
+	}
 	if !r.late && r.slot >= 0 {
 		r.late = true
 		heap.Fix(r.queue, r.slot)
@@ -445,7 +452,9 @@
 	for len(aside) < drawsPerClass && q.Len() > 0 && !sent {
 		r := heap.Pop(q).(*request)
 		if e := m.pick(r); e != nil {
-			q.clock = max(q.clock, r.key)
+			if !r.late {
+				q.clock = max(q.clock, r.key)
+			}
 			q.total -= r.queued
 			m.held--
 			m.send(r, e)
--- a/rules/tools.go
+++ b/rules/tools.go
@@ -33,7 +33,10 @@
 }
 
 func (w *window) add(now Time, sum, weight float64) {
-	keep := math.Exp(-float64(now-w.at) / float64(w.span))
+	keep := 1.0 // what it was started with counts in full at first
+	if w.at != 0 {
+		keep = math.Exp(-float64(now-w.at) / float64(w.span))
+	}
 	w.sum, w.weight, w.at = w.sum*keep+sum, w.weight*keep+weight, now
 }
 
@@ -52,6 +55,13 @@
 	s.square.add(now, x*x, 1)
 }
 
+// start assumes a mean and a deviation, with the weight of a few samples.
+func (s *scatter) start(mean, deviation float64) {
+	const weight = 4
+	s.mean.sum, s.mean.weight = weight*mean, weight
+	s.square.sum, s.square.weight = weight*(mean*mean+deviation*deviation), weight
+}
+
 func (s *scatter) deviation() float64 {
 	mean := s.mean.mean(0)
 	return math.Sqrt(max(0, s.square.mean(0)-mean*mean))
