--- a/rules/rules.go
+++ b/rules/rules.go
@@ -11,6 +11,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"strings"
 )
 
 const (
@@ -25,13 +26,15 @@
 	shareCut       = 0.5  // cut of our share by an engine's second in slow attempts
 	shareCutLeast  = 0.03 // least and most that one slow attempt cuts
 	shareCutMost   = 0.3
+	shareLeast     = 0.5              // of an even part of the engine: what we always take
 	usedPart       = 0.7              // part of our share in use from which it counts as used up
 	shareMost      = 2.0              // most of an engine's bound that we ever take for ours
-	coldSafety     = 0.5              // part of our share of a cold engine's budget that we use
+	coldSafety     = 0.6              // part of our share of a cold engine's budget that we use
 	drawsPerClass  = 3                // held requests looked at before a class is passed over
 	sweepEvery     = 50 * Millisecond // how often held requests are reconsidered without an event
 	badGain        = 0.25             // weight of the newest outcome in an engine's failure share
 	badLimit       = 0.3              // failure share from which an engine only gets a trickle
+	sharedPart     = 0.8              // part of the fleet that must fail for the cause to be shared
 	restFirst      = 500 * Millisecond
 	restMost       = 4 * Second
 	overduePart    = 0.4 // overdue: over this part of the time in which it is wanted, and
@@ -42,7 +45,6 @@
 	killGain       = 0.2 // weight of the newest verdict on whether cancelling pays
 	killStart      = 0.7 // belief that cancelling pays before anything was seen
 	killLeast      = 0.4 // belief below which overdue attempts are left alone
-	askAgain       = Second
 )
 
 // New returns the module of a gateway that has just started.
@@ -104,7 +106,7 @@
 // fleet follows the list. A failed or silent list leaves the last one standing.
 func (m *Module) fleet(f FleetChange) {
 	if f.Mode == ListFailed {
-		m.do(SetTimer{At: m.now + askAgain, Token: "ask"})
+		m.do(SetTimer{At: m.now + Second, Token: "ask"})
 		return
 	}
 	if f.Mode != ListDelta {
@@ -156,7 +158,7 @@
 		m.taken = append(recent(m.taken, m.now-m.s.Duties.RationWindow), m.now)
 	}
 	c.usual.add(m.now, m.predict(r), 1)
-	m.do(SetTimer{At: q.Due, Token: "r" + string(q.ID)})
+	m.do(SetTimer{At: q.Due, Token: "request " + string(q.ID)})
 	if c.Ordered && q.OrderKey != "" {
 		m.queueUp(r)
 		return
@@ -239,7 +241,7 @@
 
 func (m *Module) wake(r *request, at Time) {
 	if at > m.now && at < r.Due {
-		m.do(SetTimer{At: at, Token: "r" + string(r.ID)})
+		m.do(SetTimer{At: at, Token: "request " + string(r.ID)})
 	}
 }
 
@@ -362,14 +364,9 @@
 	if m.now < m.born+d.TipAfter {
 		return false
 	}
-	for len(e.sent) > 0 && e.sent[0].at < m.now-d.TipAfter-m.s.Tick {
-		e.sent = e.sent[1:]
-	}
-	spent := r.class.usual.mean(math.Inf(1))
-	for _, s := range e.sent {
-		spent += s.work
-	}
-	whole := d.OverloadFactor * d.ColdFrom * m.kind(e).Cores * float64(d.TipAfter)
+	spent := r.class.usual.mean(math.Inf(1)) + e.sentSince(m.now-d.TipAfter-m.s.Tick)
+	warm := d.ColdFrom + (1-d.ColdFrom)*float64(m.now-e.StartedAt)/float64(d.ColdFor)
+	whole := d.OverloadFactor * min(warm, 1) * m.kind(e).Cores * float64(d.TipAfter)
 	return spent <= coldSafety*whole/float64(m.s.Siblings)
 }
 
@@ -448,58 +445,50 @@
 // The rest keep their place.
 func (m *Module) releaseFrom(q *queue) bool {
 	var aside []*request
-	sent := false
-	for len(aside) < drawsPerClass && q.Len() > 0 && !sent {
+	var to *engine
+	for len(aside) < drawsPerClass && q.Len() > 0 && to == nil {
 		r := heap.Pop(q).(*request)
-		if e := m.pick(r); e != nil {
-			if !r.late {
-				q.clock = max(q.clock, r.key)
-			}
-			q.total -= r.queued
-			m.held--
-			m.send(r, e)
-			sent = true
-			break
-		}
 		aside = append(aside, r)
+		to = m.pick(r)
 	}
 	for _, r := range aside {
 		heap.Push(q, r)
 	}
-	return sent
+	if to == nil {
+		return false
+	}
+	r := aside[len(aside)-1]
+	if !r.late {
+		q.clock = max(q.clock, r.key)
+	}
+	m.unhold(r)
+	m.send(r, to)
+	return true
 }
 
-// pick takes the less busy of two random engines that may take the request.
+// pick takes the less busy, by the time we predicted for what runs there, of two random engines that
+// may take the request.
 func (m *Module) pick(r *request) *engine {
-	var a, b *engine
-	n := 0
-	for _, e := range m.engines { // a and b: a uniform pair of those eligible
-		if !m.fits(r, e) || !m.maySend(r, e) {
-			continue
-		}
-		n++
-		switch k := m.rng.IntN(n); {
-		case n == 1:
-			a = e
-		case n == 2 && k == 0:
-			a, b = e, a
-		case n == 2:
-			b = e
-		case k == 0:
-			a = e
-		case k == 1:
-			b = e
+	m.able = m.able[:0]
+	for _, e := range m.engines {
+		if m.fits(r, e) && m.maySend(r, e) {
+			m.able = append(m.able, e)
 		}
 	}
-	if b == nil || a != nil && a.busy() <= b.busy() {
+	n := len(m.able)
+	if n < 2 {
+		return append(m.able, nil)[0]
+	}
+	i, j := m.rng.IntN(n), m.rng.IntN(n-1)
+	if j >= i {
+		j++
+	}
+	if a, b := m.able[i], m.able[j]; a.work <= b.work {
 		return a
 	}
-	return b
+	return m.able[j]
 }
 
-// busy is our own estimate of the time the engine still has for us, a core each.
-func (e *engine) busy() float64 { return e.work }
-
 // slowness is the learned slowdown of a class on the engine, against running alone.
 func (e *engine) slowness(class int) float64 { return 1 + e.slow[class] }
 
@@ -523,8 +512,9 @@
 // the engine: another gateway's load may have held it up.
 func (r *request) waitsOnLoad() bool { return r.class.IsLoad || r.class.WaitsOnLoad }
 
-// trusted keeps all but a trickle from an engine that fails more than the rest. Where most of the
-// fleet fails the cause is shared, and leaving engines out would only add load to the others.
+// trusted keeps all but a trickle from an engine that fails, unless hardly one does not: then the
+// cause is shared, and leaving engines out would only add load to the others. A cut between zones
+// leaves a part of the fleet, even a small one, and that part is better than none.
 func (m *Module) trusted(r *request, e *engine) bool {
 	if e.bad < badLimit && m.now >= e.restTill {
 		return true
@@ -535,7 +525,7 @@
 			failing++
 		}
 	}
-	if 2*failing > len(m.engines) {
+	if float64(failing) > sharedPart*float64(len(m.engines)) {
 		return true
 	}
 	return r.class.Effect == EffectSafe && e.out == 0 && m.now >= e.restTill
@@ -552,12 +542,10 @@
 
 func (m *Module) send(r *request, e *engine) {
 	grant := m.grant(r, e)
-	if m.s.TakesGrants || m.s.TakesPriority {
-		terms := SetTerms{ID: r.ID, MemoryMB: math.Ceil(grant), Priority: m.priority(r)}
-		if terms != r.terms {
-			r.terms = terms
-			m.do(terms)
-		}
+	terms := SetTerms{ID: r.ID, MemoryMB: math.Ceil(grant), Priority: m.priority(r)}
+	if terms != r.terms && (m.s.TakesGrants || m.s.TakesPriority) {
+		r.terms = terms
+		m.do(terms)
 	}
 	m.do(Send{ID: r.ID, Engine: e.ID})
 	if len(r.attempts) > 0 {
@@ -576,18 +564,12 @@
 
 // priority favours the class that earns most for its work.
 func (m *Module) priority(r *request) int {
-	best, own := 0.0, 0.0
 	for _, c := range m.classes {
-		density := c.Worth / max(1, c.usual.mean(math.Inf(1)))
-		best = max(best, density)
-		if c == r.class {
-			own = density
+		if c.Worth*r.class.usual.mean(1) > r.class.Worth*c.usual.mean(math.Inf(1)) {
+			return 1
 		}
 	}
-	if own >= best {
-		return 3
-	}
-	return 1
+	return 3
 }
 
 // ---- outcomes
@@ -666,11 +648,10 @@
 		}
 		e.slow[r.Class] += slowGain * (min(max(lag/alone, 1), slowMost) - 1 - e.slow[r.Class])
 	}
-	part := 1 / (m.kind(e).Cores*float64(Second) + 1)
 	if waiting || lag > max(slowLimit*m.base*alone, slowPart*float64(r.wanted(work))) {
 		m.tooSlow(a, lag)
 	} else if o.Verdict == VerdictOK && m.usedUp(e) {
-		e.share = min(e.share+shareGrow*work*part, shareMost)
+		e.share = min(e.share+shareGrow*work/(m.kind(e).Cores*float64(Second)+1), shareMost)
 	}
 }
 
@@ -694,7 +675,7 @@
 }
 
 func (m *Module) cutShare(e *engine, by float64) {
-	e.share = max(e.share*(1-min(max(by, shareCutLeast), shareCutMost)), 0.5/float64(m.s.Siblings))
+	e.share = max(e.share*(1-min(max(by, shareCutLeast), shareCutMost)), shareLeast/float64(m.s.Siblings))
 }
 
 // usedUp answers whether we come near what we may put on an engine, so that more would be used.
@@ -719,11 +700,10 @@
 	if v != VerdictOK || r.cutAge == 0 {
 		return
 	}
-	paid := 0.0
+	r.class.pays -= killGain * r.class.pays
 	if Time(lag) < r.cutAge {
-		paid = 1
+		r.class.pays += killGain
 	}
-	r.class.pays += killGain * (paid - r.class.pays)
 }
 
 // slowAt is when an attempt counts as slow before its outcome is known.
@@ -780,23 +760,18 @@
 	m.do(Cancel{ID: r.ID, Attempt: i})
 }
 
-// ---- timers
-
 func (m *Module) alarm(token string) {
-	switch {
-	case token == "sweep":
-		m.sweepOn = false
-	case token == "ask":
+	kind, name, _ := strings.Cut(token, " ")
+	if r := m.open[RequestID(name)]; kind == "request" && r != nil {
+		m.review(r)
+	}
+	if l := m.lanes[name]; kind == "lane" && l != nil {
+		m.turn(l)
+	}
+	if kind == "ask" {
 		m.subscribe()
-	case token != "" && token[0] == 'r':
-		if r := m.open[RequestID(token[1:])]; r != nil {
-			m.review(r)
-		}
-	case token != "" && token[0] == 'k':
-		if l := m.lanes[token[1:]]; l != nil {
-			m.turn(l)
-		}
 	}
+	m.sweepOn = m.sweepOn && kind != "sweep"
 }
 
 // ---- order by key
@@ -821,7 +796,7 @@
 	}
 	if r := l.line[0]; !r.over && len(r.attempts) == 0 {
 		if m.now < l.rest {
-			m.do(SetTimer{At: l.rest, Token: "k" + l.key})
+			m.do(SetTimer{At: l.rest, Token: "lane " + l.key})
 			return
 		}
 		m.hold(r)
@@ -839,13 +814,11 @@
 	l := r.lane
 	l.remove(r)
 	if len(l.line) == 0 && m.now < l.rest {
-		m.do(SetTimer{At: l.rest, Token: "k" + l.key})
+		m.do(SetTimer{At: l.rest, Token: "lane " + l.key})
 	}
 	m.turn(l)
 }
 
-// ---- the order of a queue
-
 // Less makes a queue a race: each held request draws an exponential time with mean its predicted
 // work, and the shortest goes first. So the odds of the next draw are one over predicted time, as
 // the design has it, at the cost of a heap. Requests that can't be in time any more go last.
--- a/rules/state.go
+++ b/rules/state.go
@@ -19,9 +19,10 @@
 	classes []*class
 	lanes   map[string]*lane
 	held    int
-	base    float64 // slowdown of even the quicker outcomes
-	taken   []Time  // arrivals within the ration's window
-	extras  []Time  // further attempts within it
+	able    []*engine // scratch: the engines that may take a request
+	base    float64   // slowdown of even the quicker outcomes
+	taken   []Time    // arrivals within the ration's window
+	extras  []Time    // further attempts within it
 }
 
 type engine struct {
@@ -160,3 +161,14 @@
 		w.span = span
 	}
 }
+
+// sentSince sums up the work sent to a cold engine since then, and forgets what is older.
+func (e *engine) sentSince(from Time) (sum float64) {
+	for len(e.sent) > 0 && e.sent[0].at < from {
+		e.sent = e.sent[1:]
+	}
+	for _, s := range e.sent {
+		sum += s.work
+	}
+	return sum
+}
