Fit further queries whole into the thread bound, and never give up an even part

A further query must now fit the bound whole, and the learned share never falls under an even part, as the design starts it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,7 +26,7 @@
 	shareCut       = 0.5  // cut of our share by an engine's second in slow attempts
 	shareCutLeast  = 0.03 // least and most that one slow attempt cuts
 	shareCutMost   = 0.3
-	shareLeast     = 0.5              // of an even part of the engine: what we always take
+	shareLeast     = 1.0              // of an even part of the engine: what we always take
 	usedPart       = 0.7              // part of our share in use from which it counts as used up
 	shareMost      = 2.0              // most of an engine's bound that we ever take for ours
 	coldSafety     = 0.6              // part of our share of a cold engine's budget that we use
@@ -503,7 +503,7 @@
 		return true
 	}
 	memory := m.kind(e).MemoryMB
-	return e.threads < m.bound(e) &&
+	return e.threads+float64(max(1, r.class.Threads)) <= m.bound(e) &&
 		(memory == 0 || e.memory+m.grant(r, e) <= memory*min(1, e.share))
 }
 
