Keep requests from engines on which they would be late

An engine's drag (how slow it is to all that we send, however it ends) says whether a request can still be in time there; else only a trickle of short queries goes, with a rest after each that comes back late.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -41,6 +41,7 @@
 	overdueTimes   = 1.2 // overdue: over this times the run time that estimates two deviations off give
 	slowMost       = 5   // slowdown that is believed at most
 	slowGain       = 0.1 // weight of the newest outcome in an engine's slowdown
+	dragGain       = 0.2 // weight of the newest outcome in an engine's drag
 	missStart      = 0.5 // deviation of estimates that is assumed before any was seen
 	killGain       = 0.2 // weight of the newest verdict on whether cancelling pays
 	killStart      = 0.7 // belief that cancelling pays before anything was seen
@@ -123,7 +124,7 @@
 			m.engines = append(m.engines, e)
 		}
 		if entry.StartedAt != e.StartedAt {
-			e.bad, e.restTill = 0, 0
+			e.bad, e.drag, e.restTill = 0, 0, 0
 		}
 		e.Engine = entry
 	}
@@ -512,23 +513,29 @@
 // the engine: another gateway's load may have held it up.
 func (r *request) waitsOnLoad() bool { return r.class.IsLoad || r.class.WaitsOnLoad }
 
-// trusted keeps all but a trickle from an engine that fails, unless hardly one does not: then the
-// cause is shared, and leaving engines out would only add load to the others. A cut between zones
-// leaves a part of the fleet, even a small one, and that part is better than none.
+// trusted keeps all but a trickle of short queries from an engine that fails, or on which the
+// request would be late. Where hardly an engine does not fail the cause is shared, and leaving engines
+// out would only add load to the others. A cut between zones leaves a part of the fleet, even a small
+// one, and that part is better than none.
 func (m *Module) trusted(r *request, e *engine) bool {
-	if e.bad < badLimit && m.now >= e.restTill {
+	inTime := r.late || m.now+r.runTime(m.predict(r), math.Exp(e.drag)) <= r.arrived+r.wanted(m.predict(r))
+	if inTime && (!m.sick(e) || m.sharedFault()) {
 		return true
 	}
+	return r.class.Effect == EffectSafe && m.priority(r) > 1 && e.out == 0 && m.now >= e.restTill
+}
+
+// sick: it fails much, or is resting after that.
+func (m *Module) sick(e *engine) bool { return e.bad >= badLimit || m.now < e.restTill }
+
+func (m *Module) sharedFault() bool {
 	failing := 0
-	for _, o := range m.engines {
-		if o.bad >= badLimit || m.now < o.restTill {
+	for _, e := range m.engines {
+		if m.sick(e) {
 			failing++
 		}
 	}
-	if float64(failing) > sharedPart*float64(len(m.engines)) {
-		return true
-	}
-	return r.class.Effect == EffectSafe && e.out == 0 && m.now >= e.restTill
+	return float64(failing) > sharedPart*float64(len(m.engines))
 }
 
 // grant is the memory we ask for: the need of most requests with such an estimate.
@@ -637,6 +644,7 @@
 	}
 	lag := float64(o.Latency)
 	m.learnPays(r, lag, o.Verdict)
+	m.learnDrag(r, e, work, lag)
 	if a.cut || r.waitsOnLoad() {
 		return
 	}
@@ -655,6 +663,16 @@
 	}
 }
 
+// learnDrag follows, as a logarithm, how slow an engine is to all that we send, however it ends. A
+// trickle that comes back too late gives it a rest before the next.
+func (m *Module) learnDrag(r *request, e *engine, work, lag float64) {
+	drag := math.Log(max(lag/float64(r.runTime(work, 1)+2*m.s.Tick), 1))
+	e.drag += dragGain * (drag - e.drag)
+	if e.out == 1 && lag > float64(r.wanted(work)) {
+		m.rest(e)
+	}
+}
+
 // learnBase follows how slow even the quicker outcomes are, over all engines. Where something that
 // all share slows every engine, less load would not help, and cutting our share only wastes room.
 func (m *Module) learnBase(slowdown float64) {
@@ -687,11 +705,15 @@
 func (m *Module) failed(e *engine) {
 	e.bad += badGain * (1 - e.bad)
 	if e.bad >= badLimit {
-		e.rest = min(max(2*e.rest, restFirst), restMost)
-		e.restTill = m.now + e.rest
+		m.rest(e)
 	}
 }
 
+func (m *Module) rest(e *engine) {
+	e.rest = min(max(2*e.rest, restFirst), restMost)
+	e.restTill = m.now + e.rest
+}
+
 // ---- bad plans and other overdue attempts
 
 // learnPays follows whether cancelling pays: it did if the next attempt took less than the
--- a/rules/state.go
+++ b/rules/state.go
@@ -20,6 +20,7 @@
 	lanes   map[string]*lane
 	held    int
 	able    []*engine // scratch: the engines that may take a request
+	drag    float64   // usual drag of the fleet
 	base    float64   // slowdown of even the quicker outcomes
 	taken   []Time    // arrivals within the ration's window
 	extras  []Time    // further attempts within it
@@ -33,6 +34,7 @@
 	work     float64   // engine time predicted for them
 	share    float64   // what we take for our part of it; learned
 	slow     []float64 // learned further run time by class, against running alone
+	drag     float64   // learned logarithm of run time over that of running alone
 	bad      float64   // learned share of failures
 	rest     Time
 	restTill Time
