--- a/rules/rules.go
+++ b/rules/rules.go
@@ -17,12 +17,12 @@
 const (
 	threadsPerCore = 1.5         // thread bound of a whole engine, in threads a core
 	learnWindow    = 10 * Second // memory of the learned ratios
-	slowLimit      = 1.6         // an attempt slower than this times its run alone means too much at once
+	slowLimit      = 1.35        // an attempt slower than this times its run alone means too much at once
 	baseQuantile   = 0.1         // of all outcomes' slowdown: what even an engine with room shows now
 	baseGain       = 0.2
 	baseMost       = 2.5
 	slowPart       = 0.1  // and takes over this part of the time in which it is wanted
-	shareGrow      = 0.3  // growth of our share by a second of an engine's good work
+	shareGrow      = 0.15 // growth of our share by a second of an engine's good work
 	shareCut       = 0.5  // cut of our share by an engine's second in slow attempts
 	shareCutLeast  = 0.03 // least and most that one slow attempt cuts
 	shareCutMost   = 0.3
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -74,3 +74,317 @@
 		}
 	}
 }
+
+// sent counts the attempts of a request.
+func (f *referee) sent(id RequestID) int { return len(f.requests[id].attempts) }
+
+// share is what the module takes for its part of an engine.
+func (f *referee) share(id EngineID) float64 { return f.m.byID[id].share }
+
+// An attempt with a bad plan is cancelled and tried elsewhere; when the next is bad too and no try is
+// left, the request is ended instead of holding its engine up to the client's deadline.
+func TestOverdueAttemptIsCancelledThenEnded(t *testing.T) {
+	s := plain(quick)
+	s.Limits.MaxAttempts = 2
+	f := site(t, s, 3)
+	id := f.ask(0, nil)
+	cancelled := 0
+	f.logging = func(a Action) {
+		if _, ok := a.(Cancel); ok {
+			cancelled++
+		}
+	}
+	f.advance(400 * Millisecond)
+	if cancelled != 1 {
+		t.Fatalf("%d cancels of an attempt at four times its expected time, want 1", cancelled)
+	}
+	f.resolve(f.pending()[0], VerdictCancelled)
+	if f.sent(id) != 2 {
+		t.Fatal("the request was not tried again")
+	}
+	f.advance(1500 * Millisecond)
+	if r := f.requests[id]; !r.over || f.now >= r.Due {
+		t.Fatal("a request that no attempt can help was not ended before its deadline")
+	}
+	f.check("overdue")
+}
+
+// Unsafe requests are never cancelled to be sent again, however long they take.
+func TestOverdueUnsafeIsLeftAlone(t *testing.T) {
+	c := quick
+	c.Effect = EffectUnsafe
+	f := site(t, plain(c), 3)
+	f.logging = func(a Action) {
+		if _, ok := a.(Cancel); ok {
+			t.Fatal("an unsafe attempt was cancelled")
+		}
+	}
+	f.ask(0, nil)
+	f.advance(2900 * Millisecond)
+}
+
+// Short queries fill no slot that a heavy class keeps taking: each class has the same share of time.
+func TestShortClassIsNotStarvedByHeavyWorth(t *testing.T) {
+	heavy := quick
+	heavy.Worth, heavy.Threads, heavy.GiveUp = 20, 4, 20*Second
+	s := plain(quick, heavy)
+	s.Kinds = []Kind{{Cores: 4, MemoryMB: 16384}}
+	f := site(t, s, 1)
+	f.usual[1] = float64(4 * Second)
+	for range 40 {
+		f.ask(1, func(r *Request) { r.Due = f.now + 20*Second })
+		f.ask(0, nil)
+	}
+	short := 0
+	for range 30 {
+		f.resolve(f.pending()[0], VerdictOK)
+	}
+	for _, r := range f.requests {
+		if r.Class == 0 && len(r.attempts) > 0 {
+			short++
+		}
+	}
+	if short < 25 {
+		t.Fatalf("%d of 40 short queries sent among the first 30 slots", short)
+	}
+}
+
+// Light queries of a class go before heavy ones, with odds of one over predicted time.
+func TestDrawFollowsInverseTime(t *testing.T) {
+	light := 0
+	for seed := range uint64(400) {
+		s := plain(quick)
+		s.Kinds = []Kind{{Cores: 1, MemoryMB: 16384}}
+		f := newReferee(t, s, seed, 1000*Second)
+		f.usual[0] = float64(100 * Millisecond)
+		f.tell(FleetChange{Mode: ListSaved, Engines: fleetOf(1)})
+		f.ask(0, nil)
+		first := f.ask(0, func(r *Request) { r.Work = 50 * Millisecond })
+		f.ask(0, func(r *Request) { r.Work = 150 * Millisecond })
+		f.resolve(f.pending()[0], VerdictOK)
+		light += f.sent(first)
+	}
+	if light < 260 || light > 340 { // three quarters of 400, and four deviations
+		t.Fatalf("the light query was drawn first %d times of 400, want about 300", light)
+	}
+}
+
+// With two choices the less busy engine of the pair gets the query.
+func TestLessBusyOfTwo(t *testing.T) {
+	f := site(t, plain(quick), 2)
+	a := f.ask(0, func(r *Request) { r.Work = Second })
+	for range 4 {
+		b := f.ask(0, func(r *Request) { r.Work = 10 * Millisecond })
+		if f.requests[a].attempts[0].engine.ID == f.requests[b].attempts[0].engine.ID {
+			t.Fatal("the busier of two engines was picked")
+		}
+	}
+}
+
+// A slow attempt cuts our share of its engine as soon as it is slow, and a report of queries that
+// wait for memory does so with any outcome; good ones with the share used up let it grow.
+func TestShareFollowsOutcomes(t *testing.T) {
+	s := plain(quick)
+	s.Siblings = 4
+	f := site(t, s, 1)
+	f.m.byID[1].share = 1
+	f.ask(0, nil)
+	f.advance(400 * Millisecond)
+	if f.share(1) >= 1 {
+		t.Fatal("an attempt at four times its run time did not count before its outcome")
+	}
+	before := f.share(1)
+	o := f.pending()[0]
+	f.ask(0, nil)
+	o = f.pending()[1]
+	o.Latency, o.Load = 90*Millisecond, map[string]float64{"queue": 2}
+	f.resolve(o, VerdictOK)
+	if f.share(1) >= before {
+		t.Fatal("queries that wait for memory did not cut the share")
+	}
+	f.m.byID[1].share = 0.25
+	for range 20 {
+		f.ask(0, nil)
+	}
+	for _, o := range f.pending() {
+		o.Latency = 90 * Millisecond
+		f.resolve(o, VerdictOK)
+	}
+	if f.share(1) <= 0.25 {
+		t.Fatal("the share did not grow though outcomes were good and it was used up")
+	}
+}
+
+// When every engine is slow alike the cause is shared: our share must not collapse.
+func TestSharedSlownessKeepsTheShare(t *testing.T) {
+	s := plain(quick)
+	s.Siblings = 4
+	f := site(t, s, 4)
+	slowly := func(n int) {
+		for range n {
+			f.ask(0, nil)
+			o := f.pending()[0]
+			o.Latency = 220 * Millisecond
+			f.resolve(o, VerdictOK)
+		}
+	}
+	slowly(200)
+	f.m.byID[1].share = 1
+	slowly(50)
+	if f.share(1) < 0.9 {
+		t.Fatalf("the share fell to %.2f while all engines are slow alike", f.share(1))
+	}
+}
+
+// An engine that fails fast looks idle; it gets a trickle only, and the others the rest.
+func TestErrorSinkGetsATrickle(t *testing.T) {
+	f := site(t, plain(quick), 4)
+	sink := 0
+	for range 300 {
+		f.ask(0, nil)
+		for len(f.pending()) > 0 {
+			o := f.pending()[0]
+			if o.Engine == 1 {
+				sink++
+				f.resolve(o, VerdictError)
+			} else {
+				f.resolve(o, VerdictOK)
+			}
+		}
+		f.advance(10 * Millisecond)
+	}
+	if sink == 0 || sink > 20 {
+		t.Fatalf("the failing engine got %d of 300 requests", sink)
+	}
+	f.check("error sink")
+}
+
+// When all fail the cause is shared: requests are not piled on one engine nor all held back.
+func TestSharedFaultKeepsAllEngines(t *testing.T) {
+	f := site(t, plain(quick), 4)
+	got := map[EngineID]int{}
+	for range 200 {
+		f.ask(0, nil)
+		for p := f.pending(); len(p) > 0; p = f.pending() {
+			got[p[0].Engine]++
+			f.resolve(p[0], VerdictError)
+		}
+	}
+	for id := EngineID(1); id <= 4; id++ {
+		if got[id] < 20 {
+			t.Fatalf("engine %d got %d attempts while all fail alike: %v", id, got[id], got)
+		}
+	}
+}
+
+// A request does not go where it would come back late while another engine is quick enough.
+func TestSlowEngineIsLeftOut(t *testing.T) {
+	f := site(t, plain(quick), 3)
+	slow := 0
+	for range 200 {
+		f.ask(0, nil)
+		o := f.pending()[0]
+		if o.Latency = 90 * Millisecond; o.Engine == 2 {
+			o.Latency = 1500 * Millisecond
+			slow++
+		}
+		f.resolve(o, VerdictOK)
+		f.advance(20 * Millisecond)
+	}
+	if slow == 0 || slow > 30 {
+		t.Fatalf("the engine at 15 times its run time got %d of 200 requests", slow)
+	}
+}
+
+// A cold engine's spent budget outlives its absence from the list, and a gateway that has just
+// started sends it nothing for a window.
+func TestColdBudget(t *testing.T) {
+	s := plain(quick)
+	f := newReferee(t, s, 1, 1000*Second)
+	f.usual[0] = float64(100 * Millisecond)
+	cold := []Engine{{ID: 1, StartedAt: f.now}}
+	f.tell(FleetChange{Mode: ListSaved, Engines: cold})
+	if id := f.ask(0, nil); f.sent(id) != 0 {
+		t.Fatal("sent to a cold engine by a gateway that just started")
+	}
+	f.advance(2500 * Millisecond)
+	send := func() (n int) {
+		for range 200 {
+			n += f.sent(f.ask(0, nil))
+			for _, o := range f.pending() {
+				f.resolve(o, VerdictOK)
+			}
+		}
+		return n
+	}
+	if n := send(); n == 0 || n == 200 {
+		t.Fatalf("%d of 200 sent to a cold engine at once", n)
+	}
+	f.tell(FleetChange{Mode: ListFull})
+	f.tell(FleetChange{Mode: ListFull, Engines: cold})
+	if n := send(); n != 0 {
+		t.Fatalf("%d sent after the engine left the list and came back", n)
+	}
+	f.check("cold")
+}
+
+// A request that is late and would earn nothing is answered at once, not held to its deadline.
+func TestWorthlessIsRefusedEarly(t *testing.T) {
+	f := site(t, plain(quick), 0)
+	id := f.ask(0, nil)
+	f.advance(800 * Millisecond)
+	if !f.requests[id].over {
+		t.Fatal("a request that can earn nothing any more is still held")
+	}
+	late := quick
+	late.LateValue = 0.5
+	f = site(t, plain(late), 0)
+	id = f.ask(0, nil)
+	f.advance(800 * Millisecond)
+	if f.requests[id].over {
+		t.Fatal("a request that still earns half was given up")
+	}
+	f.advance(2200 * Millisecond)
+	f.check("early refusal")
+}
+
+// A failed list keeps the last one and is asked for again, where asking is needed.
+func TestFailedListKeepsTheLast(t *testing.T) {
+	s := plain(quick)
+	s.AskMembership = true
+	f := site(t, s, 1)
+	asked := 0
+	f.logging = func(a Action) {
+		if a, ok := a.(Subscribe); ok && a.On {
+			asked++
+		}
+	}
+	f.tell(FleetChange{Mode: ListFailed})
+	if id := f.ask(0, nil); f.sent(id) != 1 {
+		t.Fatal("a failed list lost the engines")
+	}
+	f.advance(2 * Second)
+	if asked == 0 {
+		t.Fatal("the list was not asked for again")
+	}
+}
+
+// The same events and seed give the same actions.
+func TestDeterministic(t *testing.T) {
+	run := func() (log []string) {
+		f := site(t, plain(quick, quick), 5)
+		f.logging = func(a Action) { log = append(log, fmt.Sprintf("%T%v", a, a)) }
+		for i := range 300 {
+			f.ask(i%2, nil)
+			if i%3 > 0 {
+				f.resolve(f.pending()[0], VerdictOK)
+			}
+			f.advance(5 * Millisecond)
+		}
+		return log
+	}
+	a, b := run(), run()
+	if len(a) < 300 || fmt.Sprint(a) != fmt.Sprint(b) {
+		t.Fatal("two runs of the same events differ")
+	}
+}
