Draw anew what found no room, and drop the belief that cancelling pays

A drawn request that had to wait kept its place at the head; three such (a retry without ration, a large grant) blocked their class. They are now drawn anew.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,9 +43,6 @@
 	slowGain       = 0.1 // weight of the newest outcome in an engine's slowdown
 	dragGain       = 0.2 // weight of the newest outcome in an engine's drag
 	missStart      = 0.5 // deviation of estimates that is assumed before any was seen
-	killGain       = 0.2 // weight of the newest verdict on whether cancelling pays
-	killStart      = 0.7 // belief that cancelling pays before anything was seen
-	killLeast      = 0.4 // belief below which overdue attempts are left alone
 )
 
 // New returns the module of a gateway that has just started.
@@ -53,7 +50,7 @@
 	m := &Module{s: s, base: 1, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		byID: map[EngineID]*engine{}, open: map[RequestID]*request{}, lanes: map[string]*lane{}}
 	for _, c := range s.Classes {
-		k := &class{Class: c, pays: killStart}
+		k := &class{Class: c}
 		k.remember(learnWindow)
 		k.miss.start(0, missStart)
 		k.need.start(1, missStart/2)
@@ -442,8 +439,8 @@
 	return c.queues[max(draw(rng, odds), 0)]
 }
 
-// releaseFrom takes the first drawn requests of a queue and sends the first that fits somewhere.
-// The rest keep their place.
+// releaseFrom takes the first drawn requests of a queue and sends the first that fits somewhere. The
+// others are drawn anew: one that has to wait (for a ration, a group, memory) must not block the rest.
 func (m *Module) releaseFrom(q *queue) bool {
 	var aside []*request
 	var to *engine
@@ -453,6 +450,9 @@
 		to = m.pick(r)
 	}
 	for _, r := range aside {
+		if to == nil || r != aside[len(aside)-1] {
+			r.key = q.clock + m.rng.ExpFloat64()*r.queued
+		}
 		heap.Push(q, r)
 	}
 	if to == nil {
@@ -643,7 +643,6 @@
 		}
 	}
 	lag := float64(o.Latency)
-	m.learnPays(r, lag, o.Verdict)
 	m.learnDrag(r, e, work, lag)
 	if a.cut || r.waitsOnLoad() {
 		return
@@ -716,18 +715,6 @@
 
 // ---- bad plans and other overdue attempts
 
-// learnPays follows whether cancelling pays: it did if the next attempt took less than the
-// cancelled one had taken by then.
-func (m *Module) learnPays(r *request, lag float64, v Verdict) {
-	if v != VerdictOK || r.cutAge == 0 {
-		return
-	}
-	r.class.pays -= killGain * r.class.pays
-	if Time(lag) < r.cutAge {
-		r.class.pays += killGain
-	}
-}
-
 // slowAt is when an attempt counts as slow before its outcome is known.
 func (m *Module) slowAt(r *request, a *attempt) Time {
 	work := m.predict(r) * math.Exp(r.class.miss.deviation())
@@ -755,19 +742,18 @@
 }
 
 // checkOverdue cancels an attempt that takes far longer than such attempts do, to try elsewhere:
-// a bad plan, a stalled or an unreachable engine. Only where the repeat is allowed, and only while it
-// has paid: on rough estimates long runs are just long. Where no further attempt can help it ends the
-// request a little later, rather than let a bad plan run up to the client's deadline.
+// a bad plan, a stalled or an unreachable engine. Only where the repeat is allowed, and the later the
+// rougher the estimates. Where no further attempt can help it ends the request a little later, rather
+// than let a bad plan run up to the client's deadline.
 func (m *Module) checkOverdue(r *request) {
 	i := len(r.attempts) - 1
 	a := &r.attempts[i]
-	if r.running != 1 || a.done || a.cut || r.class.Effect != EffectSafe || !m.s.Limits.Cancel ||
-		r.class.pays < killLeast {
+	if r.running != 1 || a.done || a.cut || r.class.Effect != EffectSafe || !m.s.Limits.Cancel {
 		return
 	}
 	late := m.overdueAt(r, a) - a.at
 	again := m.triesLeft(r) && m.rationLeft() && m.now+Time(a.expected) < r.Due
-	if !again || r.cutAge > 0 {
+	if !again || r.cut {
 		late += late / 2
 	}
 	if m.now < a.at+late {
@@ -778,7 +764,7 @@
 		m.finish(r)
 		return
 	}
-	a.cut, r.cutAge = true, m.now-a.at
+	a.cut, r.cut = true, true
 	m.do(Cancel{ID: r.ID, Attempt: i})
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -54,7 +54,6 @@
 	need   scatter  // needed over told memory
 	miss   scatter  // logarithm of true over predicted work
 	usual  window   // work of a request
-	pays   float64  // belief that cancelling an overdue attempt pays
 }
 
 type attempt struct {
@@ -87,7 +86,7 @@
 	slot     int     // index in the queue's heap; -1: not held
 	lane     *lane
 	terms    SetTerms
-	cutAge   Time
+	cut      bool // an attempt was cancelled as overdue
 }
 
 // lane is the line of requests of one key: the first has its turn, the rest wait for it to be over.
