--- a/rules/rules.go
+++ b/rules/rules.go
@@ -30,7 +30,6 @@
 	usedPart       = 0.7              // part of our share in use from which it counts as used up
 	shareMost      = 2.0              // most of an engine's bound that we ever take for ours
 	coldSafety     = 0.6              // part of our share of a cold engine's budget that we use
-	drawsPerClass  = 3                // held requests looked at before a class is passed over
 	sweepEvery     = 50 * Millisecond // how often held requests are reconsidered without an event
 	badGain        = 0.25             // weight of the newest outcome in an engine's failure share
 	badLimit       = 0.3              // failure share from which an engine only gets a trickle
@@ -439,26 +438,16 @@
 	return c.queues[max(draw(rng, odds), 0)]
 }
 
-// releaseFrom takes the first drawn requests of a queue and sends the first that fits somewhere. The
-// others are drawn anew: one that has to wait (for a ration, a group, memory) must not block the rest.
+// releaseFrom draws a request of a queue and sends it if it fits somewhere. If not it is drawn anew at
+// the next chance: one that has to wait (for a ration, a group, memory) must not block the rest.
 func (m *Module) releaseFrom(q *queue) bool {
-	var aside []*request
-	var to *engine
-	for len(aside) < drawsPerClass && q.Len() > 0 && to == nil {
-		r := heap.Pop(q).(*request)
-		aside = append(aside, r)
-		to = m.pick(r)
-	}
-	for _, r := range aside {
-		if to == nil || r != aside[len(aside)-1] {
-			r.key = q.clock + m.rng.ExpFloat64()*r.queued
-		}
-		heap.Push(q, r)
-	}
+	r := q.held[0]
+	to := m.pick(r)
 	if to == nil {
+		r.key = q.clock + m.rng.ExpFloat64()*r.queued
+		heap.Fix(q, 0)
 		return false
 	}
-	r := aside[len(aside)-1]
 	if !r.late {
 		q.clock = max(q.clock, r.key)
 	}
