--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,6 +16,7 @@
 
 const (
 	threadsPerCore = 1.5         // thread bound of a whole engine, in threads a core
+	fitPart        = 0.5         // part of a further query that must fit the bound; all of it shuts wide ones out
 	learnWindow    = 10 * Second // memory of the learned ratios
 	slowLimit      = 1.35        // an attempt slower than this times its run alone means too much at once
 	baseQuantile   = 0.1         // of all outcomes' slowdown: what even an engine with room shows now
@@ -493,7 +494,7 @@
 		return true
 	}
 	memory := m.kind(e).MemoryMB
-	return e.threads+float64(max(1, r.class.Threads)) <= m.bound(e) &&
+	return e.threads+fitPart*float64(max(1, r.class.Threads)) <= m.bound(e) &&
 		(memory == 0 || e.memory+m.grant(r, e) <= memory*min(1, e.share))
 }
 
