Give a class two draws before it is passed over

A retry without ration at the head cost its class a fifth of its chances. Tests for the memory gate, priorities, wide queries, blocked requests and slow engines; each fails without its guard.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,7 +16,7 @@
 
 const (
 	threadsPerCore = 1.5         // thread bound of a whole engine, in threads a core
-	fitPart        = 0.5         // part of a further query that must fit the bound; all of it shuts wide ones out
+	fitPart        = 0.5         // part of a further query that must fit; all of it would shut wide ones out
 	learnWindow    = 10 * Second // memory of the learned ratios
 	slowLimit      = 1.35        // an attempt slower than this times its run alone means too much at once
 	baseQuantile   = 0.1         // of all outcomes' slowdown: what even an engine with room shows now
@@ -398,7 +398,7 @@
 			return false
 		}
 		passed[c] = true
-		if m.releaseFrom(m.classes[c].drawTenant(m.rng)) {
+		if q := m.classes[c].drawTenant(m.rng); m.releaseFrom(q) || m.releaseFrom(q) {
 			return true
 		}
 	}
@@ -439,8 +439,8 @@
 	return c.queues[max(draw(rng, odds), 0)]
 }
 
-// releaseFrom draws a request of a queue and sends it if it fits somewhere. If not it is drawn anew at
-// the next chance: one that has to wait (for a ration, a group, memory) must not block the rest.
+// releaseFrom draws a request of a queue and sends it if it fits somewhere. If not it is drawn anew:
+// one that has to wait (for a ration, a group, memory) must not block the rest.
 func (m *Module) releaseFrom(q *queue) bool {
 	r := q.held[0]
 	to := m.pick(r)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -126,7 +126,7 @@
 // Short queries fill no slot that a heavy class keeps taking: each class has the same share of time.
 func TestShortClassIsNotStarvedByHeavyWorth(t *testing.T) {
 	heavy := quick
-	heavy.Worth, heavy.Threads, heavy.GiveUp = 20, 4, 20*Second
+	heavy.Worth, heavy.Threads, heavy.GiveUp = 200, 4, 20*Second
 	s := plain(quick, heavy)
 	s.Kinds = []Kind{{Cores: 4, MemoryMB: 16384}}
 	f := site(t, s, 1)
@@ -409,4 +409,99 @@
 	if sent < 20 {
 		t.Fatalf("%d of 200 wide queries were sent", sent)
 	}
+	f = site(t, s, 1) // six threads in all: four run, and half of the next four fit
+	f.ask(1, nil)
+	if id := f.ask(1, nil); f.sent(id) != 1 {
+		t.Fatal("a wide query was held though half of it fits")
+	}
+}
+
+// Memory is granted only up to our share of an engine, but one query may always run there.
+func TestMemoryGate(t *testing.T) {
+	s := plain(quick)
+	f := site(t, s, 1)
+	big := func(r *Request) { r.MemoryMB = 6000 }
+	if id := f.ask(0, big); f.sent(id) != 1 {
+		t.Fatal("the first query was held")
+	}
+	f.ask(0, big)
+	if id := f.ask(0, big); f.sent(id) != 0 {
+		t.Fatal("three queries of two fifths of the memory were sent to one engine")
+	}
+	for len(f.pending()) > 0 {
+		f.resolve(f.pending()[0], VerdictOK)
+	}
+	if f.sends != 3 {
+		t.Fatal("the held query was not sent when memory fell free")
+	}
+}
+
+// The class that earns most for its work gets the high priority where priorities are heeded.
+func TestPriorityFollowsWorthOverWork(t *testing.T) {
+	heavy := quick
+	heavy.Worth = 5
+	s := plain(quick, heavy)
+	s.TakesPriority = true
+	f := site(t, s, 4)
+	f.usual[1] = float64(Second)
+	got := map[int]int{}
+	f.logging = func(a Action) {
+		if a, ok := a.(SetTerms); ok {
+			got[f.requests[a.ID].Class] = a.Priority
+		}
+	}
+	for range 3 {
+		f.ask(1, nil)
+		f.ask(0, nil)
+	}
+	if got[0] != 3 || got[1] != 1 {
+		t.Fatalf("priorities by class: %v", got)
+	}
+}
+
+// A request that can't be sent, here a retry without ration, must not block its class.
+func TestBlockedRequestsDoNotBlockTheirClass(t *testing.T) {
+	s := plain(quick)
+	s.Duties.Rationed, s.Duties.RationWindow = true, 10*Second
+	f := site(t, s, 2)
+	retry := f.ask(0, func(r *Request) { r.Work = 10 * Millisecond })
+	f.resolve(f.pending()[0], VerdictFull)
+	if f.sent(retry) != 1 || f.requests[retry].over {
+		t.Fatal("the retry was not held for its ration")
+	}
+	for range 100 {
+		f.ask(0, nil)
+		for _, o := range f.pending() {
+			f.resolve(o, VerdictOK)
+		}
+		f.advance(5 * Millisecond)
+	}
+	if f.sends < 85 {
+		t.Fatalf("%d of 100 requests sent beside one that waits for its ration", f.sends-1)
+	}
+}
+
+// A request that would be late on a slow engine waits for a quick one, though the slow one has room.
+func TestWaitsForAnEngineInTime(t *testing.T) {
+	f := site(t, plain(quick), 2)
+	f.m.byID[1].drag = 3
+	for range 20 {
+		for range 3 {
+			f.ask(0, nil)
+		}
+		n := 0
+		for _, o := range f.pending() {
+			if o.Engine == 1 {
+				n++
+			}
+		}
+		if n > 1 {
+			t.Fatalf("%d requests on an engine at twenty times their run time", n)
+		}
+		for _, o := range f.pending() {
+			if o.Engine == 2 {
+				f.resolve(o, VerdictOK)
+			}
+		}
+	}
 }
