--- /dev/null
+++ b/internal/simwire/codec_test.go
@@ -0,0 +1,77 @@
+package simwire
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"foxlane/rules"
+)
+
+// Every action has the wire's spelling, and comes back from JSON as it was.
+func TestActions(t *testing.T) {
+	for _, c := range []struct {
+		action rules.Action
+		want   string
+	}{
+		{rules.Send{ID: "a", Engine: 9}, `{"cmd":"Dispatch","xid":"a","engine":9}`},
+		{rules.Send{ID: "a", Engine: 1<<32 - 1, Timeout: 5}, `{"cmd":"Dispatch","xid":"a","engine":4294967295,"tryFor":5}`},
+		{rules.SetTerms{ID: "a", MemoryMB: 640.5, Priority: 2}, `{"cmd":"GrantAndRank","xid":"a","workspaceMb":640.5,"priority":2}`},
+		{rules.Cancel{ID: "a", Attempt: 1}, `{"cmd":"Abandon","xid":"a","leg":1}`},
+		{rules.Refuse{ID: "a"}, `{"cmd":"Busy","xid":"a"}`},
+		{rules.Refuse{ID: "a", RetryAfter: 7}, `{"cmd":"Busy","xid":"a","holdOff":7}`},
+		{rules.Fail{ID: "a\"\n"}, `{"cmd":"ReportFailure","xid":"a\"\n"}`},
+		{rules.SetTimer{At: 8, Token: "sweep"}, `{"cmd":"Arm","at":8,"handle":"sweep"}`},
+		{rules.Probe{Engine: 9}, `{"cmd":"Poll","engine":9}`},
+		{rules.CloseIdle{Engine: 9}, `{"cmd":"DropConns","engine":9}`},
+		{rules.TellPeers{Payload: []byte("hi 7")}, `{"cmd":"Signal","whom":"all","content":"aGkgNw=="}`},
+		{rules.Subscribe{On: true}, `{"cmd":"Listen","active":true}`},
+		{rules.FetchList{}, `{"cmd":"GetList"}`},
+		{rules.Log{Text: "two servers known"}, `{"cmd":"Remark","msg":"two servers known"}`},
+	} {
+		var e encoder
+		e.open()
+		e.openGroup(3)
+		e.action(c.action)
+		e.closeGroup()
+		got, want := string(e.close()), `{"managers":[{"who":3,"cmds":[`+c.want+"]}]}\n"
+		if got != want {
+			t.Errorf("%T: got %s, want %s", c.action, got, want)
+		}
+		if !json.Valid([]byte(got)) {
+			t.Errorf("%T: not JSON: %s", c.action, got)
+		}
+	}
+}
+
+// Every event reaches the module with all its values.
+func TestEvents(t *testing.T) {
+	s := rules.Settings{Classes: make([]rules.Class, 2), Tenants: make([]rules.Tenant, 2)}
+	for _, c := range []struct {
+		in   string
+		want rules.Event
+	}{
+		{`{"cmd":"Accept","xid":"a","cls":1,"owner":1,"orderKey":"t/k","due":50,"estimate":12000,"footprintMb":384,"dataset":11,"bitmap":7}`,
+			rules.Arrival{Request: rules.Request{ID: "a", Class: 1, Tenant: 1, OrderKey: "t/k", Due: 50, Work: 12000,
+				HasWork: true, MemoryMB: 384, DataSet: 11, Repeat: true, Write: true}}},
+		{`{"cmd":"Resolved","xid":"a","leg":2,"engine":7,"verdict":"S","lag":18500,"doneFlag":true,"trueCost":69728,"pressure":{"queue":3}}`,
+			rules.Outcome{ID: "a", Attempt: 2, Engine: 7, Latency: 18500, Closed: true, TrueWork: 17 * rules.Millisecond,
+				TrueMemoryMB: 384, Load: map[string]float64{"queue": 3}}},
+		{`{"cmd":"Opened","xid":"a","leg":1,"engine":7}`, rules.StreamOpened{ID: "a", Attempt: 1}},
+		{`{"cmd":"Heartbeat","xid":"a","leg":1,"sort":2,"x":0.5}`,
+			rules.Progress{ID: "a", Attempt: 1, Sort: rules.ProgressSpills, Value: 0.5}},
+		{`{"cmd":"Gone","xid":"a"}`, rules.Departure{ID: "a"}},
+		{`{"cmd":"Bell","handle":"h"}`, rules.Alarm{Token: "h"}},
+		{`{"cmd":"HealthResult","engine":7,"verdict":"C","lag":9}`,
+			rules.ProbeResult{Engine: 7, Verdict: rules.VerdictConnectFailed, Latency: 9}},
+		{`{"cmd":"FromPeer","srcPeer":2,"content":"aGkgNw=="}`, rules.PeerMessage{From: 2, Payload: []byte("hi 7")}},
+	} {
+		var w wireEvent
+		if err := json.Unmarshal([]byte(c.in), &w); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := w.decode(&s); err != nil || !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s:\ngot  %#v, %v\nwant %#v", c.in, got, err, c.want)
+		}
+	}
+}
