--- a/internal/simwire/host_test.go
+++ b/internal/simwire/host_test.go
@@ -112,3 +112,18 @@
 		}
 	})
 }
+
+// A panic in the decision code is answered with a crash report, once, and the process goes on.
+func TestPanicIsReported(t *testing.T) {
+	h := NewHost()
+	if _, err := h.Batch([]byte(line("10", boot))); err != nil {
+		t.Fatal(err)
+	}
+	h.instances[3].module = nil
+	for _, want := range []string{`"cmd":"Crash","msg":"`, `{"managers":[]}`} {
+		reply, err := h.Batch([]byte(line("20", `{"cmd":"Bell","handle":"sweep"}`)))
+		if err != nil || !strings.Contains(string(reply), want) {
+			t.Errorf("got %s, %v, want %s", reply, err, want)
+		}
+	}
+}
