Bound all that is out by one learned share of the whole fleet

Cause: with hundreds of gateways, one query on every engine from each is many times what the fleet runs well; and a gateway hears of an engine every few seconds, too seldom for a share of each. Ageing engines and cut links gave no sign but our own cancels, which counted for nothing.

Changed, each measured: one share of the fleet in even parts, with a margin of two deviations of chance; overdue attempts count as failures; drag forgets by time and counts in the busy figure. Taken out at no loss: share by engine, base slowdown, slowdown by class, rest after a late trickle.

Could harm where one gateway alone is busy: it has to grow its share first.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -19,15 +19,13 @@
 	fitPart        = 0.5         // part of a further query that must fit; all of it would shut wide ones out
 	learnWindow    = 10 * Second // memory of the learned ratios
 	slowLimit      = 1.35        // an attempt slower than this times its run alone means too much at once
-	baseQuantile   = 0.1         // of all outcomes' slowdown: what even an engine with room shows now
-	baseGain       = 0.2
-	baseMost       = 2.5
-	slowPart       = 0.1  // and takes over this part of the time in which it is wanted
-	shareGrow      = 0.15 // growth of our share by a second of an engine's good work
-	shareCut       = 0.5  // cut of our share by an engine's second in slow attempts
-	shareCutLeast  = 0.03 // least and most that one slow attempt cuts
+	slowPart       = 0.1         // and takes over this part of the time in which it is wanted
+	shareGrow      = 0.2         // growth of our share, in even parts, by a second of an even part's good work
+	shareCut       = 0.13        // part of our share cut by a second of an even part in slow attempts
+	shareCutLeast  = 0.004       // least and most that one slow attempt cuts
 	shareCutMost   = 0.3
-	shareLeast     = 1.0              // of an even part of the engine: what we always take
+	shareLeast     = 1.0              // in even parts: what we always take
+	chance         = 2.0              // deviations by which one gateway's need may pass its part by chance
 	usedPart       = 0.7              // part of our share in use from which it counts as used up
 	shareMost      = 2.0              // most of an engine's bound that we ever take for ours
 	coldSafety     = 0.6              // part of our share of a cold engine's budget that we use
@@ -39,15 +37,13 @@
 	restMost       = 4 * Second
 	overduePart    = 0.4 // overdue: over this part of the time in which it is wanted, and
 	overdueTimes   = 1.2 // overdue: over this times the run time that estimates two deviations off give
-	slowMost       = 5   // slowdown that is believed at most
-	slowGain       = 0.1 // weight of the newest outcome in an engine's slowdown
 	dragGain       = 0.2 // weight of the newest outcome in an engine's drag
 	missStart      = 0.5 // deviation of estimates that is assumed before any was seen
 )
 
 // New returns the module of a gateway that has just started.
 func New(s Settings, seed uint64) *Module {
-	m := &Module{s: s, base: 1, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+	m := &Module{s: s, share: 1, widest: 1, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		byID: map[EngineID]*engine{}, open: map[RequestID]*request{}, lanes: map[string]*lane{}}
 	for _, c := range s.Classes {
 		k := &class{Class: c}
@@ -58,6 +54,7 @@
 			k.queues = append(k.queues, &queue{})
 		}
 		m.classes = append(m.classes, k)
+		m.widest = max(m.widest, float64(c.Threads))
 	}
 	return m
 }
@@ -115,8 +112,7 @@
 	for _, entry := range f.Engines {
 		e := m.byID[entry.ID]
 		if e == nil {
-			e = newEngine(len(m.classes))
-			e.share = 1 / float64(m.s.Siblings)
+			e = newEngine()
 			m.byID[entry.ID] = e
 			m.engines = append(m.engines, e)
 		}
@@ -140,6 +136,7 @@
 		kept = append(kept, e)
 	}
 	m.engines = kept
+	m.size = m.capacity()
 }
 
 // ---- requests
@@ -381,8 +378,11 @@
 }
 
 func (m *Module) anyRoom() bool {
+	if m.all.out > 0 && m.all.threads >= m.fleetBound() {
+		return false
+	}
 	for _, e := range m.engines {
-		if e.State == EngineServing && (e.out == 0 || e.threads < m.bound(e)) {
+		if e.State == EngineServing && (e.out == 0 || e.threads < m.bound(m.kind(e).Cores)) {
 			return true
 		}
 	}
@@ -474,28 +474,40 @@
 	if j >= i {
 		j++
 	}
-	if a, b := m.able[i], m.able[j]; a.work <= b.work {
+	if a, b := m.able[i], m.able[j]; m.busy(r, a) <= m.busy(r, b) {
 		return a
 	}
 	return m.able[j]
 }
 
-// slowness is the learned slowdown of a class on the engine, against running alone.
-func (e *engine) slowness(class int) float64 { return 1 + e.slow[class] }
+// part is our part of anything that all gateways use, as learned.
+func (m *Module) part() float64 { return m.share / float64(m.s.Siblings) }
+
+// busy is the engine time predicted for what runs there of ours and for the request itself. With few
+// queries of ours out, the engine's drag is all that tells two engines apart.
+func (m *Module) busy(r *request, e *engine) float64 { return e.work + m.predict(r)*math.Exp(e.drag) }
 
-func (m *Module) bound(e *engine) float64 { return threadsPerCore * m.kind(e).Cores * e.share }
+func (m *Module) bound(cores float64) float64 { return threadsPerCore * cores * m.part() }
+
+// fleetBound adds a margin of chance: what single gateways draw scatters, their sum hardly does.
+func (m *Module) fleetBound() float64 {
+	b := m.bound(m.size.Cores)
+	return b + chance*math.Sqrt(b*m.widest)
+}
+
+// within is the memory gate and the thread bound, for one engine or for all together.
+func (m *Module) within(r *request, l *load, bound float64, k Kind, grant float64) bool {
+	return l.out == 0 || l.threads+fitPart*float64(max(1, r.class.Threads)) <= bound &&
+		(k.MemoryMB == 0 || l.memory+grant <= k.MemoryMB*min(1, m.part()))
+}
 
 // fits is the memory gate, the thread bound and the trickle to an engine that fails.
 func (m *Module) fits(r *request, e *engine) bool {
 	if !m.trusted(r, e) || r.waitsOnLoad() && e.loads[r.DataSet] > 0 {
 		return false
 	}
-	if e.out == 0 {
-		return true
-	}
-	memory := m.kind(e).MemoryMB
-	return e.threads+fitPart*float64(max(1, r.class.Threads)) <= m.bound(e) &&
-		(memory == 0 || e.memory+m.grant(r, e) <= memory*min(1, e.share))
+	grant := m.grant(r, e)
+	return m.within(r, &m.all, m.fleetBound(), m.size, grant) && m.within(r, &e.load, m.bound(m.kind(e).Cores), m.kind(e), grant)
 }
 
 // waitsOnLoad answers whether a load of the same data set on its engine makes the request stand
@@ -550,9 +562,9 @@
 	}
 	work := m.predict(r)
 	a := attempt{engine: e, zone: e.Zone, cell: e.Cell, at: m.now, threads: float64(max(1, r.class.Threads)),
-		memory: grant, expected: float64(r.runTime(work, e.slowness(r.Class)))}
+		memory: grant, expected: float64(r.runTime(work, math.Exp(e.drag)))}
 	a.work = a.expected * a.threads
-	r.begin(a)
+	r.begin(a, &m.all)
 	if m.cold(e) {
 		e.sent = append(e.sent, sending{m.now, r.class.usual.mean(work)})
 	}
@@ -578,7 +590,7 @@
 	}
 	a := &r.attempts[o.Attempt]
 	m.learn(r, a, o)
-	r.conclude(a, o.Verdict)
+	r.conclude(a, o.Verdict, &m.all)
 	if a.engine.State == EngineGone {
 		m.forgetEngines()
 	}
@@ -614,8 +626,12 @@
 	case VerdictError, VerdictReset, VerdictConnectFailed:
 		m.failed(e)
 		return
+	case VerdictTimeout, VerdictCancelled:
+		if a.cut || o.Verdict == VerdictTimeout {
+			m.failed(e)
+		}
 	case VerdictFull:
-		m.cutShare(e, shareCutMost)
+		m.cutShare(shareCutLeast)
 		return
 	case VerdictOK:
 		e.bad -= badGain * e.bad
@@ -640,36 +656,20 @@
 	alone := float64(r.runTime(work, 1)) + float64(2*m.s.Tick)
 	waiting := o.Load["queue"] >= 1 // queries wait for memory there: more is granted than there is
 	if o.Verdict == VerdictOK {
-		if !waiting {
-			m.learnBase(lag / alone)
-		}
-		e.slow[r.Class] += slowGain * (min(max(lag/alone, 1), slowMost) - 1 - e.slow[r.Class])
 	}
-	if waiting || lag > max(slowLimit*m.base*alone, slowPart*float64(r.wanted(work))) {
+	if waiting || lag > max(slowLimit*alone, slowPart*float64(r.wanted(work))) {
 		m.tooSlow(a, lag)
-	} else if o.Verdict == VerdictOK && m.usedUp(e) {
-		e.share = min(e.share+shareGrow*work/(m.kind(e).Cores*float64(Second)+1), shareMost)
+	} else if o.Verdict == VerdictOK && m.usedUp() {
+		m.share = min(m.share+shareGrow*m.evenSeconds(work), shareMost*float64(m.s.Siblings))
 	}
 }
 
-// learnDrag follows, as a logarithm, how slow an engine is to all that we send, however it ends. A
-// trickle that comes back too late gives it a rest before the next.
+// learnDrag follows, as a logarithm, how slow an engine is to all that we send, however it ends. The
+// longer ago we heard of it, the more the newest outcome counts.
 func (m *Module) learnDrag(r *request, e *engine, work, lag float64) {
 	drag := math.Log(max(lag/float64(r.runTime(work, 1)+2*m.s.Tick), 1))
-	e.drag += dragGain * (drag - e.drag)
-	if e.out == 1 && lag > float64(r.wanted(work)) {
-		m.rest(e)
-	}
-}
-
-// learnBase follows how slow even the quicker outcomes are, over all engines. Where something that
-// all share slows every engine, less load would not help, and cutting our share only wastes room.
-func (m *Module) learnBase(slowdown float64) {
-	if slowdown > m.base {
-		m.base = min(m.base*(1+baseGain*baseQuantile), baseMost)
-	} else {
-		m.base = max(m.base*(1-baseGain*(1-baseQuantile)), 1)
-	}
+	e.drag += max(dragGain, 1-math.Exp(-float64(m.now-e.heard)/float64(learnWindow))) * (drag - e.drag)
+	e.heard = m.now
 }
 
 // tooSlow cuts our share of an engine for an attempt that takes too long, by the part of the engine
@@ -677,38 +677,41 @@
 func (m *Module) tooSlow(a *attempt, lag float64) {
 	if !a.slow {
 		a.slow = true
-		m.cutShare(a.engine, shareCut*a.threads*lag/(m.kind(a.engine).Cores*float64(Second)+1))
+		m.cutShare(shareCut * m.evenSeconds(a.threads*lag))
 	}
 }
 
-func (m *Module) cutShare(e *engine, by float64) {
-	e.share = max(e.share*(1-min(max(by, shareCutLeast), shareCutMost)), shareLeast/float64(m.s.Siblings))
+func (m *Module) cutShare(by float64) {
+	m.share = max(m.share*(1-min(max(by, shareCutLeast), shareCutMost)), shareLeast)
+}
+
+// evenSeconds tells for how many seconds thread time fills an even part of the fleet.
+func (m *Module) evenSeconds(threadTime float64) float64 {
+	return threadTime * float64(m.s.Siblings) / (m.size.Cores*float64(Second) + 1)
 }
 
-// usedUp answers whether we come near what we may put on an engine, so that more would be used.
-func (m *Module) usedUp(e *engine) bool {
-	return e.threads >= usedPart*m.bound(e) || e.memory >= usedPart*m.kind(e).MemoryMB*e.share
+// usedUp answers whether we come near what we may put on the fleet, so that more would be used.
+func (m *Module) usedUp() bool {
+	return m.all.threads >= usedPart*m.bound(m.size.Cores) || m.all.memory >= usedPart*m.size.MemoryMB*m.part()
 }
 
-// failed marks an engine that failed an attempt and lets it rest, longer each time.
+// failed marks an engine that failed an attempt and lets it rest, longer each time. An attempt that we
+// cancelled as overdue is a failure too: an engine behind a cut link, or one that grows slower and
+// slower, gives no other sign, and a gateway with few queries can't wait for many.
 func (m *Module) failed(e *engine) {
 	e.bad += badGain * (1 - e.bad)
 	if e.bad >= badLimit {
-		m.rest(e)
+		e.rest = min(max(2*e.rest, restFirst), restMost)
+		e.restTill = m.now + e.rest
 	}
 }
 
-func (m *Module) rest(e *engine) {
-	e.rest = min(max(2*e.rest, restFirst), restMost)
-	e.restTill = m.now + e.rest
-}
-
 // ---- bad plans and other overdue attempts
 
 // slowAt is when an attempt counts as slow before its outcome is known.
 func (m *Module) slowAt(r *request, a *attempt) Time {
 	work := m.predict(r) * math.Exp(r.class.miss.deviation())
-	return a.at + Time(max(slowLimit*float64(r.runTime(work, m.base)), slowPart*float64(r.wanted(work)))) + 1
+	return a.at + Time(max(slowLimit*float64(r.runTime(work, 1)), slowPart*float64(r.wanted(work)))) + 1
 }
 
 func (m *Module) overdueAt(r *request, a *attempt) Time {
@@ -750,11 +753,12 @@
 		m.wake(r, a.at+late)
 		return
 	}
+	a.cut = true
 	if !again {
 		m.finish(r)
 		return
 	}
-	a.cut, r.cut = true, true
+	r.cut = true
 	m.do(Cancel{ID: r.ID, Attempt: i})
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -20,28 +20,51 @@
 	lanes   map[string]*lane
 	held    int
 	able    []*engine // scratch: the engines that may take a request
-	drag    float64   // usual drag of the fleet
-	base    float64   // slowdown of even the quicker outcomes
+	all     load      // what runs of ours on all engines
+	size    Kind      // all engines that serve, as one
+	widest  float64   // threads of the widest class
+	share   float64   // what we take of the fleet, in even parts; learned
 	taken   []Time    // arrivals within the ration's window
 	extras  []Time    // further attempts within it
 }
 
 type engine struct {
 	Engine
-	out      int       // attempts of ours without an outcome
-	threads  float64   // theirs
-	memory   float64   // granted to them
-	work     float64   // engine time predicted for them
-	share    float64   // what we take for our part of it; learned
-	slow     []float64 // learned further run time by class, against running alone
-	drag     float64   // learned logarithm of run time over that of running alone
-	bad      float64   // learned share of failures
+	load             // of ours
+	drag     float64 // learned logarithm of run time over that of running alone
+	heard    Time    // when the drag last learned
+	bad      float64 // learned share of failures
 	rest     Time
 	restTill Time
 	loads    map[int]int // ours that run there, by data set
 	sent     []sending   // while it is cold: what we sent within the tip window
 }
 
+// load is what runs of ours.
+type load struct {
+	out     int     // attempts without an outcome
+	threads float64 // theirs
+	memory  float64 // granted to them
+	work    float64 // engine time predicted for them
+}
+
+func (l *load) put(a *attempt) {
+	l.out++
+	l.threads += a.threads
+	l.memory += a.memory
+	l.work += a.work
+}
+
+func (l *load) take(a *attempt) {
+	l.out--
+	l.threads -= a.threads
+	l.memory -= a.memory
+	l.work -= a.work
+	if l.out == 0 { // no rounding error stays behind
+		*l = load{}
+	}
+}
+
 type sending struct {
 	at   Time
 	work float64
@@ -103,37 +126,30 @@
 	clock float64 // key of the last drawn
 }
 
-// begin books an attempt on its engine.
-func (r *request) begin(a attempt) {
+// begin books an attempt on its engine, and with all that is out.
+func (r *request) begin(a attempt, all *load) {
 	r.attempts = append(r.attempts, a)
 	r.running++
 	e := a.engine
-	e.out++
-	e.threads += a.threads
-	e.memory += a.memory
-	e.work += a.work
+	e.put(&a)
+	all.put(&a)
 	if r.class.IsLoad {
 		e.loads[r.DataSet]++
 	}
 }
 
 // conclude takes an attempt off its engine.
-func (r *request) conclude(a *attempt, v Verdict) {
+func (r *request) conclude(a *attempt, v Verdict, all *load) {
 	a.done, a.verdict = true, v
 	r.running--
 	e := a.engine
-	e.out--
-	e.threads -= a.threads
-	e.memory -= a.memory
-	e.work -= a.work
+	e.take(a)
+	all.take(a)
 	if r.class.IsLoad {
 		if e.loads[r.DataSet]--; e.loads[r.DataSet] <= 0 {
 			delete(e.loads, r.DataSet)
 		}
 	}
-	if e.out == 0 { // no rounding error stays behind
-		e.threads, e.memory, e.work = 0, 0, 0
-	}
 }
 
 func (l *lane) remove(r *request) {
@@ -152,8 +168,8 @@
 	return Kind{}
 }
 
-func newEngine(classes int) *engine {
-	return &engine{slow: make([]float64, classes), loads: map[int]int{}}
+func newEngine() *engine {
+	return &engine{loads: map[int]int{}}
 }
 
 // remember sets the span that all learned figures of a class look back.
@@ -173,3 +189,14 @@
 	}
 	return sum
 }
+
+// capacity sums up the engines that serve.
+func (m *Module) capacity() (all Kind) {
+	for _, e := range m.engines {
+		if e.State == EngineServing {
+			all.Cores += m.kind(e).Cores
+			all.MemoryMB += m.kind(e).MemoryMB
+		}
+	}
+	return all
+}
