--- a/rules/rules.go
+++ b/rules/rules.go
@@ -20,7 +20,7 @@
 	learnWindow    = 10 * Second // memory of the learned ratios
 	slowLimit      = 1.35        // an attempt slower than this times its run alone means too much at once
 	slowPart       = 0.1         // and takes over this part of the time in which it is wanted
-	shareGrow      = 0.2         // growth of our share, in even parts, by a second of an even part's good work
+	shareGrow      = 0.2         // growth of our share by a second of an even part's good work
 	shareCut       = 0.13        // part of our share cut by a second of an even part in slow attempts
 	shareCutLeast  = 0.004       // least and most that one slow attempt cuts
 	shareCutMost   = 0.3
@@ -506,8 +506,9 @@
 	if !m.trusted(r, e) || r.waitsOnLoad() && e.loads[r.DataSet] > 0 {
 		return false
 	}
-	grant := m.grant(r, e)
-	return m.within(r, &m.all, m.fleetBound(), m.size, grant) && m.within(r, &e.load, m.bound(m.kind(e).Cores), m.kind(e), grant)
+	grant, kind := m.grant(r, e), m.kind(e)
+	return m.within(r, &m.all, m.fleetBound(), m.size, grant) &&
+		m.within(r, &e.load, m.bound(kind.Cores), kind, grant)
 }
 
 // waitsOnLoad answers whether a load of the same data set on its engine makes the request stand
@@ -692,7 +693,8 @@
 
 // usedUp answers whether we come near what we may put on the fleet, so that more would be used.
 func (m *Module) usedUp() bool {
-	return m.all.threads >= usedPart*m.bound(m.size.Cores) || m.all.memory >= usedPart*m.size.MemoryMB*m.part()
+	return m.all.threads >= usedPart*m.bound(m.size.Cores) ||
+		m.all.memory >= usedPart*m.size.MemoryMB*m.part()
 }
 
 // failed marks an engine that failed an attempt and lets it rest, longer each time. An attempt that we
