Let peers know of heavy queries where notes are allowed

Peers' notes of queries of twice the usual work now count in the pick and in each engine's bound.

Also guards against any load of peers that shows in no outcome of ours. Could harm where notes are lost: a load not taken back counts for the clients' longest patience.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -15,20 +15,20 @@
 )
 
 const (
-	threadsPerCore = 1.5         // thread bound of a whole engine, in threads a core
-	fitPart        = 0.5         // part of a further query that must fit; all of it would shut wide ones out
-	learnWindow    = 10 * Second // memory of the learned ratios
-	slowLimit      = 1.35        // an attempt slower than this times its run alone means too much at once
-	slowPart       = 0.1         // and takes over this part of the time in which it is wanted
-	shareGrow      = 0.2         // growth of our share by a second of an even part's good work
-	shareCut       = 0.13        // part of our share cut by a second of an even part in slow attempts
-	shareCutLeast  = 0.004       // least and most that one slow attempt cuts
-	shareCutMost   = 0.3
+	threadsPerCore = 1.5              // thread bound of a whole engine, in threads a core
+	fitPart        = 0.5              // part of a further query that must fit; all would shut wide ones out
+	learnWindow    = 10 * Second      // memory of the learned ratios
+	slowLimit      = 1.35             // times its run alone: slower means too much at once
+	slowPart       = 0.1              // and takes over this part of the time in which it is wanted
+	shareGrow      = 0.2              // growth of our share by a second of an even part's good work
+	shareCut       = 0.13             // part of our share cut by a second of an even part in slow attempts
+	shareCutMost   = 0.3              // most that one slow attempt cuts
 	shareLeast     = 1.0              // in even parts: what we always take
 	chance         = 2.0              // deviations by which one gateway's need may pass its part by chance
 	usedPart       = 0.7              // part of our share in use from which it counts as used up
 	shareMost      = 2.0              // most of an engine's bound that we ever take for ours
 	coldSafety     = 0.6              // part of our share of a cold engine's budget that we use
+	tellFrom       = 2.0              // peers hear of attempts with this times the usual work
 	sweepEvery     = 50 * Millisecond // how often held requests are reconsidered without an event
 	badGain        = 0.25             // weight of the newest outcome in an engine's failure share
 	badLimit       = 0.3              // failure share from which an engine only gets a trickle
@@ -45,6 +45,7 @@
 func New(s Settings, seed uint64) *Module {
 	m := &Module{s: s, share: 1, widest: 1, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		byID: map[EngineID]*engine{}, open: map[RequestID]*request{}, lanes: map[string]*lane{}}
+	m.usual.span = learnWindow
 	for _, c := range s.Classes {
 		k := &class{Class: c}
 		k.remember(learnWindow)
@@ -54,6 +55,7 @@
 			k.queues = append(k.queues, &queue{})
 		}
 		m.classes = append(m.classes, k)
+		m.patience = max(m.patience, c.GiveUp)
 		m.widest = max(m.widest, float64(c.Threads))
 	}
 	return m
@@ -83,6 +85,8 @@
 		}
 	case Alarm:
 		m.alarm(e.Token)
+	case PeerMessage:
+		m.heard(e)
 	}
 	m.release()
 	return m.out
@@ -124,21 +128,6 @@
 	m.forgetEngines()
 }
 
-// forgetEngines frees what has left the list and runs nothing of ours. A cold engine is kept: should
-// the list name it again, what we sent it before still counts.
-func (m *Module) forgetEngines() {
-	kept := m.engines[:0]
-	for _, e := range m.engines {
-		if e.State == EngineGone && e.out == 0 && !m.cold(e) {
-			delete(m.byID, e.ID)
-			continue
-		}
-		kept = append(kept, e)
-	}
-	m.engines = kept
-	m.size = m.capacity()
-}
-
 // ---- requests
 
 func (m *Module) arrive(q Request) {
@@ -153,6 +142,7 @@
 		m.taken = append(recent(m.taken, m.now-m.s.Duties.RationWindow), m.now)
 	}
 	c.usual.add(m.now, m.predict(r), 1)
+	m.usual.add(m.now, m.predict(r), 1)
 	m.do(SetTimer{At: q.Due, Token: "request " + string(q.ID)})
 	if c.Ordered && q.OrderKey != "" {
 		m.queueUp(r)
@@ -193,15 +183,6 @@
 	m.review(r)
 }
 
-func (m *Module) unhold(r *request) {
-	if r.slot < 0 {
-		return
-	}
-	heap.Remove(r.queue, r.slot)
-	r.queue.total -= r.queued
-	m.held--
-}
-
 // review settles what time has done to a request: it is late, hopeless, overdue or due.
 func (m *Module) review(r *request) {
 	if r.over || r.stream {
@@ -234,12 +215,6 @@
 	m.wake(r, r.Due-run)
 }
 
-func (m *Module) wake(r *request, at Time) {
-	if at > m.now && at < r.Due {
-		m.do(SetTimer{At: at, Token: "request " + string(r.ID)})
-	}
-}
-
 // finish gives the final answer now: a refusal where the rules allow that promise, else a failure.
 func (m *Module) finish(r *request) {
 	if m.mayRefuse(r) {
@@ -262,17 +237,6 @@
 	m.forget(r)
 }
 
-// forget frees a request that is over and has no attempt out.
-func (m *Module) forget(r *request) {
-	if !r.over || r.running > 0 {
-		return
-	}
-	delete(m.open, r.ID)
-	if r.lane != nil {
-		m.leaveLane(r)
-	}
-}
-
 // ---- what the rules allow
 
 // mayRefuse answers whether we can promise that a retry is harmless.
@@ -281,15 +245,6 @@
 	return c.Effect == EffectSafe || c.Effect == EffectKeyed && c.Group == GroupAll || !r.mayHaveRun()
 }
 
-func (r *request) mayHaveRun() bool {
-	for i := range r.attempts {
-		if a := &r.attempts[i]; !a.done || !a.verdict.NeverRan() {
-			return true
-		}
-	}
-	return false
-}
-
 // maySend is the one place that says whether the rules allow a (further) attempt on an engine.
 func (m *Module) maySend(r *request, e *engine) bool {
 	return e.State == EngineServing && m.placed(r, e) && m.mayRepeat(r, e) && m.coldRoom(r, e)
@@ -343,10 +298,6 @@
 	return float64(len(m.extras)+1) <= d.FreeResends+d.ExtraPerTaken*float64(len(m.taken))
 }
 
-func (m *Module) cold(e *engine) bool {
-	return e.StartedAt != 0 && m.now < e.StartedAt+m.s.Duties.ColdFor
-}
-
 // coldRoom keeps a cold engine from being pushed over: all gateways together may send it only so
 // much within the tip window, so each keeps to its part, whatever part of the traffic it has. A
 // gateway that has just started does not know what it sent before, and waits a window.
@@ -483,9 +434,32 @@
 // part is our part of anything that all gateways use, as learned.
 func (m *Module) part() float64 { return m.share / float64(m.s.Siblings) }
 
+// ---- notes among gateways
+
+// tellsOf answers whether peers hear of an attempt: where notes are allowed, of all that is twice as
+// heavy as the usual request. That is most of the work, and few notes: they cost.
+func (m *Module) tellsOf(a *attempt) bool {
+	return m.s.Limits.PeerMessages && m.s.Siblings > 1 && a.work >= tellFrom*m.usual.mean(0)
+}
+
+// tell lets peers know what runs of ours on an engine, of what they hear of.
+func (m *Module) tell(e *engine) {
+	m.do(TellPeers{Payload: note{e.ID, e.told.threads, e.told.work}.encode()})
+}
+
+// heard takes what a peer runs on an engine.
+func (m *Module) heard(p PeerMessage) {
+	if n, ok := decodeNote(p.Payload); ok && m.byID[n.engine] != nil {
+		m.byID[n.engine].others.set(p.From, m.now, n)
+	}
+}
+
 // busy is the engine time predicted for what runs there of ours and for the request itself. With few
 // queries of ours out, the engine's drag is all that tells two engines apart.
-func (m *Module) busy(r *request, e *engine) float64 { return e.work + m.predict(r)*math.Exp(e.drag) }
+func (m *Module) busy(r *request, e *engine) float64 {
+	e.others.forget(m.now - m.patience)
+	return e.work + e.others.work + m.predict(r)*math.Exp(e.drag)
+}
 
 func (m *Module) bound(cores float64) float64 { return threadsPerCore * cores * m.part() }
 
@@ -507,7 +481,10 @@
 		return false
 	}
 	grant, kind := m.grant(r, e), m.kind(e)
-	return m.within(r, &m.all, m.fleetBound(), m.size, grant) &&
+	e.others.forget(m.now - m.patience)
+	wide := fitPart * float64(max(1, r.class.Threads))
+	return (e.others.threads <= 0 || e.threads+e.others.threads+wide <= threadsPerCore*kind.Cores) &&
+		m.within(r, &m.all, m.fleetBound(), m.size, grant) &&
 		m.within(r, &e.load, m.bound(kind.Cores), kind, grant)
 }
 
@@ -565,7 +542,11 @@
 	a := attempt{engine: e, zone: e.Zone, cell: e.Cell, at: m.now, threads: float64(max(1, r.class.Threads)),
 		memory: grant, expected: float64(r.runTime(work, math.Exp(e.drag)))}
 	a.work = a.expected * a.threads
+	a.told = m.tellsOf(&a)
 	r.begin(a, &m.all)
+	if a.told {
+		m.tell(e)
+	}
 	if m.cold(e) {
 		e.sent = append(e.sent, sending{m.now, r.class.usual.mean(work)})
 	}
@@ -592,6 +573,9 @@
 	a := &r.attempts[o.Attempt]
 	m.learn(r, a, o)
 	r.conclude(a, o.Verdict, &m.all)
+	if a.told {
+		m.tell(a.engine)
+	}
 	if a.engine.State == EngineGone {
 		m.forgetEngines()
 	}
@@ -632,7 +616,7 @@
 			m.failed(e)
 		}
 	case VerdictFull:
-		m.cutShare(shareCutLeast)
+		m.cutShare(shareCutMost)
 		return
 	case VerdictOK:
 		e.bad -= badGain * e.bad
@@ -683,12 +667,7 @@
 }
 
 func (m *Module) cutShare(by float64) {
-	m.share = max(m.share*(1-min(max(by, shareCutLeast), shareCutMost)), shareLeast)
-}
-
-// evenSeconds tells for how many seconds thread time fills an even part of the fleet.
-func (m *Module) evenSeconds(threadTime float64) float64 {
-	return threadTime * float64(m.s.Siblings) / (m.size.Cores*float64(Second) + 1)
+	m.share = max(m.share*(1-min(by, shareCutMost)), shareLeast)
 }
 
 // usedUp answers whether we come near what we may put on the fleet, so that more would be used.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -568,3 +568,78 @@
 		f.resolve(o, VerdictOK)
 	}
 }
+
+// Hundreds of gateways with next to nothing on each engine can't tell a full one from an idle one:
+// where notes are allowed, what peers tell counts in the gate and in the pick, until they take it back
+// or are not heard of for longer than clients wait.
+func TestPeersNotesCount(t *testing.T) {
+	s := plain(quick)
+	s.Siblings, s.Limits.PeerMessages = 100, true
+	f := site(t, s, 2)
+	engineOfNext := func() EngineID {
+		f.ask(0, nil)
+		o := f.pending()[0]
+		f.resolve(o, VerdictOK)
+		return o.Engine
+	}
+	f.tell(PeerMessage{From: 7, Payload: note{1, 3, float64(Second)}.encode()})
+	for range 20 {
+		if engineOfNext() != 2 {
+			t.Fatal("the engine on which a peer has work was picked")
+		}
+	}
+	f.tell(PeerMessage{From: 8, Payload: note{2, 12, float64(Second)}.encode()})
+	for range 20 {
+		if engineOfNext() != 1 {
+			t.Fatal("a query went to an engine that peers fill")
+		}
+	}
+	f.tell(PeerMessage{From: 7, Payload: note{1, 12, float64(Second)}.encode()})
+	id := f.ask(0, nil)
+	if f.sent(id) != 0 {
+		t.Fatal("a query was sent though peers fill every engine")
+	}
+	f.tell(PeerMessage{From: 7, Payload: []byte("not a note")})
+	f.tell(PeerMessage{From: 7, Payload: note{1, 0, 0}.encode()})
+	if f.sent(id) != 1 {
+		t.Fatal("a query was held though a peer took its load back")
+	}
+	f.resolve(f.pending()[0], VerdictOK)
+	f.advance(quick.GiveUp + Second)
+	seen := map[EngineID]bool{}
+	for range 40 {
+		seen[engineOfNext()] = true
+	}
+	if !seen[2] {
+		t.Fatal("a peer not heard of for longer than clients wait still kept queries away")
+	}
+}
+
+// Peers hear of heavy queries only, when they start and when they end.
+func TestPeersHearOfHeavyQueries(t *testing.T) {
+	s := plain(quick)
+	s.Siblings, s.Limits.PeerMessages = 4, true
+	f := site(t, s, 2)
+	var told []note
+	f.logging = func(a Action) {
+		if p, ok := a.(TellPeers); ok {
+			n, ok := decodeNote(p.Payload)
+			if !ok {
+				t.Fatalf("a note that peers can't read: %v", p.Payload)
+			}
+			told = append(told, n)
+		}
+	}
+	for range 20 {
+		f.ask(0, nil)
+		f.resolve(f.pending()[0], VerdictOK)
+	}
+	if len(told) != 0 {
+		t.Fatalf("%d notes of light queries", len(told))
+	}
+	f.ask(0, func(r *Request) { r.Work = Second })
+	f.resolve(f.pending()[0], VerdictOK)
+	if len(told) != 2 || told[0].threads != 1 || told[0].work <= 0 || told[1].threads != 0 || told[1].work != 0 {
+		t.Fatalf("notes of a heavy query: %v, want one thread and then none", told)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -1,36 +1,43 @@
 package rules
 
-import "math/rand/v2"
+import (
+	"container/heap"
+	"math/rand/v2"
+)
 
 // This file holds what the module remembers. It decides nothing.
 
 // Module decides for one gateway.
 type Module struct {
-	s       Settings
-	rng     *rand.Rand
-	now     Time
-	born    Time
-	begun   bool
-	sweepOn bool
-	out     []Action
-	engines []*engine // in the order they were first listed
-	byID    map[EngineID]*engine
-	open    map[RequestID]*request
-	classes []*class
-	lanes   map[string]*lane
-	held    int
-	able    []*engine // scratch: the engines that may take a request
-	all     load      // what runs of ours on all engines
-	size    Kind      // all engines that serve, as one
-	widest  float64   // threads of the widest class
-	share   float64   // what we take of the fleet, in even parts; learned
-	taken   []Time    // arrivals within the ration's window
-	extras  []Time    // further attempts within it
+	s        Settings
+	rng      *rand.Rand
+	now      Time
+	born     Time
+	begun    bool
+	sweepOn  bool
+	out      []Action
+	engines  []*engine // in the order they were first listed
+	byID     map[EngineID]*engine
+	open     map[RequestID]*request
+	classes  []*class
+	lanes    map[string]*lane
+	held     int
+	able     []*engine // scratch: the engines that may take a request
+	all      load      // what runs of ours on all engines
+	size     Kind      // all engines that serve, as one
+	usual    window    // work of a request
+	patience Time      // of clients, at most
+	widest   float64   // threads of the widest class
+	share    float64   // what we take of the fleet, in even parts; learned
+	taken    []Time    // arrivals within the ration's window
+	extras   []Time    // further attempts within it
 }
 
 type engine struct {
 	Engine
 	load             // of ours
+	told     load    // the part of it that peers hear of
+	others   others  // what peers tell of theirs
 	drag     float64 // learned logarithm of run time over that of running alone
 	heard    Time    // when the drag last learned
 	bad      float64 // learned share of failures
@@ -89,6 +96,7 @@
 	work     float64
 	expected float64
 	done     bool
+	told     bool // peers heard of it
 	slow     bool // it has counted as too slow
 	cut      bool // we cancelled it as overdue
 	verdict  Verdict
@@ -133,6 +141,9 @@
 	e := a.engine
 	e.put(&a)
 	all.put(&a)
+	if a.told {
+		e.told.put(&a)
+	}
 	if r.class.IsLoad {
 		e.loads[r.DataSet]++
 	}
@@ -145,6 +156,9 @@
 	e := a.engine
 	e.take(a)
 	all.take(a)
+	if a.told {
+		e.told.take(a)
+	}
 	if r.class.IsLoad {
 		if e.loads[r.DataSet]--; e.loads[r.DataSet] <= 0 {
 			delete(e.loads, r.DataSet)
@@ -200,3 +214,102 @@
 	}
 	return all
 }
+
+// others sums up what peers run on an engine, as each of them told last.
+type others struct {
+	threads, work float64
+	last          map[int]heard
+	line          []heard // in the order heard
+}
+
+type heard struct {
+	from int
+	at   Time
+	note
+}
+
+func (o *others) set(from int, at Time, n note) {
+	if o.last == nil {
+		o.last = map[int]heard{}
+	}
+	h := heard{from, at, n}
+	o.add(n, 1)
+	o.add(o.last[from].note, -1)
+	o.last[from] = h
+	o.line = append(o.line, h)
+}
+
+func (o *others) add(n note, sign float64) {
+	o.threads += sign * n.threads
+	o.work += sign * n.work
+}
+
+// forget drops what was told before then and never renewed.
+func (o *others) forget(before Time) {
+	for len(o.line) > 0 && o.line[0].at < before {
+		if h := o.line[0]; o.last[h.from].at == h.at {
+			o.add(o.last[h.from].note, -1)
+			delete(o.last, h.from)
+		}
+		o.line = o.line[1:]
+	}
+}
+
+func (m *Module) unhold(r *request) {
+	if r.slot < 0 {
+		return
+	}
+	heap.Remove(r.queue, r.slot)
+	r.queue.total -= r.queued
+	m.held--
+}
+
+// forget frees a request that is over and has no attempt out.
+func (m *Module) forget(r *request) {
+	if !r.over || r.running > 0 {
+		return
+	}
+	delete(m.open, r.ID)
+	if r.lane != nil {
+		m.leaveLane(r)
+	}
+}
+
+// evenSeconds tells for how many seconds thread time fills an even part of the fleet.
+func (m *Module) evenSeconds(threadTime float64) float64 {
+	return threadTime * float64(m.s.Siblings) / (m.size.Cores*float64(Second) + 1)
+}
+
+// forgetEngines frees what has left the list and runs nothing of ours. A cold engine is kept: should
+// the list name it again, what we sent it before still counts.
+func (m *Module) forgetEngines() {
+	kept := m.engines[:0]
+	for _, e := range m.engines {
+		if e.State == EngineGone && e.out == 0 && !m.cold(e) {
+			delete(m.byID, e.ID)
+			continue
+		}
+		kept = append(kept, e)
+	}
+	m.engines = kept
+	m.size = m.capacity()
+}
+
+func (m *Module) cold(e *engine) bool {
+	return e.StartedAt != 0 && m.now < e.StartedAt+m.s.Duties.ColdFor
+}
+
+func (r *request) mayHaveRun() bool {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; !a.done || !a.verdict.NeverRan() {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Module) wake(r *request, at Time) {
+	if at > m.now && at < r.Due {
+		m.do(SetTimer{At: at, Token: "request " + string(r.ID)})
+	}
+}
--- a/rules/tools.go
+++ b/rules/tools.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"encoding/binary"
 	"math"
 	"math/rand/v2"
 )
@@ -102,3 +103,27 @@
 	}
 	return list == nil
 }
+
+// note is what one gateway tells the others of an engine.
+type note struct {
+	engine  EngineID
+	threads float64
+	work    float64
+}
+
+// noteSize is an engine's id, threads, and work in milliseconds.
+const noteSize = 4 + 2 + 4
+
+func (n note) encode() []byte {
+	b := binary.BigEndian.AppendUint32(make([]byte, 0, noteSize), uint32(n.engine))
+	b = binary.BigEndian.AppendUint16(b, uint16(min(n.threads, math.MaxUint16)))
+	return binary.BigEndian.AppendUint32(b, uint32(min(n.work/float64(Millisecond), math.MaxUint32)))
+}
+
+func decodeNote(b []byte) (n note, ok bool) {
+	if len(b) != noteSize {
+		return n, false
+	}
+	return note{EngineID(binary.BigEndian.Uint32(b)), float64(binary.BigEndian.Uint16(b[4:])),
+		float64(binary.BigEndian.Uint32(b[6:])) * float64(Millisecond)}, true
+}
