Draw the two engines of those that keep a data set warm

Cause: with dozens of engines, chance finds a query's data set warm on few of them, so nearly all reading was cold. All gateways now share a hash that names three homes for a data set, and more the larger its part of the requests; the two random engines are drawn of these where two may take the query. Loads keep apart as before. On small fleets most engines are homes, and nothing changes.

Could harm where one data set's homes all crowd at once.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,6 +28,9 @@
 	usedPart       = 0.7              // part of our share in use from which it counts as used up
 	shareMost      = 2.0              // most of an engine's bound that we ever take for ours
 	coldSafety     = 0.6              // part of our share of a cold engine's budget that we use
+	homesLeast     = 3                // engines that keep even the least read data set warm
+	homeSpread     = 1.5              // and this times its part of the requests, of all engines
+	homeDoubt      = 20               // requests that a part must outweigh to be believed
 	tellFrom       = 2.0              // peers hear of attempts with this times the usual work
 	sweepEvery     = 50 * Millisecond // how often held requests are reconsidered without an event
 	badGain        = 0.25             // weight of the newest outcome in an engine's failure share
@@ -43,8 +46,8 @@
 
 // New returns the module of a gateway that has just started.
 func New(s Settings, seed uint64) *Module {
-	m := &Module{s: s, share: 1, widest: 1, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		byID: map[EngineID]*engine{}, open: map[RequestID]*request{}, lanes: map[string]*lane{}}
+	m := newModule(s, rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)))
+	m.share = 1
 	m.usual.span = learnWindow
 	for _, c := range s.Classes {
 		k := &class{Class: c}
@@ -143,6 +146,7 @@
 	}
 	c.usual.add(m.now, m.predict(r), 1)
 	m.usual.add(m.now, m.predict(r), 1)
+	m.set(q.DataSet).seen.add(m.now, 1, 1)
 	m.do(SetTimer{At: q.Due, Token: "request " + string(q.ID)})
 	if c.Ordered && q.OrderKey != "" {
 		m.queueUp(r)
@@ -411,11 +415,8 @@
 // pick takes the less busy, by the time we predicted for what runs there, of two random engines that
 // may take the request.
 func (m *Module) pick(r *request) *engine {
-	m.able = m.able[:0]
-	for _, e := range m.engines {
-		if m.fits(r, e) && m.maySend(r, e) {
-			m.able = append(m.able, e)
-		}
+	if m.listAble(r, m.homes(r)); len(m.able) < 2 {
+		m.listAble(r, m.engines)
 	}
 	n := len(m.able)
 	if n < 2 {
@@ -434,6 +435,26 @@
 // part is our part of anything that all gateways use, as learned.
 func (m *Module) part() float64 { return m.share / float64(m.s.Siblings) }
 
+func (m *Module) listAble(r *request, of []*engine) {
+	m.able = m.able[:0]
+	for _, e := range of {
+		if m.fits(r, e) && m.maySend(r, e) {
+			m.able = append(m.able, e)
+		}
+	}
+}
+
+// homes are the engines that all gateways prefer for a data set, so that it is warm there: a few by a
+// hash that all share, and more the larger its part of the requests. Loads keep apart instead.
+func (m *Module) homes(r *request) []*engine {
+	if r.waitsOnLoad() {
+		return nil
+	}
+	set := m.set(r.DataSet)
+	n := homesLeast + int(homeSpread*float64(len(m.engines))*set.seen.sum/(m.usual.weight+homeDoubt))
+	return set.order[:min(n, len(set.order))]
+}
+
 // ---- notes among gateways
 
 // tellsOf answers whether peers hear of an attempt: where notes are allowed, of all that is twice as
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -643,3 +643,46 @@
 		t.Fatalf("notes of a heavy query: %v, want one thread and then none", told)
 	}
 }
+
+// A fleet of dozens keeps a data set warm on few engines only if all gateways send it to the same ones;
+// a set that many ask for gets more of them, and loads of one set don't meet on its homes.
+func TestDataSetsHaveHomes(t *testing.T) {
+	homes := func(seed uint64, class Class, set int, of int) map[EngineID]bool {
+		s := plain(class)
+		s.Siblings = 4
+		f := newReferee(t, s, seed, 1000*Second)
+		f.usual[0] = float64(100 * Millisecond)
+		f.tell(FleetChange{Mode: ListSaved, Engines: fleetOf(30)})
+		seen := map[EngineID]bool{}
+		for i := range 600 {
+			f.ask(0, func(r *Request) {
+				if r.DataSet = 100 + i%40; i%of == 0 {
+					r.DataSet = set
+				}
+			})
+			o := f.pending()[0]
+			if f.requests[o.ID].DataSet == set {
+				seen[o.Engine] = true
+			}
+			o.Latency = 100 * Millisecond
+			f.resolve(o, VerdictOK)
+			f.advance(5 * Millisecond)
+		}
+		return seen
+	}
+	a, b := homes(1, quick, 7, 60), homes(2, quick, 7, 60)
+	for id := range b {
+		a[id] = true
+	}
+	if len(a) > 4 {
+		t.Fatalf("two gateways sent a little read data set to %d engines of 30", len(a))
+	}
+	if n := len(homes(1, quick, 7, 2)); n < 10 {
+		t.Fatalf("half of all requests are for a data set that got %d engines of 30", n)
+	}
+	load := quick
+	load.IsLoad = true
+	if n := len(homes(1, load, 7, 60)); n < 5 {
+		t.Fatalf("ten loads of one data set met on %d engines", n)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -1,8 +1,10 @@
 package rules
 
 import (
+	"cmp"
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 )
 
 // This file holds what the module remembers. It decides nothing.
@@ -20,6 +22,7 @@
 	byID     map[EngineID]*engine
 	open     map[RequestID]*request
 	classes  []*class
+	sets     map[int]*dataSet
 	lanes    map[string]*lane
 	held     int
 	able     []*engine // scratch: the engines that may take a request
@@ -33,6 +36,11 @@
 	extras   []Time    // further attempts within it
 }
 
+func newModule(s Settings, rng *rand.Rand) *Module {
+	return &Module{s: s, rng: rng, widest: 1, byID: map[EngineID]*engine{}, open: map[RequestID]*request{},
+		lanes: map[string]*lane{}, sets: map[int]*dataSet{}}
+}
+
 type engine struct {
 	Engine
 	load             // of ours
@@ -292,6 +300,11 @@
 		kept = append(kept, e)
 	}
 	m.engines = kept
+	for id, set := range m.sets {
+		if set.order = nil; m.now > set.seen.at+set.seen.span {
+			delete(m.sets, id)
+		}
+	}
 	m.size = m.capacity()
 }
 
@@ -313,3 +326,24 @@
 		m.do(SetTimer{At: at, Token: "request " + string(r.ID)})
 	}
 }
+
+// dataSet is what is remembered of a data set.
+type dataSet struct {
+	seen  window    // requests for it
+	order []*engine // in the order of a hash that all gateways share
+}
+
+func (m *Module) set(id int) *dataSet {
+	s := m.sets[id]
+	if s == nil {
+		s = &dataSet{seen: window{span: m.usual.span}}
+		m.sets[id] = s
+	}
+	if s.order == nil {
+		s.order = slices.Clone(m.engines)
+		slices.SortFunc(s.order, func(a, b *engine) int {
+			return cmp.Compare(scramble(id, a.ID), scramble(id, b.ID))
+		})
+	}
+	return s
+}
--- a/rules/tools.go
+++ b/rules/tools.go
@@ -127,3 +127,11 @@
 	return note{EngineID(binary.BigEndian.Uint32(b)), float64(binary.BigEndian.Uint16(b[4:])),
 		float64(binary.BigEndian.Uint32(b[6:])) * float64(Millisecond)}, true
 }
+
+// scramble is a hash of a data set and an engine (the finalizer of splitmix64).
+func scramble(set int, engine EngineID) uint64 {
+	x := uint64(set)<<32 ^ uint64(engine)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
