Test many gateways on one cold engine, bare settings and notes of peers

A hundred gateways of unequal traffic stay within a cold engine's budget together; no siblings, kinds or cold figures told, and lists of none, one and 40 engines are decided safely; random notes, cut ones too, join the property test.

--- a/rules/referee_test.go
+++ b/rules/referee_test.go
@@ -358,7 +358,7 @@
 			}
 		}
 		f.tell(FleetChange{Mode: ListSaved, Engines: fleet})
-		for step := range 600 {
+		for step := range 700 {
 			playStep(f, rng, fleet, step)
 		}
 		f.advance(6 * Second)
@@ -374,7 +374,7 @@
 }
 
 func playStep(f *referee, rng *rand.Rand, fleet []Engine, step int) {
-	switch rng.IntN(12) {
+	switch rng.IntN(13) {
 	case 0, 1, 2, 3:
 		c := rng.IntN(len(f.s.Classes))
 		r := Request{ID: RequestID(fmt.Sprintf("q%d", step)), Class: c, Tenant: rng.IntN(max(1, len(f.s.Tenants))),
@@ -412,6 +412,9 @@
 			}
 		}
 	case 11:
+		n := note{fleet[rng.IntN(len(fleet))].ID, float64(rng.IntN(8)), float64(rng.IntN(5e6))}
+		f.tell(PeerMessage{From: rng.IntN(6), Payload: n.encode()[:noteSize-rng.IntN(2)]})
+	case 12:
 		f.advance(Time(5*(1+rng.IntN(40))) * Millisecond)
 	}
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -686,3 +686,78 @@
 		t.Fatalf("ten loads of one data set met on %d engines", n)
 	}
 }
+
+// A cold engine is judged by what all gateways send it together, whatever part of the traffic each has.
+func TestColdEngineOfAHundredGateways(t *testing.T) {
+	s := plain(quick)
+	s.Siblings = 100
+	fleet := fleetOf(3)
+	fleet[2].StartedAt = 1000 * Second
+	sent := map[Time]float64{}
+	first, last, count := fleet[2].StartedAt, Time(0), 0
+	for g := range s.Siblings {
+		f := newReferee(t, s, uint64(g), first)
+		f.usual[0] = float64(20 * Millisecond)
+		f.tell(FleetChange{Mode: ListSaved, Engines: fleet})
+		for range 40 {
+			for range 1 + g%7 {
+				f.ask(0, func(r *Request) { r.DataSet = g % 11 })
+			}
+			f.advance(200 * Millisecond)
+			for _, o := range f.pending() {
+				f.resolve(o, VerdictOK)
+			}
+			last = f.now
+		}
+		for _, r := range f.requests {
+			for _, a := range r.attempts {
+				if a.engine.ID == 3 {
+					sent[a.at] += f.usual[0]
+					count++
+				}
+			}
+		}
+		f.check("cold engine of a hundred")
+	}
+	if count == 0 {
+		t.Fatal("the cold engine got nothing from anyone")
+	}
+	d := s.Duties
+	for end := first + d.TipAfter; end <= last; end += s.Tick {
+		sum := 0.0
+		for at, work := range sent {
+			if at > end-d.TipAfter && at <= end {
+				sum += work
+			}
+		}
+		warm := d.ColdFrom + (1-d.ColdFrom)*float64(end-d.TipAfter-first)/float64(d.ColdFor)
+		if whole := d.OverloadFactor * warm * s.Kinds[0].Cores * float64(d.TipAfter); sum > whole {
+			t.Fatalf("all together sent %.0f to a cold engine that takes %.0f", sum, whole)
+		}
+	}
+}
+
+// Settings and lists that say next to nothing are decided safely: requests get their answers.
+func TestBareSettings(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"no siblings told": func(s *Settings) { s.Siblings = 0 },
+		"no kinds told":    func(s *Settings) { s.Kinds = nil },
+		"300 gateways":     func(s *Settings) { s.Siblings = 300 },
+		"no cold figures":  func(s *Settings) { s.Duties = Duties{AnswerSlack: 20 * Millisecond} },
+	} {
+		for _, n := range []int{0, 1, 40} {
+			s := plain(quick)
+			change(&s)
+			f := site(t, s, n)
+			id := f.ask(0, nil)
+			if n > 0 && f.sent(id) != 1 {
+				t.Fatalf("%s, %d engines: the only request was not sent", name, n)
+			}
+			f.advance(4 * Second)
+			f.check(name)
+			if len(f.m.open) != 0 && n == 0 {
+				t.Fatalf("%s: a request without engines was never answered", name)
+			}
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -37,6 +37,7 @@
 }
 
 func newModule(s Settings, rng *rand.Rand) *Module {
+	s.Siblings = max(s.Siblings, 1) // this gateway is one of them
 	return &Module{s: s, rng: rng, widest: 1, byID: map[EngineID]*engine{}, open: map[RequestID]*request{},
 		lanes: map[string]*lane{}, sets: map[int]*dataSet{}}
 }
