--- /dev/null
+++ b/cmd/foxlane/main.go
@@ -0,0 +1,118 @@
+// Command foxlane is one gateway on sockets. This file owns the command line
+// and the process: its limits, its log, its signals. It must never hold a
+// decision or touch a socket.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"foxlane/internal/config"
+	"foxlane/internal/net"
+)
+
+// version is set by the linker for releases.
+var version = "dev"
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "foxlane:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:           "foxlane",
+		Short:         "A gateway that admits queries to a pool of engines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	cmd.AddCommand(serveCommand(), checkCommand(), versionCommand())
+	return cmd
+}
+
+func serveCommand() *cobra.Command {
+	var verbose bool
+	cmd := &cobra.Command{
+		Use:   "serve",
+		Short: "Serve clients, as " + config.EnvConfig + " says, until SIGTERM",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			cfg, err := config.Load()
+			if err != nil {
+				return err
+			}
+			return serve(cfg, verbose)
+		},
+	}
+	cmd.Flags().BoolVarP(&verbose, "verbose", "v", false, "log at debug level")
+	return cmd
+}
+
+func serve(cfg config.Config, verbose bool) error {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(cfg.Limits.MemoryBytes)
+	log, err := newLog(verbose)
+	if err != nil {
+		return err
+	}
+	defer log.Sync()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	return net.Run(cfg, log, stop)
+}
+
+// newLog writes to standard error. Repeated lines are sampled: the first ten of a kind each second,
+// then every hundredth.
+func newLog(verbose bool) (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	c.Sampling = &zap.SamplingConfig{Initial: 10, Thereafter: 100}
+	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	c.DisableCaller, c.DisableStacktrace = true, true
+	if verbose {
+		c.Level.SetLevel(zapcore.DebugLevel)
+	}
+	return c.Build()
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Read a configuration and say what it holds",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := config.LoadFile(args[0])
+			if err != nil {
+				return err
+			}
+			l := c.Limits
+			_, err = fmt.Fprintf(cmd.OutOrStdout(),
+				"%s listens on %s, name service at %s\n%d classes, %d engines known at event %d\n"+
+					"at most %d clients, %d connections to engines, %d open requests, %d MB of heap\n",
+				c.Name, c.Listen, c.DNS, len(c.Settings.ClassNames), len(c.Known.Engines), c.Known.Seq,
+				l.Clients, l.AllLinks, l.Requests, l.MemoryBytes>>20)
+			return err
+		},
+	}
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "foxlane", version, runtime.Version())
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,224 @@
+// Package config owns what a gateway is told at its start: it reads LB_CONFIG
+// and derives the Limits from it. It must never start anything or guess what
+// is missing: a configuration that contradicts itself is an error.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"foxlane/internal/settings"
+)
+
+// Names of the environment's variables.
+const (
+	EnvName   = "LB_NAME"
+	EnvListen = "LB_LISTEN"
+	EnvConfig = "LB_CONFIG"
+)
+
+// Config is all that a gateway is told.
+type Config struct {
+	Name     string
+	Listen   netip.AddrPort
+	Seed     uint64
+	DNS      netip.AddrPort
+	Known    Known
+	Settings settings.Settings
+	Limits   Limits
+}
+
+// Known is the list of engines at the start.
+type Known struct {
+	Seq     uint32
+	Engines []Engine
+}
+
+// Engine is one entry of the list, in the name service's words.
+type Engine struct {
+	ID      string
+	Addr    netip.AddrPort
+	Zone    string
+	Kind    string
+	Cell    int
+	State   string
+	Weight  float64
+	Started int64 // Unix milliseconds; 0: long ago
+}
+
+// States of an Engine.
+const (
+	StateActive  = "active"
+	StateLeaving = "leaving"
+	StateLeft    = "left"
+)
+
+type fileEngine struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"`
+}
+
+type fileEvent struct {
+	Seq   uint32 `json:"seq"`
+	Fleet *struct {
+		Full    bool         `json:"full"`
+		Servers []fileEngine `json:"servers"`
+	} `json:"fleet"`
+}
+
+type file struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	DNS   string `json:"dns"`
+	Known struct {
+		Seq     uint32      `json:"seq"`
+		Results []fileEvent `json:"results"`
+	} `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the configuration that the environment names.
+func Load() (Config, error) {
+	path := os.Getenv(EnvConfig)
+	if path == "" {
+		return Config{}, fmt.Errorf("%s is not set", EnvConfig)
+	}
+	c, err := LoadFile(path)
+	if err != nil {
+		return c, err
+	}
+	if name := os.Getenv(EnvName); name != "" && name != c.Name {
+		return c, fmt.Errorf("%s is %q, but %s says %q", EnvName, name, path, c.Name)
+	}
+	if listen := os.Getenv(EnvListen); listen != "" && listen != c.Listen.String() {
+		return c, fmt.Errorf("%s is %q, but %s says %q", EnvListen, listen, path, c.Listen)
+	}
+	return c, nil
+}
+
+// LoadFile reads the configuration from a file.
+func LoadFile(path string) (Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := Parse(raw)
+	if err != nil {
+		return c, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads a configuration.
+func Parse(raw []byte) (c Config, err error) {
+	var f file
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return c, err
+	}
+	if f.Name == "" {
+		return c, errors.New("name is missing")
+	}
+	c.Name = f.Name
+	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
+		return c, fmt.Errorf("listen: %w", err)
+	}
+	if c.DNS, err = netip.ParseAddrPort(f.DNS); err != nil {
+		return c, fmt.Errorf("dns: %w", err)
+	}
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("seed: %w", err)
+	}
+	if c.Settings, err = settings.Decode(f.Settings); err != nil {
+		return c, err
+	}
+	if err := uniqueNames(c.Settings.ClassNames); err != nil {
+		return c, err
+	}
+	if c.Known, err = replay(f.Known.Seq, f.Known.Results); err != nil {
+		return c, fmt.Errorf("known: %w", err)
+	}
+	c.Limits, err = newLimits(f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets, c.Settings)
+	return c, err
+}
+
+func uniqueNames(names []string) error {
+	seen := map[string]bool{}
+	for i, name := range names {
+		if name == "" || seen[name] {
+			return fmt.Errorf("settings: class %d has no name of its own: %q", i, name)
+		}
+		seen[name] = true
+	}
+	return nil
+}
+
+// replay follows the events of the list up to the start.
+func replay(last uint32, events []fileEvent) (k Known, err error) {
+	k.Seq = last
+	at := map[string]int{}
+	for _, e := range events {
+		if e.Seq > last {
+			return k, fmt.Errorf("event %d is later than seq %d", e.Seq, last)
+		}
+		if e.Fleet == nil {
+			continue
+		}
+		if e.Fleet.Full {
+			k.Engines = nil
+			clear(at)
+		}
+		for _, s := range e.Fleet.Servers {
+			entry, err := s.engine()
+			if err != nil {
+				return k, fmt.Errorf("event %d: engine %q: %w", e.Seq, s.ID, err)
+			}
+			i, ok := at[entry.ID]
+			if !ok {
+				i = len(k.Engines)
+				at[entry.ID] = i
+				k.Engines = append(k.Engines, Engine{})
+			}
+			k.Engines[i] = entry
+		}
+	}
+	listed := k.Engines[:0]
+	for _, e := range k.Engines {
+		if e.State != StateLeft {
+			listed = append(listed, e)
+		}
+	}
+	k.Engines = listed
+	return k, nil
+}
+
+func (s fileEngine) engine() (Engine, error) {
+	e := Engine{ID: s.ID, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: s.State, Weight: s.Weight, Started: s.Started}
+	if s.ID == "" || s.Cell < 0 || s.Started < 0 {
+		return e, errors.New("an unusable value")
+	}
+	switch s.State {
+	case StateActive, StateLeaving:
+		addr, err := netip.ParseAddrPort(s.Addr)
+		e.Addr = addr
+		return e, err
+	case StateLeft:
+		return e, nil
+	}
+	return e, fmt.Errorf("unknown state %q", s.State)
+}
--- /dev/null
+++ b/internal/config/limits.go
@@ -0,0 +1,115 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+
+	"foxlane/internal/settings"
+	"foxlane/rules"
+)
+
+// Limits are all sizes, counts and times that bound a gateway on sockets. They
+// are derived once, at the start, from what the machine allows; everything
+// that could grow is held under one of them.
+type Limits struct {
+	// The machine.
+	MemoryBytes int64 // that Go's collector aims to stay under
+	Sockets     int   // descriptors, of which it keeps a reserve
+
+	// Clients.
+	Clients     int // connections
+	Idle        int // of these, how many may be idle before the longest idle ones are closed
+	Statement   int // bytes of a packet
+	ClientOut   int // bytes that wait for a client that does not read
+	InputBytes  int // of all clients' statements, open and unfinished
+	Requests    int // open
+	LoginWithin rules.Time
+	IdleFor     rules.Time
+
+	// Engines.
+	Links       int // connections to one engine
+	AllLinks    int // connections to all
+	Multiplex   int // requests on one connection
+	Line        int // bytes of an answer's line
+	Page        int // bytes of a page
+	Pages       int // of a result
+	Result      int // bytes of a result
+	ResultBytes int // of all results that wait for their last page
+	LinkIdle    rules.Time
+	Connect     rules.Time
+	ProbeWithin rules.Time
+
+	// The name service.
+	PollEvery rules.Time
+	Datagram  int
+	Polls     int // queries that an answer may still come to
+
+	// Life.
+	Sweep       rules.Time // how often connections are looked over
+	StopWithin  rules.Time // after SIGTERM all is answered
+	StopLinger  rules.Time // and connections are taken for at least this
+	FlushWithin rules.Time // how long the last bytes may take
+}
+
+const (
+	mb        = 1 << 20
+	minMemory = 48 // MB
+	minFDs    = 64
+	reserve   = 32 // descriptors: standard streams, poller, name service, dials
+)
+
+func newLimits(cores, memoryMB float64, sockets int, s settings.Settings) (Limits, error) {
+	switch {
+	case cores <= 0:
+		return Limits{}, errors.New("limits: cores must be over 0")
+	case memoryMB < minMemory:
+		return Limits{}, fmt.Errorf("limits: memory_mb is %v, at least %d is needed", memoryMB, minMemory)
+	case sockets < minFDs:
+		return Limits{}, fmt.Errorf("limits: sockets is %d, at least %d is needed", sockets, minFDs)
+	}
+	memory := int64(memoryMB * mb)
+	free := sockets - reserve
+	l := Limits{
+		MemoryBytes: memory * 6 / 10,
+		Sockets:     sockets,
+		Clients:     free / 2,
+		Idle:        free / 3,
+		Statement:   mb,
+		ClientOut:   mb / 4,
+		InputBytes:  int(memory / 6),
+		Requests:    s.MaxOpen,
+		LoginWithin: 10 * rules.Second,
+		IdleFor:     60 * rules.Second,
+		Links:       16,
+		AllLinks:    free / 3,
+		Multiplex:   max(s.Multiplex, 1),
+		Line:        4096,
+		Page:        16 << 10,
+		Pages:       256,
+		Result:      64 << 10,
+		ResultBytes: int(memory / 8),
+		LinkIdle:    max(s.ConnIdle-2*rules.Second, s.ConnIdle/2),
+		Connect:     s.Rules.Limits.ConnectTimeout,
+		ProbeWithin: s.Rules.Limits.ConnectTimeout,
+		PollEvery:   100 * rules.Millisecond,
+		Datagram:    9000,
+		Polls:       16,
+		Sweep:       500 * rules.Millisecond,
+		StopWithin:  3 * rules.Second,
+		StopLinger:  900 * rules.Millisecond,
+		FlushWithin: 300 * rules.Millisecond,
+	}
+	if l.Requests <= 0 {
+		l.Requests = l.Clients
+	}
+	if l.Connect <= 0 {
+		l.Connect = rules.Second
+		l.ProbeWithin = rules.Second
+	}
+	longest := rules.Time(0)
+	for _, c := range s.Rules.Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	l.StopWithin = min(l.StopWithin, longest) + 300*rules.Millisecond
+	return l, nil
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,250 @@
+// Package engine owns the line protocol that is spoken with engines: commands
+// are appended to a buffer, answers are cut from a stream. It must never do
+// I/O or decide anything; an answer that breaks the form ends the stream with
+// a typed error.
+package engine
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+
+	"foxlane/internal/feed"
+)
+
+// Errors of a stream of answers.
+var (
+	ErrLineTooLong = errors.New("engine: line is too long")
+	ErrBodyTooLong = errors.New("engine: body is too long")
+	ErrMalformed   = errors.New("engine: malformed answer")
+	ErrUnknownWord = errors.New("engine: unknown word")
+	ErrBadField    = errors.New("engine: unusable field")
+)
+
+// Word is what an answer says.
+type Word int
+
+// Words.
+const (
+	Served Word = iota + 1
+	Overload
+	Crashed
+	Nobody
+	Rows
+	Green
+	Red
+)
+
+// Answer is one answer. Its bytes are valid until the next Feed.
+type Answer struct {
+	ID      []byte
+	Word    Word
+	Total   int     // pages of the result, with Served
+	Index   int     // number of the page, with Rows
+	Elapsed float64 // work in milliseconds; 0: not told
+	RSS     float64 // memory in MB; 0: not told
+	Report  []byte  // load report, as it came; nil: none
+	Body    []byte
+}
+
+// Decoder cuts an engine's stream into answers.
+type Decoder struct {
+	MaxLine int
+	MaxBody int
+	in      feed.Buffer
+}
+
+// Feed adds bytes that have come; they are copied.
+func (d *Decoder) Feed(p []byte) { d.in.Add(p) }
+
+var crlf = []byte("\r\n")
+
+// Next returns the next whole answer, or ok false if there is none yet.
+// After an error the stream can't be read on.
+func (d *Decoder) Next() (a Answer, ok bool, err error) {
+	b := d.in.Bytes()
+	end := bytes.Index(b[:min(len(b), d.MaxLine)], crlf)
+	if end < 0 {
+		if len(b) >= d.MaxLine {
+			return a, false, ErrLineTooLong
+		}
+		return a, false, nil
+	}
+	a, size, err := parse(b[:end])
+	if err != nil {
+		return a, false, err
+	}
+	if size > d.MaxBody {
+		return a, false, ErrBodyTooLong
+	}
+	whole := end + len(crlf) + size + len(crlf)
+	if len(b) < whole {
+		return a, false, nil
+	}
+	if !bytes.Equal(b[whole-len(crlf):whole], crlf) {
+		return a, false, ErrMalformed
+	}
+	a.Body = b[end+len(crlf) : whole-len(crlf) : whole-len(crlf)]
+	d.in.Skip(whole)
+	return a, true, nil
+}
+
+func parse(line []byte) (a Answer, size int, err error) {
+	id, rest, ok1 := bytes.Cut(line, []byte{' '})
+	word, rest, ok2 := bytes.Cut(rest, []byte{' '})
+	fields, length, ok3 := bytes.Cut(rest, []byte{' '})
+	if !ok1 || !ok2 || !ok3 || len(id) == 0 {
+		return a, 0, ErrMalformed
+	}
+	size, ok := number(length)
+	if !ok {
+		return a, 0, ErrMalformed
+	}
+	a.ID = id
+	switch string(word) {
+	case "served":
+		a.Word = Served
+	case "overload":
+		a.Word = Overload
+	case "crashed":
+		a.Word = Crashed
+	case "nobody":
+		a.Word = Nobody
+	case "rows":
+		a.Word = Rows
+	case "green":
+		a.Word = Green
+	case "red":
+		a.Word = Red
+	default:
+		return a, 0, ErrUnknownWord
+	}
+	return a, size, a.fields(fields)
+}
+
+// number reads decimal digits.
+func number(b []byte) (int, bool) {
+	n := 0
+	for _, c := range b {
+		if c < '0' || c > '9' || n > 1<<30 {
+			return 0, false
+		}
+		n = 10*n + int(c-'0')
+	}
+	return n, len(b) > 0
+}
+
+// fields reads those that are known; others are let pass.
+func (a *Answer) fields(b []byte) error {
+	if string(b) == "-" {
+		return nil
+	}
+	for len(b) > 0 {
+		var field []byte
+		field, b, _ = bytes.Cut(b, []byte{','})
+		name, value, ok := bytes.Cut(field, []byte{'='})
+		if !ok {
+			return ErrBadField
+		}
+		switch string(name) {
+		case "total":
+			a.Total, ok = number(value)
+		case "index":
+			a.Index, ok = number(value)
+		case "elapsed":
+			a.Elapsed, ok = decimal(value)
+		case "rss":
+			a.RSS, ok = decimal(value)
+		case "rep":
+			a.Report = value
+		}
+		if !ok {
+			return ErrBadField
+		}
+	}
+	return nil
+}
+
+// decimal reads a figure that is not negative and finite.
+func decimal(b []byte) (float64, bool) {
+	f, err := strconv.ParseFloat(string(b), 64)
+	return f, err == nil && f >= 0 && f < 1e15
+}
+
+// ParseReport reads a load report such as inflight:7;util:0.61. What can't be read is left out.
+func ParseReport(b []byte) map[string]float64 {
+	if len(b) == 0 {
+		return nil
+	}
+	out := map[string]float64{}
+	for len(b) > 0 {
+		var part []byte
+		part, b, _ = bytes.Cut(b, []byte{';'})
+		if name, value, ok := bytes.Cut(part, []byte{':'}); ok {
+			if f, ok := decimal(value); ok {
+				out[string(name)] = f
+			}
+		}
+	}
+	return out
+}
+
+// Ask is a request.
+type Ask struct {
+	ID        string
+	Class     string
+	TTL       int64 // milliseconds
+	MemoryMB  int64 // 0: the engine chooses
+	Priority  int
+	Statement []byte
+}
+
+// DefaultPriority is that of a request that names none.
+const DefaultPriority = 1
+
+// AppendAsk appends a request.
+func AppendAsk(dst []byte, a Ask) []byte {
+	dst = append(append(dst, "ASK "...), a.ID...)
+	dst = append(append(dst, " lane="...), a.Class...)
+	dst = strconv.AppendInt(append(dst, ",ttl="...), a.TTL, 10)
+	if a.MemoryMB > 0 {
+		dst = strconv.AppendInt(append(dst, ",pool="...), a.MemoryMB, 10)
+	}
+	if a.Priority != DefaultPriority {
+		dst = strconv.AppendInt(append(dst, ",band="...), int64(a.Priority), 10)
+	}
+	dst = strconv.AppendInt(append(dst, ' '), int64(len(a.Statement)), 10)
+	dst = append(append(dst, crlf...), a.Statement...)
+	return append(dst, crlf...)
+}
+
+func appendCommand(dst []byte, verb, id string) []byte {
+	return append(append(append(dst, verb...), ' '), id...)
+}
+
+func appendNumbered(dst []byte, verb, id string, n int) []byte {
+	dst = append(appendCommand(dst, verb, id), ' ')
+	return append(strconv.AppendInt(dst, int64(n), 10), crlf...)
+}
+
+// AppendQuit gives a request up.
+func AppendQuit(dst []byte, id string) []byte { return append(appendCommand(dst, "QUIT", id), crlf...) }
+
+// AppendFree says that no more pages are wanted.
+func AppendFree(dst []byte, id string) []byte { return append(appendCommand(dst, "FREE", id), crlf...) }
+
+// AppendPriority names a new priority.
+func AppendPriority(dst []byte, id string, n int) []byte { return appendNumbered(dst, "PRIO", id, n) }
+
+// AppendNext asks for a page.
+func AppendNext(dst []byte, id string, n int) []byte { return appendNumbered(dst, "NEXT", id, n) }
+
+// AppendInfo asks for health and load.
+func AppendInfo(dst []byte, tag string) []byte {
+	return append(appendCommand(dst, "INFO", tag), crlf...)
+}
+
+// AppendNoop asks for health.
+func AppendNoop(dst []byte, tag string) []byte {
+	return append(appendCommand(dst, "NOOP", tag), crlf...)
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,36 @@
+// Package feed owns the buffer in which bytes of a stream wait until a message
+// is whole. It must never read from anywhere itself, and holds no more than
+// its user allows.
+package feed
+
+// keep is how large an empty buffer may stay between messages.
+const keep = 4096
+
+// Buffer holds the bytes that have come and are not yet used. The zero value is ready.
+type Buffer struct {
+	data []byte
+	from int
+}
+
+// Add appends bytes that have come. They are copied.
+func (b *Buffer) Add(p []byte) {
+	if b.from == len(b.data) {
+		b.data, b.from = b.data[:0], 0
+		if cap(b.data) > keep {
+			b.data = nil
+		}
+	} else if b.from > 0 && len(b.data)+len(p) > cap(b.data) {
+		b.data = b.data[:copy(b.data, b.data[b.from:])]
+		b.from = 0
+	}
+	b.data = append(b.data, p...)
+}
+
+// Bytes are those not yet used, valid until the next Add.
+func (b *Buffer) Bytes() []byte { return b.data[b.from:] }
+
+// Len is how many there are.
+func (b *Buffer) Len() int { return len(b.data) - b.from }
+
+// Skip uses n bytes up.
+func (b *Buffer) Skip(n int) { b.from += n }
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"hash/fnv"
+	"net/netip"
+	"slices"
+
+	"foxlane/internal/config"
+	"foxlane/rules"
+)
+
+// This file follows the list of engines and translates it for the module. It
+// never drops an engine on which something of ours still runs.
+
+const (
+	listName    = "_data._tcp.farm.lan"
+	weightScale = 10 // weights are ten times as large in SRV records
+)
+
+type engineState struct {
+	id    rules.EngineID
+	entry config.Engine
+	state rules.EngineState
+	links []*link
+}
+
+// applyList takes the whole list and tells the module what is new in it.
+func (g *Gateway) applyList(entries []config.Engine, mode rules.ListMode) {
+	listed := make(map[rules.EngineID]bool, len(entries))
+	var news []rules.Engine
+	for _, entry := range entries {
+		e := g.engineOf(entry.ID)
+		listed[e.id] = true
+		if e.entry == entry && e.state != rules.EngineGone && mode == rules.ListDelta {
+			continue
+		}
+		if e.entry.Addr != entry.Addr || e.entry.Started != entry.Started || e.state == rules.EngineGone {
+			g.retireLinks(e) // another process, perhaps on another machine
+		}
+		e.entry, e.state = entry, rules.EngineServing
+		if entry.State == config.StateLeaving {
+			e.state = rules.EngineDraining
+		}
+		news = append(news, g.translate(e))
+	}
+	for _, e := range g.order {
+		if !listed[e.id] && e.state != rules.EngineGone {
+			e.state = rules.EngineGone
+			g.retireLinks(e)
+			news = append(news, g.translate(e))
+		}
+	}
+	g.order = slices.DeleteFunc(g.order, func(e *engineState) bool {
+		if e.state == rules.EngineGone && len(e.links) == 0 {
+			delete(g.engines, e.id)
+			return true
+		}
+		return false
+	})
+	if len(news) > 0 || mode != rules.ListDelta {
+		g.tell(rules.FleetChange{Mode: mode, Engines: news})
+	}
+}
+
+// engineOf finds the engine of a name. Its number is a hash of the name, so
+// that all gateways know it by the same one.
+func (g *Gateway) engineOf(name string) *engineState {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	id := rules.EngineID(h.Sum32())
+	for {
+		e := g.engines[id]
+		if e == nil {
+			e = &engineState{id: id, state: rules.EngineGone, entry: config.Engine{ID: name, Addr: netip.AddrPort{}}}
+			g.engines[id] = e
+			g.order = append(g.order, e)
+		}
+		if e.entry.ID == name {
+			return e
+		}
+		id++
+	}
+}
+
+func (g *Gateway) translate(e *engineState) rules.Engine {
+	return rules.Engine{
+		ID:        e.id,
+		Cell:      e.entry.Cell,
+		Zone:      indexOf(g.cfg.Settings.ZoneNames, e.entry.Zone),
+		Kind:      indexOf(g.cfg.Settings.KindNames, e.entry.Kind),
+		StartedAt: rules.Time(e.entry.Started) * rules.Millisecond,
+		State:     e.state,
+		Scale:     e.entry.Weight,
+	}
+}
+
+// indexOf is a name's place in its list; an unknown name has the place behind the last.
+func indexOf(names []string, name string) int {
+	if i := slices.Index(names, name); i >= 0 {
+		return i
+	}
+	return len(names)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,469 @@
+// Package gateway owns all state of a gateway on sockets, in one reducer:
+// events with their time go in, effects come out. It calls the decision module
+// and carries its actions out. It must never read, write, dial, log or look at
+// a clock itself, nor decide what the module should: where a query runs, how
+// long it may take and how it ends when that is a choice.
+//
+// This file has the events, the effects and the loop between module and host;
+// clients.go, requests.go, links.go and fleet.go have the rest of the state.
+package gateway
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"net/netip"
+
+	"foxlane/internal/config"
+	"foxlane/internal/dns"
+	"foxlane/rules"
+)
+
+// ConnID names a connection. Those that the reducer dials have the top bit set.
+type ConnID uint64
+
+const dialled ConnID = 1 << 63
+
+// EventKind is what an Event tells.
+type EventKind int
+
+// Kinds of events.
+const (
+	Accepted   EventKind = iota + 1 // a client connected
+	Data                            // bytes came on a connection
+	Closed                          // a connection ended
+	Connected                       // a dial came up
+	DialFailed                      // or did not; nothing was written
+	Datagram                        // bytes came from the name service
+	Wake                            // the time asked for has come
+	Terminate                       // the process is asked to end
+)
+
+// Event is something that happened outside. Data is valid during the call only.
+type Event struct {
+	Kind EventKind
+	Conn ConnID
+	Data []byte
+	Err  error
+}
+
+// EffectKind is what an Effect asks for.
+type EffectKind int
+
+// Kinds of effects.
+const (
+	Write EffectKind = iota + 1 // send Data on a connection
+	Close                       // close a connection once what was written is sent
+	Dial                        // connect to Addr within Wait
+	Query                       // send Data to the name service
+	Arm                         // wake the reducer at At, and at no earlier time
+	Log                         // note Text
+	Exit                        // all is answered: end the process
+)
+
+// Level is the weight of a log line.
+type Level int
+
+// Levels.
+const (
+	Debug Level = iota
+	Info
+	Warn
+)
+
+// Attr is a named value of a log line.
+type Attr struct {
+	Key   string
+	Value any
+}
+
+// Effect is something to do. Data is valid until the next Step.
+type Effect struct {
+	Kind  EffectKind
+	Conn  ConnID
+	Data  []byte
+	Addr  netip.AddrPort
+	Wait  rules.Time
+	At    rules.Time
+	Level Level
+	Text  string
+	Attrs []Attr
+}
+
+// Gateway is the reducer.
+type Gateway struct {
+	cfg     config.Config
+	lim     config.Limits
+	module  *rules.Module
+	rng     *rand.Rand
+	now     rules.Time
+	effects []Effect
+	dirty   []*pipe
+	timers  timers
+	armed   rules.Time
+	inbox   []rules.Event // for the module
+	telling bool
+
+	clients   map[ConnID]*client
+	sessions  map[uint32]*client
+	idle      list.List // of clients without a request, longest idle first
+	inputHeld int       // bytes of statements held for all clients
+	session   uint32    // last id given
+
+	requests   map[rules.RequestID]*request
+	unanswered int
+	classes    map[string]int
+	resultHeld int        // bytes of results that wait for their last page
+	pageQueue  []*attempt // want pages, wait for others to free room
+
+	engines  map[rules.EngineID]*engineState
+	order    []*engineState
+	links    map[ConnID]*link
+	lastLink ConnID
+	lastTag  uint64
+
+	serial   uint32
+	asked    [64]uint16 // ids of the latest queries
+	askedNum int
+
+	stopping bool
+	stopped  bool
+	lingered bool
+}
+
+// pipe is a connection's way out.
+type pipe struct {
+	id    ConnID
+	out   []byte
+	dirty bool
+	ended bool // closed, by us or by the other side
+}
+
+// New returns a gateway that has just started.
+func New(cfg config.Config, now rules.Time) *Gateway {
+	var seed [32]byte
+	for i := range seed {
+		seed[i] = byte(cfg.Seed >> (8 * (i % 8)))
+	}
+	g := &Gateway{
+		cfg: cfg, lim: cfg.Limits, now: now,
+		module:   rules.New(cfg.Settings.Rules, cfg.Seed),
+		rng:      rand.New(rand.NewChaCha8(seed)),
+		clients:  map[ConnID]*client{},
+		sessions: map[uint32]*client{},
+		requests: map[rules.RequestID]*request{},
+		classes:  map[string]int{},
+		engines:  map[rules.EngineID]*engineState{},
+		links:    map[ConnID]*link{},
+		serial:   cfg.Known.Seq,
+	}
+	g.session = g.rng.Uint32() >> 1
+	for i, name := range cfg.Settings.ClassNames {
+		g.classes[name] = i
+	}
+	g.applyList(cfg.Known.Engines, rules.ListSaved)
+	g.poll()
+	g.timers.add(timer{at: now + g.lim.Sweep, kind: timerSweep})
+	return g
+}
+
+// Step takes one event.
+func (g *Gateway) Step(now rules.Time, e Event) {
+	g.now = max(g.now, now)
+	switch e.Kind {
+	case Accepted:
+		g.accept(e.Conn)
+	case Data:
+		if c := g.clients[e.Conn]; c != nil {
+			g.clientData(c, e.Data)
+		} else if l := g.links[e.Conn]; l != nil {
+			g.linkData(l, e.Data)
+		}
+	case Closed:
+		if c := g.clients[e.Conn]; c != nil {
+			g.dropClient(c)
+		} else if l := g.links[e.Conn]; l != nil {
+			g.dropLink(l, e.Err)
+		}
+	case Connected:
+		if l := g.links[e.Conn]; l != nil {
+			g.linkUp(l)
+		}
+	case DialFailed:
+		if l := g.links[e.Conn]; l != nil {
+			g.dropLink(l, e.Err)
+		}
+	case Datagram:
+		g.datagram(e.Data)
+	case Wake:
+		g.ring()
+	case Terminate:
+		g.stop()
+	}
+	g.maybeExit()
+}
+
+// Flush returns what is to be done, in order. It is valid until the next Step.
+func (g *Gateway) Flush() []Effect {
+	for _, p := range g.dirty {
+		p.dirty = false
+		if !p.ended && len(p.out) > 0 {
+			g.effects = append(g.effects, Effect{Kind: Write, Conn: p.id, Data: p.out})
+		}
+		p.out = nil
+	}
+	g.dirty = g.dirty[:0]
+	if at, ok := g.timers.next(); ok && at != g.armed {
+		g.armed = at
+		g.effects = append(g.effects, Effect{Kind: Arm, At: at})
+	}
+	out := g.effects
+	g.effects = nil
+	if len(out) > 0 {
+		g.effects = make([]Effect, 0, 16)
+	}
+	return out
+}
+
+func (g *Gateway) do(e Effect) { g.effects = append(g.effects, e) }
+
+func (g *Gateway) log(level Level, text string, attrs ...Attr) {
+	g.do(Effect{Kind: Log, Level: level, Text: text, Attrs: attrs})
+}
+
+// touch notes that something was put into a pipe.
+func (g *Gateway) touch(p *pipe) {
+	if !p.dirty {
+		p.dirty = true
+		g.dirty = append(g.dirty, p)
+	}
+}
+
+// shut closes a connection behind what was written to it.
+func (g *Gateway) shut(p *pipe) {
+	if p.ended {
+		return
+	}
+	if len(p.out) > 0 {
+		g.do(Effect{Kind: Write, Conn: p.id, Data: p.out})
+		p.out = nil
+	}
+	p.ended = true
+	g.do(Effect{Kind: Close, Conn: p.id})
+}
+
+// ---- timers
+
+type timerKind int
+
+const (
+	timerAlarm timerKind = iota
+	timerAttempt
+	timerProbe
+	timerSweep
+	timerPoll
+	timerStop
+)
+
+type timer struct {
+	at      rules.Time
+	kind    timerKind
+	token   string
+	attempt *attempt
+	probe   *probe
+}
+
+// timers is a heap by time. Timers are not taken back: one that has lost its
+// meaning is passed over when it falls due.
+type timers []timer
+
+func (t timers) next() (rules.Time, bool) {
+	if len(t) == 0 {
+		return 0, false
+	}
+	return t[0].at, true
+}
+
+func (t *timers) add(n timer) {
+	h := append(*t, n)
+	i := len(h) - 1
+	for i > 0 && h[(i-1)/2].at > h[i].at {
+		h[i], h[(i-1)/2] = h[(i-1)/2], h[i]
+		i = (i - 1) / 2
+	}
+	*t = h
+}
+
+func (t *timers) pop() timer {
+	h := *t
+	first, last := h[0], len(h)-1
+	h[0], h[last] = h[last], timer{}
+	h = h[:last]
+	for i := 0; ; {
+		c := 2*i + 1
+		if c >= len(h) {
+			break
+		}
+		if c+1 < len(h) && h[c+1].at < h[c].at {
+			c++
+		}
+		if h[i].at <= h[c].at {
+			break
+		}
+		h[i], h[c] = h[c], h[i]
+		i = c
+	}
+	*t = h
+	return first
+}
+
+func (g *Gateway) ring() {
+	g.armed = 0
+	for {
+		at, ok := g.timers.next()
+		if !ok || at > g.now {
+			return
+		}
+		switch t := g.timers.pop(); t.kind {
+		case timerAlarm:
+			g.tell(rules.Alarm{Token: t.token})
+		case timerAttempt:
+			if !t.attempt.done {
+				g.giveUp(t.attempt, rules.VerdictTimeout)
+			}
+		case timerProbe:
+			g.endProbe(t.probe, rules.VerdictTimeout, nil)
+		case timerSweep:
+			g.sweepClients()
+			g.sweepLinks()
+			g.timers.add(timer{at: g.now + g.lim.Sweep, kind: timerSweep})
+		case timerPoll:
+			g.poll()
+		case timerStop:
+			g.lingered = true
+		}
+	}
+}
+
+// ---- the module
+
+// tell hands an event to the module and carries out what it asks for. Events
+// that arise meanwhile wait for their turn: the module is never called from
+// within its own actions.
+func (g *Gateway) tell(e rules.Event) {
+	g.inbox = append(g.inbox, e)
+	if g.telling {
+		return
+	}
+	g.telling = true
+	for i := 0; i < len(g.inbox); i++ {
+		for _, a := range g.module.Handle(g.now, g.inbox[i]) {
+			g.act(a)
+		}
+	}
+	clear(g.inbox)
+	g.inbox = g.inbox[:0]
+	g.telling = false
+}
+
+func (g *Gateway) act(action rules.Action) {
+	switch a := action.(type) {
+	case rules.Send:
+		g.send(a)
+	case rules.SetTerms:
+		g.setTerms(a)
+	case rules.Cancel:
+		g.cancel(a)
+	case rules.Refuse:
+		g.refuse(g.requests[a.ID], a.RetryAfter)
+	case rules.Fail:
+		g.fail(g.requests[a.ID])
+	case rules.SetTimer:
+		g.timers.add(timer{at: max(a.At, g.now+1), kind: timerAlarm, token: a.Token})
+	case rules.Probe:
+		g.probe(a.Engine)
+	case rules.CloseIdle:
+		g.closeIdle(g.engines[a.Engine])
+	case rules.FetchList:
+		g.query()
+	case rules.Subscribe:
+		// The name service is polled in any case.
+	case rules.TellPeers:
+		g.log(Debug, "no protocol among gateways: note dropped")
+	case rules.Log:
+		g.log(Info, "module", Attr{"text", a.Text})
+	}
+}
+
+// ---- the end
+
+// stop begins the end: the module is told by when all must be answered.
+func (g *Gateway) stop() {
+	if g.stopping {
+		return
+	}
+	g.stopping = true
+	g.log(Info, "stopping", Attr{"open", g.unanswered})
+	g.timers.add(timer{at: g.now + g.lim.StopLinger, kind: timerStop})
+	g.tell(rules.Stopping{By: g.now + g.lim.StopWithin})
+}
+
+func (g *Gateway) maybeExit() {
+	if g.lingered && !g.stopped && g.unanswered == 0 {
+		g.stopped = true
+		g.log(Info, "stopped")
+		g.do(Effect{Kind: Exit})
+	}
+}
+
+// ---- the name service
+
+// poll asks the name service, again and again.
+func (g *Gateway) poll() {
+	g.query()
+	g.timers.add(timer{at: g.now + g.lim.PollEvery, kind: timerPoll})
+}
+
+func (g *Gateway) query() {
+	id := uint16(g.rng.Uint32())
+	g.asked[g.askedNum%len(g.asked)] = id
+	g.askedNum++
+	g.do(Effect{Kind: Query, Data: dns.AppendQuery(nil, id, listName)})
+}
+
+// datagram takes an answer. Whatever is wrong with it, the last list stays.
+func (g *Gateway) datagram(msg []byte) {
+	id, ok := dns.ID(msg)
+	if !ok || !g.wasAsked(id) {
+		g.log(Warn, "name service: answer to nothing that was asked", Attr{"bytes", len(msg)})
+		return
+	}
+	a, err := dns.Parse(msg, id, listName)
+	if err != nil {
+		g.log(Warn, "name service: unusable answer", Attr{"error", err.Error()})
+		return
+	}
+	if a.Serial <= g.serial {
+		return
+	}
+	engines := make([]config.Engine, 0, len(a.Hosts))
+	for _, h := range a.Hosts {
+		e := config.Engine{ID: h.ID, Addr: h.Addr, Zone: h.Zone, Kind: h.Kind, Cell: h.Cell,
+			State: config.StateActive, Weight: float64(h.Weight) / weightScale, Started: h.Started}
+		if h.Priority > 0 {
+			e.State = config.StateLeaving
+		}
+		engines = append(engines, e)
+	}
+	g.serial = a.Serial
+	g.log(Info, "name service: new list", Attr{"serial", a.Serial}, Attr{"engines", len(engines)})
+	g.applyList(engines, rules.ListDelta)
+}
+
+func (g *Gateway) wasAsked(id uint16) bool {
+	for i := range min(g.lim.Polls, g.askedNum, len(g.asked)) {
+		if g.asked[(g.askedNum-1-i)%len(g.asked)] == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/gateway/links.go
@@ -0,0 +1,276 @@
+package gateway
+
+import (
+	"slices"
+	"strconv"
+
+	"foxlane/internal/engine"
+	"foxlane/rules"
+)
+
+// This file owns the connections to engines: few, each with many requests. It
+// never claims more of an attempt than is known: what was written to a
+// connection that then broke may have run, what was not never did.
+
+type link struct {
+	pipe
+	engine  *engineState
+	dec     engine.Decoder
+	up      bool
+	retired bool // takes nothing new
+	waiting []*attempt
+	open    map[string]*attempt
+	probes  map[string]*probe
+	used    rules.Time // when something was last written or read
+}
+
+type probe struct {
+	engine *engineState
+	link   *link
+	tag    string
+	at     rules.Time
+	done   bool
+}
+
+func (l *link) load() int { return len(l.waiting) + len(l.open) + len(l.probes) }
+
+// had answers whether a request had an attempt on the link: a late answer to
+// that one could pass for an answer to the next.
+func (l *link) had(r *request) bool {
+	return r != nil && slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.link == l })
+}
+
+// linkFor finds a connection with room, or dials one. It returns nil if there may be no more.
+func (g *Gateway) linkFor(e *engineState, r *request) *link {
+	var coming *link
+	n := 0
+	for _, l := range e.links {
+		if l.retired {
+			continue
+		}
+		n++
+		if l.load() >= g.lim.Multiplex || l.had(r) {
+			continue
+		}
+		if l.up && g.now-l.used < g.lim.LinkIdle || l.up && l.load() > 0 {
+			return l
+		}
+		if !l.up && coming == nil {
+			coming = l
+		}
+	}
+	if coming != nil || n >= g.lim.Links || len(g.links) >= g.lim.AllLinks {
+		return coming
+	}
+	g.lastLink++
+	l := &link{pipe: pipe{id: dialled | g.lastLink}, engine: e, open: map[string]*attempt{}, probes: map[string]*probe{},
+		dec: engine.Decoder{MaxLine: g.lim.Line, MaxBody: g.lim.Page}, used: g.now}
+	e.links = append(e.links, l)
+	g.links[l.id] = l
+	g.do(Effect{Kind: Dial, Conn: l.id, Addr: e.entry.Addr, Wait: g.lim.Connect})
+	return l
+}
+
+// route puts an attempt on a connection.
+func (g *Gateway) route(a *attempt) {
+	if a.engine.state == rules.EngineGone {
+		g.conclude(a, rules.VerdictConnectFailed)
+		return
+	}
+	a.link = g.linkFor(a.engine, a.request)
+	switch {
+	case a.link == nil:
+		g.log(Warn, "engine: no connection left", Attr{"engine", a.engine.entry.ID})
+		g.conclude(a, rules.VerdictConnectFailed)
+	case a.link.up:
+		g.ask(a)
+	default:
+		a.link.waiting = append(a.link.waiting, a)
+	}
+}
+
+// ask writes an attempt to its connection, which is up.
+func (g *Gateway) ask(a *attempt) {
+	r, l := a.request, a.link
+	l.out = engine.AppendAsk(l.out, engine.Ask{
+		ID: string(r.id), Class: r.class, TTL: max(int64((a.deadline-g.now)/rules.Millisecond), 1),
+		MemoryMB: r.memoryMB, Priority: a.priority, Statement: r.statement,
+	})
+	a.sent = true
+	l.open[string(r.id)] = a
+	l.used = g.now
+	g.touch(&l.pipe)
+}
+
+// linkUp writes what has waited for the connection. The list may have changed meanwhile.
+func (g *Gateway) linkUp(l *link) {
+	l.up, l.used = true, g.now
+	waiting := l.waiting
+	l.waiting = nil
+	for _, a := range waiting {
+		switch {
+		case a.done:
+		case a.request.answered || l.engine.state != rules.EngineServing:
+			g.conclude(a, rules.VerdictMoot)
+		default:
+			g.ask(a)
+		}
+	}
+	for _, p := range l.probes {
+		l.out = engine.AppendInfo(l.out, p.tag)
+		g.touch(&l.pipe)
+	}
+	g.maybeShut(l)
+}
+
+// leave takes an attempt off its connection.
+func (g *Gateway) leave(l *link, a *attempt) {
+	if a.sent {
+		if l.open[string(a.request.id)] == a {
+			delete(l.open, string(a.request.id))
+		}
+	} else {
+		l.waiting = slices.DeleteFunc(l.waiting, func(o *attempt) bool { return o == a })
+	}
+	g.maybeShut(l)
+}
+
+// maybeShut closes a retired connection once nothing is left on it.
+func (g *Gateway) maybeShut(l *link) {
+	if l.retired && l.load() == 0 && !l.ended {
+		g.shut(&l.pipe)
+		g.removeLink(l)
+	}
+}
+
+func (g *Gateway) removeLink(l *link) {
+	l.ended = true
+	delete(g.links, l.id)
+	l.engine.links = slices.DeleteFunc(l.engine.links, func(o *link) bool { return o == l })
+}
+
+// dropLink: the connection broke, or never came up.
+func (g *Gateway) dropLink(l *link, err error) {
+	g.removeLink(l)
+	if l.load() > 0 {
+		text := ""
+		if err != nil {
+			text = err.Error()
+		}
+		g.log(Warn, "engine: connection lost", Attr{"engine", l.engine.entry.ID}, Attr{"up", l.up},
+			Attr{"requests", l.load()}, Attr{"error", text})
+	}
+	verdict := rules.VerdictConnectFailed
+	if l.up {
+		verdict = rules.VerdictReset
+	}
+	for _, a := range slices.Clone(l.waiting) {
+		g.conclude(a, rules.VerdictConnectFailed)
+	}
+	lost := make([]*attempt, 0, len(l.open))
+	for _, a := range l.open {
+		lost = append(lost, a)
+	}
+	slices.SortFunc(lost, func(a, b *attempt) int { return int(a.at - b.at) })
+	for _, a := range lost {
+		g.conclude(a, rules.VerdictReset)
+	}
+	for _, p := range l.probes {
+		g.endProbe(p, verdict, nil)
+	}
+}
+
+// retireLinks: the process behind them is another one now, or has gone.
+func (g *Gateway) retireLinks(e *engineState) {
+	for _, l := range slices.Clone(e.links) {
+		l.retired = true
+		g.maybeShut(l)
+	}
+}
+
+func (g *Gateway) closeIdle(e *engineState) {
+	if e == nil {
+		return
+	}
+	for _, l := range slices.Clone(e.links) {
+		if l.load() == 0 {
+			l.retired = true
+			g.maybeShut(l)
+		}
+	}
+}
+
+// sweepLinks closes idle connections before their engines do: a request that
+// crosses such a close could not be proven never to have run.
+func (g *Gateway) sweepLinks() {
+	for _, e := range g.order {
+		for _, l := range slices.Clone(e.links) {
+			if l.up && l.load() == 0 && g.now-l.used >= g.lim.LinkIdle {
+				l.retired = true
+				g.maybeShut(l)
+			}
+		}
+	}
+}
+
+// linkData takes what came from an engine. Breaking the protocol ends the connection.
+func (g *Gateway) linkData(l *link, data []byte) {
+	l.used = g.now
+	l.dec.Feed(data)
+	for !l.ended {
+		m, ok, err := l.dec.Next()
+		if err != nil {
+			g.log(Warn, "engine: broken protocol", Attr{"engine", l.engine.entry.ID}, Attr{"error", err.Error()})
+			g.shut(&l.pipe)
+			g.dropLink(l, err)
+			return
+		}
+		if !ok {
+			return
+		}
+		if a := l.open[string(m.ID)]; a != nil {
+			g.answer(a, &m)
+		} else if p := l.probes[string(m.ID)]; p != nil {
+			verdict := rules.VerdictError
+			if m.Word == engine.Green {
+				verdict = rules.VerdictOK
+			}
+			g.endProbe(p, verdict, m.Report)
+		}
+		// Anything else answers what was given up meanwhile.
+	}
+}
+
+// ---- probes
+
+func (g *Gateway) probe(id rules.EngineID) {
+	e := g.engines[id]
+	if e == nil {
+		return
+	}
+	g.lastTag++
+	p := &probe{engine: e, tag: "p" + strconv.FormatUint(g.lastTag, 10), at: g.now, link: g.linkFor(e, nil)}
+	if p.link == nil || e.state == rules.EngineGone {
+		g.endProbe(p, rules.VerdictConnectFailed, nil)
+		return
+	}
+	p.link.probes[p.tag] = p
+	g.timers.add(timer{at: g.now + g.lim.ProbeWithin, kind: timerProbe, probe: p})
+	if p.link.up {
+		p.link.out = engine.AppendInfo(p.link.out, p.tag)
+		p.link.used = g.now
+		g.touch(&p.link.pipe)
+	}
+}
+
+func (g *Gateway) endProbe(p *probe, v rules.Verdict, report []byte) {
+	if p.done {
+		return
+	}
+	p.done = true
+	if p.link != nil {
+		delete(p.link.probes, p.tag)
+		g.maybeShut(p.link)
+	}
+	g.tell(rules.ProbeResult{Engine: p.engine.id, Verdict: v, Latency: g.now - p.at, Load: engine.ParseReport(report)})
+}
--- /dev/null
+++ b/internal/gateway/requests.go
@@ -0,0 +1,358 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+
+	"foxlane/internal/engine"
+	"foxlane/internal/mysql"
+	"foxlane/rules"
+)
+
+// This file owns requests and their attempts, from the client's query to the
+// one final answer. It never gives a second answer, and none to a client that
+// has left.
+
+type request struct {
+	id        rules.RequestID
+	client    *client // nil: it has left
+	class     string
+	due       rules.Time
+	statement []byte // nil once answered
+	answered  bool   // the final answer was given, or is owed no more
+	attempts  []*attempt
+	out       int // attempts without an outcome
+	memoryMB  int64
+	priority  int
+}
+
+type attempt struct {
+	request  *request
+	index    int
+	engine   *engineState
+	link     *link // nil: never had one
+	sent     bool  // written to a connection that was up
+	done     bool
+	at       rules.Time // when the module sent it
+	deadline rules.Time
+	priority int
+
+	served  bool // page 0 is here
+	asked   bool // the other pages are asked for
+	took    rules.Time
+	pages   [][]byte
+	missing int
+	bytes   int // of the pages
+	work    float64
+	memory  float64
+	report  []byte
+}
+
+// open takes a client's request.
+func (g *Gateway) open(c *client, q *mysql.Query) {
+	class, ok := g.classes[q.Fields.Class]
+	if !ok {
+		g.answerErr(c, mysql.CodeParse, fmt.Sprintf("unknown class %.40q", q.Fields.Class))
+		return
+	}
+	id := rules.RequestID(q.Fields.ID)
+	if g.requests[id] != nil {
+		g.answerErr(c, mysql.CodeFailed, "a request with this id is open")
+		return
+	}
+	if len(g.requests) >= g.lim.Requests || g.inputHeld+len(q.Statement) > g.lim.InputBytes {
+		g.log(Warn, "client: too much is open, request refused", Attr{"requests", len(g.requests)})
+		g.answerErr(c, mysql.CodeLimitReached, "too much is open")
+		return
+	}
+	due := g.now + rules.Time(q.Fields.TimeoutMS)*rules.Millisecond
+	r := &request{id: id, client: c, class: q.Fields.Class, due: due, statement: bytes.Clone(q.Statement),
+		priority: engine.DefaultPriority}
+	g.requests[id] = r
+	g.unanswered++
+	g.inputHeld += len(r.statement)
+	c.request = r
+	work := rules.Time(q.Fields.WorkMS * float64(rules.Millisecond))
+	g.tell(rules.Arrival{Request: rules.Request{
+		ID: id, Class: class, Due: due, Work: work, HasWork: work > 0, MemoryMB: q.Fields.MemoryMB,
+		DataSet: q.Group, Repeat: q.Fields.Repeat, Write: q.Write,
+	}})
+}
+
+// settle notes that no answer is owed any more.
+func (g *Gateway) settle(r *request) {
+	r.answered = true
+	g.unanswered--
+	g.inputHeld -= len(r.statement)
+	r.statement = nil
+	if c := r.client; c != nil {
+		r.client, c.request = nil, nil
+		g.clientIdle(c)
+	}
+	g.forget(r)
+}
+
+func (g *Gateway) forget(r *request) {
+	if r.answered && r.out == 0 {
+		delete(g.requests, r.id)
+	}
+}
+
+// abandon: the client has left or has killed its query.
+func (g *Gateway) abandon(r *request) {
+	if r == nil || r.answered {
+		return
+	}
+	r.client.request, r.client = nil, nil
+	g.settle(r)
+	g.tell(rules.Departure{ID: r.id})
+}
+
+func (g *Gateway) refuse(r *request, holdOff rules.Time) {
+	if r == nil || r.answered {
+		return
+	}
+	text := "the query was refused"
+	if holdOff > 0 {
+		text = fmt.Sprintf("the query was refused; holdoff=%d", int64(holdOff/rules.Millisecond))
+	}
+	g.answerErr(r.client, mysql.CodeLimitReached, text)
+	g.settle(r)
+}
+
+func (g *Gateway) fail(r *request) {
+	if r == nil || r.answered {
+		return
+	}
+	g.answerErr(r.client, mysql.CodeFailed, "the query failed")
+	g.settle(r)
+}
+
+// ---- attempts
+
+func (g *Gateway) send(s rules.Send) {
+	r := g.requests[s.ID]
+	if r == nil {
+		return
+	}
+	a := &attempt{request: r, index: len(r.attempts), engine: g.engines[s.Engine], at: g.now, deadline: r.due,
+		priority: r.priority}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	if s.Timeout != 0 {
+		a.deadline = min(a.deadline, g.now+s.Timeout)
+	}
+	most := g.cfg.Settings.Rules.Limits.MaxAttempts
+	switch {
+	case r.answered, a.engine == nil, most > 0 && len(r.attempts) > most:
+		g.conclude(a, rules.VerdictMoot)
+	case a.deadline <= g.now:
+		g.conclude(a, rules.VerdictTimeout)
+	default:
+		g.timers.add(timer{at: a.deadline, kind: timerAttempt, attempt: a})
+		g.route(a)
+	}
+}
+
+func (g *Gateway) setTerms(t rules.SetTerms) {
+	r := g.requests[t.ID]
+	if r == nil {
+		return
+	}
+	r.memoryMB, r.priority = int64(math.Ceil(t.MemoryMB)), t.Priority
+	for _, a := range r.attempts {
+		if a.done || a.priority == t.Priority {
+			continue
+		}
+		a.priority = t.Priority
+		if a.sent {
+			a.link.out = engine.AppendPriority(a.link.out, string(r.id), t.Priority)
+			g.touch(&a.link.pipe)
+		}
+	}
+}
+
+func (g *Gateway) cancel(c rules.Cancel) {
+	r := g.requests[c.ID]
+	if r == nil || c.Attempt < 0 || c.Attempt >= len(r.attempts) || r.attempts[c.Attempt].done {
+		return
+	}
+	g.giveUp(r.attempts[c.Attempt], rules.VerdictCancelled)
+}
+
+// giveUp ends an attempt from our side.
+func (g *Gateway) giveUp(a *attempt, v rules.Verdict) {
+	if a.sent && !a.link.ended {
+		id := string(a.request.id)
+		if a.served {
+			a.link.out = engine.AppendFree(a.link.out, id)
+		} else {
+			a.link.out = engine.AppendQuit(a.link.out, id)
+		}
+		g.touch(&a.link.pipe)
+	}
+	g.conclude(a, v)
+}
+
+// conclude ends an attempt and tells the module.
+func (g *Gateway) conclude(a *attempt, v rules.Verdict) {
+	if a.done {
+		return
+	}
+	a.done = true
+	r := a.request
+	r.out--
+	if a.link != nil {
+		g.leave(a.link, a)
+	}
+	if !a.served {
+		a.took = g.now - a.at
+	}
+	g.freePages(a)
+	o := rules.Outcome{ID: r.id, Attempt: a.index, Engine: 0, Verdict: v, Latency: a.took, Closed: r.answered}
+	if a.engine != nil {
+		o.Engine = a.engine.id
+	}
+	if v == rules.VerdictOK && g.cfg.Settings.Rules.TellsCost {
+		o.TrueWork = rules.Time(a.work * float64(rules.Millisecond))
+		o.TrueMemoryMB = a.memory
+	}
+	if g.cfg.Settings.Rules.Report == rules.ReportAnswers {
+		o.Load = engine.ParseReport(a.report)
+	}
+	g.forget(r)
+	g.tell(o)
+}
+
+// ---- results
+
+// answer takes what an engine says of an attempt.
+func (g *Gateway) answer(a *attempt, m *engine.Answer) {
+	if m.Report != nil {
+		a.report = bytes.Clone(m.Report)
+	}
+	switch m.Word {
+	case engine.Overload:
+		g.conclude(a, rules.VerdictFull)
+	case engine.Nobody:
+		g.conclude(a, rules.VerdictMoot)
+	case engine.Crashed:
+		g.conclude(a, rules.VerdictError)
+	case engine.Served:
+		g.firstPage(a, m)
+	case engine.Rows:
+		g.page(a, m.Index, m.Body)
+	default:
+		g.badAnswer(a, "health for a request")
+	}
+}
+
+// badAnswer ends an attempt whose answer makes no sense. It may have run.
+func (g *Gateway) badAnswer(a *attempt, what string) {
+	g.log(Warn, "engine: unusable answer", Attr{"engine", a.engine.entry.ID}, Attr{"request", string(a.request.id)},
+		Attr{"what", what})
+	g.giveUp(a, rules.VerdictError)
+}
+
+func (g *Gateway) firstPage(a *attempt, m *engine.Answer) {
+	total := max(m.Total, 1)
+	if a.served || total > g.lim.Pages {
+		g.badAnswer(a, "served twice, or too many pages")
+		return
+	}
+	a.served, a.took = true, g.now-a.at
+	a.work, a.memory = m.Elapsed, m.RSS
+	a.pages, a.missing = make([][]byte, total), total
+	if g.page(a, 0, m.Body); !a.done {
+		g.pageQueue = append(g.pageQueue, a)
+		g.askPages()
+	}
+}
+
+// askPages asks for the pages of results in turn, while there is room for them.
+func (g *Gateway) askPages() {
+	for len(g.pageQueue) > 0 {
+		a := g.pageQueue[0]
+		if !a.done {
+			if g.resultHeld+g.lim.Result > g.lim.ResultBytes {
+				return
+			}
+			g.resultHeld += g.lim.Result
+			a.asked = true
+			for n := 1; n < len(a.pages); n++ {
+				a.link.out = engine.AppendNext(a.link.out, string(a.request.id), n)
+			}
+			g.touch(&a.link.pipe)
+		}
+		g.pageQueue[0] = nil
+		g.pageQueue = g.pageQueue[1:]
+	}
+	g.pageQueue = nil
+}
+
+// freePages gives back the room of an attempt's pages.
+func (g *Gateway) freePages(a *attempt) {
+	a.pages = nil
+	if a.asked {
+		a.asked = false
+		g.resultHeld -= g.lim.Result
+		g.askPages()
+	}
+}
+
+func (g *Gateway) page(a *attempt, n int, body []byte) {
+	switch {
+	case !a.served || n < 0 || n >= len(a.pages) || a.pages[n] != nil:
+		g.badAnswer(a, "a page that was not asked for")
+		return
+	case a.bytes+len(body) > g.lim.Result:
+		g.badAnswer(a, "the result is too large")
+		return
+	case len(body) > 0 && body[len(body)-1] != '\n':
+		g.badAnswer(a, "a page ends within a row")
+		return
+	}
+	a.pages[n] = append([]byte{}, body...)
+	a.bytes += len(body)
+	if a.missing--; a.missing == 0 {
+		g.complete(a)
+	}
+}
+
+const columns = 3
+
+var columnNames = []string{"c1", "c2", "c3"}
+
+// complete: all pages are here. The first such attempt is the client's answer.
+func (g *Gateway) complete(a *attempt) {
+	r := a.request
+	if !r.answered {
+		out, ok := appendResult(r.client.out, a.pages)
+		if !ok {
+			g.badAnswer(a, "a row has not three columns")
+			return
+		}
+		r.client.out = out
+		g.touch(&r.client.pipe)
+		g.settle(r)
+	}
+	a.link.out = engine.AppendFree(a.link.out, string(r.id))
+	g.touch(&a.link.pipe)
+	g.conclude(a, rules.VerdictOK)
+}
+
+// appendResult appends the whole result set. If a row can't be read, nothing is appended.
+func appendResult(dst []byte, pages [][]byte) (out []byte, ok bool) {
+	out, seq := mysql.AppendColumns(dst, 1, columnNames)
+	for _, page := range pages {
+		for len(page) > 0 {
+			var row []byte
+			row, page, _ = bytes.Cut(page, []byte{'\n'})
+			if out, seq, ok = mysql.AppendRow(out, seq, row, columns); !ok {
+				return dst, false
+			}
+		}
+	}
+	return mysql.AppendEnd(out, seq), true
+}
--- /dev/null
+++ b/internal/mysql/packet.go
@@ -0,0 +1,311 @@
+// Package mysql owns the server's side of the MySQL client protocol 4.1: bytes
+// in, typed messages out, and the packets of answers. It must never do I/O,
+// keep a clock or decide anything; what it can't read it names in an Error.
+//
+// This file has packets, login and answers; sql.go looks into statements.
+package mysql
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+
+	"foxlane/internal/feed"
+)
+
+// Error is input that breaks the protocol, with the code that tells the client so.
+type Error struct {
+	Code uint16
+	Text string
+}
+
+func (e *Error) Error() string { return e.Text }
+
+// Codes of errors, as MySQL numbers them.
+const (
+	CodeHandshake    = 1043 // malformed login
+	CodeDenied       = 1045
+	CodeUnknownDB    = 1049
+	CodeUnknownCom   = 1047
+	CodeParse        = 1064
+	CodeNoThread     = 1094 // KILL of a session that is not there
+	CodeFailed       = 1105
+	CodeTooLarge     = 1153
+	CodeOutOfOrder   = 1156
+	CodeTooMany      = 1040
+	CodeLimitReached = 1226
+	CodeInterrupted  = 1317
+)
+
+var states = map[uint16]string{
+	CodeHandshake: "08S01", CodeDenied: "28000", CodeUnknownDB: "42000", CodeUnknownCom: "08S01", CodeParse: "42000",
+	CodeTooLarge: "08S01", CodeOutOfOrder: "08S01", CodeTooMany: "08004", CodeLimitReached: "42000", CodeInterrupted: "70100",
+}
+
+const (
+	headerSize = 4
+	maxPacket  = 1<<24 - 1
+)
+
+// Decoder cuts a client's stream into packets. Payloads of up to Max bytes pass.
+type Decoder struct {
+	Max int
+	in  feed.Buffer
+}
+
+// Feed adds bytes that have come; they are copied.
+func (d *Decoder) Feed(p []byte) { d.in.Add(p) }
+
+// Held is how many bytes wait for the rest of their packet.
+func (d *Decoder) Held() int { return d.in.Len() }
+
+// Next returns the next whole packet, or ok false if there is none yet. The
+// payload is valid until the next Feed.
+func (d *Decoder) Next() (payload []byte, seq byte, ok bool, err error) {
+	b := d.in.Bytes()
+	if len(b) < headerSize {
+		return nil, 0, false, nil
+	}
+	n := int(b[0]) | int(b[1])<<8 | int(b[2])<<16
+	if n > d.Max || n == maxPacket {
+		return nil, 0, false, &Error{CodeTooLarge, fmt.Sprintf("packet of %d bytes, %d at most", n, d.Max)}
+	}
+	if len(b) < headerSize+n {
+		return nil, 0, false, nil
+	}
+	d.in.Skip(headerSize + n)
+	return b[headerSize : headerSize+n : headerSize+n], b[3], true, nil
+}
+
+// Capabilities.
+const (
+	capLongPassword   = 1 << 0
+	capConnectWithDB  = 1 << 3
+	capProtocol41     = 1 << 9
+	capTransactions   = 1 << 13
+	capSecureConn     = 1 << 15
+	capSSL            = 1 << 11
+	capPluginAuth     = 1 << 19
+	capConnectAttrs   = 1 << 20
+	capLenencAuth     = 1 << 21
+	serverCaps        = capLongPassword | capConnectWithDB | capProtocol41 | capTransactions | capSecureConn | capPluginAuth
+	statusAutocommit  = 2
+	charsetUTF8MB4    = 45
+	authPlugin        = "mysql_native_password"
+	scrambleSize      = 20
+	protocolVersion   = 10
+	typeVarString     = 253
+	columnLength      = 1024
+	loginFixed        = 32
+	packetOK          = 0x00
+	packetEOF         = 0xfe
+	packetErr         = 0xff
+	lenencTwo         = 0xfc
+	lenencThree       = 0xfd
+	lenencEight       = 0xfe
+	lenencOneByteMost = 250
+)
+
+// open appends a packet header whose length close fills in.
+func open(dst []byte, seq byte) ([]byte, int) {
+	at := len(dst)
+	return append(dst, 0, 0, 0, seq), at
+}
+
+func closePacket(dst []byte, at int) []byte {
+	n := len(dst) - at - headerSize
+	dst[at], dst[at+1], dst[at+2] = byte(n), byte(n>>8), byte(n>>16)
+	return dst
+}
+
+// AppendGreeting appends the packet that opens a session.
+func AppendGreeting(dst []byte, session uint32, scramble [scrambleSize]byte, version string) []byte {
+	dst, at := open(dst, 0)
+	dst = append(dst, protocolVersion)
+	dst = append(append(dst, version...), 0)
+	dst = binary.LittleEndian.AppendUint32(dst, session)
+	dst = append(append(dst, scramble[:8]...), 0)
+	dst = binary.LittleEndian.AppendUint16(dst, uint16(serverCaps&0xffff))
+	dst = append(dst, charsetUTF8MB4)
+	dst = binary.LittleEndian.AppendUint16(dst, statusAutocommit)
+	dst = binary.LittleEndian.AppendUint16(dst, uint16(serverCaps>>16))
+	dst = append(dst, scrambleSize+1)
+	dst = append(dst, make([]byte, 10)...)
+	dst = append(append(dst, scramble[8:]...), 0)
+	dst = append(append(dst, authPlugin...), 0)
+	return closePacket(dst, at)
+}
+
+// Login is what a client says of itself.
+type Login struct {
+	User     string
+	Database string
+	Password bool // it sent one
+}
+
+// ParseLogin reads a HandshakeResponse41.
+func ParseLogin(p []byte) (l Login, err error) {
+	bad := func(what string) (Login, error) { return Login{}, &Error{CodeHandshake, "login: " + what} }
+	if len(p) < loginFixed {
+		return bad("too short")
+	}
+	caps := binary.LittleEndian.Uint32(p)
+	if caps&capSSL != 0 {
+		return bad("encryption is not offered")
+	}
+	if caps&capProtocol41 == 0 {
+		return bad("protocol 4.1 is needed")
+	}
+	p = p[loginFixed:]
+	user, p, ok := cutNul(p)
+	if !ok {
+		return bad("user does not end")
+	}
+	l.User = string(user)
+	var auth []byte
+	switch {
+	case caps&capLenencAuth != 0:
+		auth, p, ok = cutLenenc(p)
+	case caps&capSecureConn != 0:
+		if ok = len(p) > 0 && len(p) > int(p[0]); ok {
+			auth, p = p[1:1+int(p[0])], p[1+int(p[0]):]
+		}
+	default:
+		auth, p, ok = cutNul(p)
+	}
+	if !ok {
+		return bad("password does not end")
+	}
+	l.Password = len(auth) > 0
+	if caps&capConnectWithDB != 0 && len(p) > 0 {
+		db, _, ok := cutNul(p)
+		if !ok {
+			return bad("database does not end")
+		}
+		l.Database = string(db)
+	}
+	return l, nil
+}
+
+func cutNul(p []byte) (head, rest []byte, ok bool) { return bytes.Cut(p, []byte{0}) }
+
+// cutLenenc takes a string with its length ahead.
+func cutLenenc(p []byte) (s, rest []byte, ok bool) {
+	if len(p) == 0 {
+		return nil, nil, false
+	}
+	n, width := uint64(p[0]), 1
+	switch p[0] {
+	case lenencTwo:
+		width = 3
+	case lenencThree:
+		width = 4
+	case lenencEight:
+		width = 9
+	}
+	if len(p) < width || p[0] > lenencOneByteMost && width == 1 {
+		return nil, nil, false
+	}
+	if width > 1 {
+		n = 0
+		for i := width - 1; i > 0; i-- {
+			n = n<<8 | uint64(p[i])
+		}
+	}
+	p = p[width:]
+	if n > uint64(len(p)) {
+		return nil, nil, false
+	}
+	return p[:n], p[n:], true
+}
+
+// Command is the first byte of a client's command.
+type Command byte
+
+// Commands.
+const (
+	ComQuit      Command = 0x01
+	ComInitDB    Command = 0x02
+	ComQuery     Command = 0x03
+	ComStatistic Command = 0x09
+	ComPing      Command = 0x0e
+	ComReset     Command = 0x1f
+)
+
+// AppendOK appends the packet that says that a command is done.
+func AppendOK(dst []byte, seq byte) []byte {
+	dst, at := open(dst, seq)
+	dst = append(dst, packetOK, 0, 0, statusAutocommit, 0, 0, 0)
+	return closePacket(dst, at)
+}
+
+// AppendErr appends an error.
+func AppendErr(dst []byte, seq byte, code uint16, text string) []byte {
+	state := states[code]
+	if state == "" {
+		state = "HY000"
+	}
+	dst, at := open(dst, seq)
+	dst = append(dst, packetErr)
+	dst = binary.LittleEndian.AppendUint16(dst, code)
+	dst = append(append(append(dst, '#'), state...), text...)
+	return closePacket(dst, at)
+}
+
+func appendLenencInt(dst []byte, n int) []byte {
+	switch {
+	case n <= lenencOneByteMost:
+		return append(dst, byte(n))
+	case n < 1<<16:
+		return append(dst, lenencTwo, byte(n), byte(n>>8))
+	default:
+		return append(dst, lenencThree, byte(n), byte(n>>8), byte(n>>16))
+	}
+}
+
+func appendLenenc[T []byte | string](dst []byte, s T) []byte {
+	return append(appendLenencInt(dst, len(s)), s...)
+}
+
+func appendEOF(dst []byte, seq byte) []byte {
+	dst, at := open(dst, seq)
+	dst = append(dst, packetEOF, 0, 0, statusAutocommit, 0)
+	return closePacket(dst, at)
+}
+
+// AppendColumns opens a result set of text columns. It returns the next sequence number.
+func AppendColumns(dst []byte, seq byte, names []string) ([]byte, byte) {
+	dst, at := open(dst, seq)
+	dst = closePacket(appendLenencInt(dst, len(names)), at)
+	for _, name := range names {
+		seq++
+		dst, at = open(dst, seq)
+		dst = appendLenenc(dst, "def")
+		dst = appendLenenc(appendLenenc(appendLenenc(dst, ""), ""), "")
+		dst = appendLenenc(appendLenenc(dst, name), name)
+		dst = append(dst, 0x0c, charsetUTF8MB4, 0)
+		dst = binary.LittleEndian.AppendUint32(dst, columnLength)
+		dst = append(dst, typeVarString, 0, 0, 0, 0, 0)
+		dst = closePacket(dst, at)
+	}
+	seq++
+	return appendEOF(dst, seq), seq + 1
+}
+
+// AppendRow appends one row: a line of text with tabs between the columns. It
+// returns the next sequence number, and ok false if the row has not that many columns.
+func AppendRow(dst []byte, seq byte, line []byte, columns int) (out []byte, next byte, ok bool) {
+	dst, at := open(dst, seq)
+	for i := range columns {
+		cell, rest, more := bytes.Cut(line, []byte{'\t'})
+		if more != (i < columns-1) {
+			return dst, seq, false
+		}
+		dst = appendLenenc(dst, cell)
+		line = rest
+	}
+	return closePacket(dst, at), seq + 1, true
+}
+
+// AppendEnd appends the packet that ends a result set.
+func AppendEnd(dst []byte, seq byte) []byte { return appendEOF(dst, seq) }
--- /dev/null
+++ b/internal/net/edge.go
@@ -0,0 +1,362 @@
+// Package net owns the sockets, the clock and the log of a gateway: it turns
+// what happens there into events for the reducer and carries out the effects
+// that the reducer asks for. It must never decide anything, look into the
+// bytes it carries, or keep the reducer waiting.
+package net
+
+import (
+	"errors"
+	stdnet "net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"foxlane/internal/config"
+	"foxlane/internal/gateway"
+	"foxlane/rules"
+)
+
+const (
+	readBuffer   = 32 << 10
+	readsInTurn  = 64      // of one connection before the next has its turn
+	mailboxBytes = 4 << 20 // that wait for the reducer before reading stops
+	keepArena    = 256 << 10
+)
+
+// mailbox holds what has happened until the reducer takes it. Its bytes lie in
+// an arena that is used again once the reducer is done with them.
+type mailbox struct {
+	mu     sync.Mutex
+	room   sync.Cond
+	events []gateway.Event
+	arena  []byte
+	bytes  int
+	ready  chan struct{}
+	closed bool
+}
+
+func newMailbox() *mailbox {
+	m := &mailbox{ready: make(chan struct{}, 1)}
+	m.room.L = &m.mu
+	return m
+}
+
+// put adds an event with a copy of its bytes. Only those that carry bytes wait for room.
+func (m *mailbox) put(e gateway.Event) {
+	m.mu.Lock()
+	for len(e.Data) > 0 && m.bytes > mailboxBytes && !m.closed {
+		m.room.Wait()
+	}
+	if len(e.Data) > 0 {
+		from := len(m.arena)
+		m.arena = append(m.arena, e.Data...)
+		m.bytes += len(e.Data)
+		e.Data = m.arena[from:len(m.arena):len(m.arena)]
+	}
+	m.events = append(m.events, e)
+	m.mu.Unlock()
+	select {
+	case m.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take swaps what has come for the buffers of the last turn.
+func (m *mailbox) take(events []gateway.Event, arena []byte) ([]gateway.Event, []byte) {
+	clear(events)
+	if cap(arena) > keepArena {
+		arena = nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	outEvents, outArena := m.events, m.arena
+	m.events, m.arena, m.bytes = events[:0], arena[:0], 0
+	m.room.Broadcast()
+	return outEvents, outArena
+}
+
+func (m *mailbox) close() {
+	m.mu.Lock()
+	m.closed = true
+	m.room.Broadcast()
+	m.mu.Unlock()
+}
+
+// conn is a connection with what the edge remembers of it.
+type conn struct {
+	id      gateway.ConnID
+	nb      *nbio.Conn
+	pending atomic.Int64 // bytes written and not yet taken by the system
+	closing atomic.Bool  // to be closed once they are
+}
+
+// Edge is the outside of one gateway.
+type Edge struct {
+	cfg    config.Config
+	log    *zap.Logger
+	box    *mailbox
+	engine *nbio.Engine
+	udp    *stdnet.UDPConn
+	start  time.Time
+	unix   int64 // microseconds at start
+
+	mu       sync.Mutex
+	conns    map[gateway.ConnID]*conn
+	accepted gateway.ConnID
+	dials    sync.WaitGroup
+	udpDone  chan struct{}
+}
+
+// Run serves until the process is asked to end by stop, and all is answered.
+func Run(cfg config.Config, log *zap.Logger, stop <-chan os.Signal) error {
+	e := &Edge{cfg: cfg, log: log, box: newMailbox(), conns: map[gateway.ConnID]*conn{}, start: time.Now(),
+		udpDone: make(chan struct{})}
+	e.unix = e.start.UnixMicro()
+	if err := e.open(); err != nil {
+		return err
+	}
+	defer e.close()
+	log.Info("serving", zap.String("name", cfg.Name), zap.Stringer("listen", cfg.Listen),
+		zap.Int("engines", len(cfg.Known.Engines)))
+	e.loop(stop)
+	return nil
+}
+
+// now is the Unix time in microseconds, carried on by the monotonic clock.
+func (e *Edge) now() rules.Time {
+	return rules.Time(e.unix + time.Since(e.start).Microseconds())
+}
+
+func (e *Edge) open() error {
+	logging.SetLogger(quiet{})
+	nbio.MaxOpenFiles = max(e.cfg.Limits.Sockets, 4096) // numbers of descriptors that its table holds
+	udp, err := stdnet.DialUDP("udp", nil, stdnet.UDPAddrFromAddrPort(e.cfg.DNS))
+	if err != nil {
+		return err
+	}
+	e.udp = udp
+	e.engine = nbio.NewEngine(nbio.Config{
+		Network: "tcp", Addrs: []string{e.cfg.Listen.String()}, NPoller: 1, ReadBufferSize: readBuffer,
+		MaxWriteBufferSize: e.cfg.Limits.ClientOut, MaxConnReadTimesPerEventLoop: readsInTurn,
+	})
+	e.engine.OnOpen(e.onOpen)
+	e.engine.OnData(func(nb *nbio.Conn, data []byte) {
+		if c, ok := nb.Session().(*conn); ok {
+			e.box.put(gateway.Event{Kind: gateway.Data, Conn: c.id, Data: data})
+		}
+	})
+	e.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
+		if c, ok := nb.Session().(*conn); ok {
+			c.pending.Add(-int64(n))
+			if c.closing.Load() && c.pending.Load() <= 0 {
+				go nb.Close() // this runs under the connection's lock
+			}
+		}
+	})
+	e.engine.OnClose(func(nb *nbio.Conn, err error) {
+		if c, ok := nb.Session().(*conn); ok {
+			e.forget(c)
+			e.box.put(gateway.Event{Kind: gateway.Closed, Conn: c.id, Err: err})
+		}
+	})
+	e.engine.OnAcceptError(func(err error) {
+		e.log.Warn("accept failed", zap.Error(err))
+		time.Sleep(10 * time.Millisecond) // descriptors ran out: they come back when something closes
+	})
+	if err := e.engine.Start(); err != nil {
+		udp.Close()
+		return err
+	}
+	go e.readUDP()
+	return nil
+}
+
+func (e *Edge) close() {
+	e.box.close()
+	e.udp.Close()
+	<-e.udpDone
+	e.dials.Wait()
+	e.engine.Stop()
+}
+
+func (e *Edge) forget(c *conn) {
+	e.mu.Lock()
+	delete(e.conns, c.id)
+	e.mu.Unlock()
+}
+
+func (e *Edge) get(id gateway.ConnID) *conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.conns[id]
+}
+
+// onOpen takes in a connection that a client has opened, or that a dial has.
+func (e *Edge) onOpen(nb *nbio.Conn) {
+	c, dialled := nb.Session().(*conn)
+	e.mu.Lock()
+	if !dialled {
+		e.accepted++
+		c = &conn{id: e.accepted}
+	}
+	c.nb = nb
+	e.conns[c.id] = c
+	e.mu.Unlock()
+	nb.SetSession(c)
+	kind := gateway.Accepted
+	if dialled {
+		kind = gateway.Connected
+	}
+	e.box.put(gateway.Event{Kind: kind, Conn: c.id})
+}
+
+// dial connects by the standard library, which tells a refusal from a silence.
+func (e *Edge) dial(id gateway.ConnID, addr netip.AddrPort, wait rules.Time) {
+	defer e.dials.Done()
+	std, err := stdnet.DialTimeout("tcp", addr.String(), time.Duration(wait)*time.Microsecond)
+	if err == nil {
+		var nb *nbio.Conn
+		if nb, err = nbio.NBConn(std); err == nil {
+			nb.SetSession(&conn{id: id})
+			if _, err = e.engine.AddConn(nb); err == nil {
+				return
+			}
+		}
+	}
+	e.box.put(gateway.Event{Kind: gateway.DialFailed, Conn: id, Err: err})
+}
+
+func (e *Edge) readUDP() {
+	defer close(e.udpDone)
+	buf := make([]byte, e.cfg.Limits.Datagram)
+	for {
+		n, err := e.udp.Read(buf)
+		switch {
+		case err == nil:
+			e.box.put(gateway.Event{Kind: gateway.Datagram, Data: buf[:n]})
+		case errors.Is(err, stdnet.ErrClosed):
+			return
+		default: // refused, for now
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// loop is the reducer's goroutine.
+func (e *Edge) loop(stop <-chan os.Signal) {
+	g := gateway.New(e.cfg, e.now())
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	var events []gateway.Event
+	var arena []byte
+	armed := rules.Time(0)
+	for {
+		for _, f := range g.Flush() {
+			switch f.Kind {
+			case gateway.Arm:
+				armed = f.At
+				wake.Reset(time.Duration(f.At-e.now()) * time.Microsecond)
+			case gateway.Exit:
+				e.drain()
+				return
+			default:
+				e.carryOut(&f)
+			}
+		}
+		select {
+		case <-e.box.ready:
+		case <-wake.C:
+		case <-stop:
+			g.Step(e.now(), gateway.Event{Kind: gateway.Terminate})
+		}
+		events, arena = e.box.take(events, arena)
+		now := e.now()
+		for _, ev := range events {
+			g.Step(now, ev)
+		}
+		if now >= armed {
+			g.Step(now, gateway.Event{Kind: gateway.Wake})
+		}
+	}
+}
+
+func (e *Edge) carryOut(f *gateway.Effect) {
+	switch f.Kind {
+	case gateway.Write:
+		if c := e.get(f.Conn); c != nil {
+			c.pending.Add(int64(len(f.Data)))
+			if _, err := c.nb.Write(f.Data); err != nil {
+				_ = c.nb.CloseWithError(err)
+			}
+		}
+	case gateway.Close:
+		if c := e.get(f.Conn); c != nil {
+			c.closing.Store(true)
+			if c.pending.Load() <= 0 {
+				_ = c.nb.Close()
+				return
+			}
+			_ = c.nb.SetWriteDeadline(time.Now().Add(time.Duration(e.cfg.Limits.FlushWithin) * time.Microsecond))
+		}
+	case gateway.Dial:
+		e.dials.Add(1)
+		go e.dial(f.Conn, f.Addr, f.Wait)
+	case gateway.Query:
+		if _, err := e.udp.Write(f.Data); err != nil {
+			e.log.Warn("name service: query not sent", zap.Error(err))
+		}
+	case gateway.Log:
+		e.write(f)
+	}
+}
+
+var levels = map[gateway.Level]zapcore.Level{
+	gateway.Debug: zapcore.DebugLevel, gateway.Info: zapcore.InfoLevel, gateway.Warn: zapcore.WarnLevel,
+}
+
+func (e *Edge) write(f *gateway.Effect) {
+	entry := e.log.Check(levels[f.Level], f.Text)
+	if entry == nil {
+		return
+	}
+	fields := make([]zap.Field, len(f.Attrs))
+	for i, a := range f.Attrs {
+		fields[i] = zap.Any(a.Key, a.Value)
+	}
+	entry.Write(fields...)
+}
+
+// drain waits until all that was written has left, within bounds.
+func (e *Edge) drain() {
+	until := time.Now().Add(time.Duration(e.cfg.Limits.FlushWithin) * time.Microsecond)
+	for time.Now().Before(until) && e.unsent() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (e *Edge) unsent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.conns {
+		if c.pending.Load() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// quiet keeps nbio from a log of its own.
+type quiet struct{}
+
+func (quiet) SetLevel(int)         {}
+func (quiet) Debug(string, ...any) {}
+func (quiet) Info(string, ...any)  {}
+func (quiet) Warn(string, ...any)  {}
+func (quiet) Error(string, ...any) {}
--- a/internal/simwire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,8 @@
-package simwire
+// Package settings owns the one decoder of the settings object that a gateway
+// is started with, on the simulator's wire and on sockets alike. It must never
+// decide or default anything that the object does not say: what is absent
+// stays zero.
+package settings
 
 import (
 	"encoding/json"
@@ -17,6 +21,7 @@
 	GiveUp              int64   `json:"giveUp"`
 	Group               string  `json:"group"`
 	LateValue           float64 `json:"lateValue"`
+	Name                string  `json:"name"`
 	Stream              bool    `json:"stream"`
 	Worth               float64 `json:"worth"`
 	SerialByKey         bool    `json:"serialByKey"`
@@ -50,9 +55,12 @@
 	} `json:"fees"`
 	Limits struct {
 		Cancel         bool  `json:"cancel"`
+		ConnIdle       int64 `json:"connIdle"`
 		ConnectTimeout int64 `json:"connectTimeout"`
 		MaxAttempts    int   `json:"maxAttempts"`
+		MaxOpen        int   `json:"maxOpen"`
 		MaxRetryAfter  int64 `json:"maxRetryAfter"`
+		Multiplex      int   `json:"multiplex"`
 		ParallelTries  bool  `json:"parallelTries"`
 		PeerMessages   bool  `json:"peerMessages"`
 		Probes         bool  `json:"probes"`
@@ -83,10 +91,11 @@
 		StopSendingWithin int64    `json:"stopSendingWithin"`
 		TipAfter          int64    `json:"tipAfter"`
 	} `json:"rules"`
-	Siblings     int    `json:"siblings"`
-	Tick         int64  `json:"tick"`
-	WeightSource string `json:"weightSource"`
-	Zone         int    `json:"zone"`
+	Siblings     int      `json:"siblings"`
+	Tick         int64    `json:"tick"`
+	WeightSource string   `json:"weightSource"`
+	Zone         int      `json:"zone"`
+	Zones        []string `json:"zones"`
 }
 
 // choice looks a word of the settings up; the empty word is the first value.
@@ -102,16 +111,44 @@
 	return 0, fmt.Errorf("settings: %s has unknown value %q", what, word)
 }
 
-// decodeSettings turns the settings object of an Init into rules.Settings.
-func decodeSettings(raw json.RawMessage) (rules.Settings, error) {
+// Settings is the settings object: what the module is told, and the names and
+// figures that only a host needs.
+type Settings struct {
+	Rules      rules.Settings
+	ClassNames []string
+	ZoneNames  []string
+	KindNames  []string
+	ConnIdle   rules.Time // engines close idle connections after it
+	Multiplex  int        // requests that one connection to an engine carries
+	MaxOpen    int        // requests that a gateway may hold; 0: no limit told
+}
+
+// Decode reads a settings object.
+func Decode(raw json.RawMessage) (Settings, error) {
 	var w wireInfo
-	var s rules.Settings
 	if len(raw) == 0 || string(raw) == "null" {
-		return s, errors.New("settings: missing")
+		return Settings{}, errors.New("settings: missing")
 	}
 	if err := json.Unmarshal(raw, &w); err != nil {
-		return s, fmt.Errorf("settings: %w", err)
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	r, err := w.rules()
+	if err != nil {
+		return Settings{}, err
+	}
+	s := Settings{
+		Rules: r, ZoneNames: w.Zones, KindNames: w.MachineTypes,
+		ConnIdle: rules.Time(w.Limits.ConnIdle), Multiplex: w.Limits.Multiplex, MaxOpen: w.Limits.MaxOpen,
 	}
+	for _, c := range w.Classes {
+		s.ClassNames = append(s.ClassNames, c.Name)
+	}
+	return s, nil
+}
+
+// rules is the part of the object that the module is told.
+func (w *wireInfo) rules() (rules.Settings, error) {
+	var s rules.Settings
 	if len(w.Classes) == 0 {
 		return s, errors.New("settings: no classes")
 	}
@@ -188,7 +225,7 @@
 	return s, nil
 }
 
-func decodeClass(c wireClass, w wireInfo, i int) (rules.Class, error) {
+func decodeClass(c wireClass, w *wireInfo, i int) (rules.Class, error) {
 	class := rules.Class{
 		Aim:         rules.Time(c.Aim),
 		AimStretch:  c.AimStretch,
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -13,6 +13,7 @@
 	"io"
 	"strconv"
 
+	"foxlane/internal/settings"
 	"foxlane/rules"
 )
 
@@ -173,11 +174,11 @@
 		}
 		seed = uint64(signed)
 	}
-	settings, err := decodeSettings(w.BootInfo)
+	told, err := settings.Decode(w.BootInfo)
 	if err != nil {
 		return err
 	}
-	h.instances[who] = &instance{module: rules.New(settings, seed), settings: settings}
+	h.instances[who] = &instance{module: rules.New(told.Rules, seed), settings: told.Rules}
 	h.reply.dropGroup()
 	return nil
 }
--- a/rules/api.go
+++ b/rules/api.go
@@ -264,6 +264,8 @@
 		Latency Time
 		Load    map[string]float64
 	}
+	// Stopping tells that this gateway ends: all answers are due by then.
+	Stopping struct{ By Time }
 	// PeerMessage is a message of another gateway.
 	PeerMessage struct {
 		From    int
@@ -290,6 +292,7 @@
 func (Alarm) event()        {}
 func (ProbeResult) event()  {}
 func (PeerMessage) event()  {}
+func (Stopping) event()     {}
 
 // Action is something a gateway does. Actions are carried out in order.
 type Action interface{ action() }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -47,7 +47,7 @@
 // New returns the module of a gateway that has just started.
 func New(s Settings, seed uint64) *Module {
 	m := newModule(s, rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)))
-	m.share = 1
+	m.share, m.lastDue = 1, math.MaxInt64
 	m.usual.span = learnWindow
 	for _, c := range s.Classes {
 		k := &class{Class: c}
@@ -90,6 +90,8 @@
 		m.alarm(e.Token)
 	case PeerMessage:
 		m.heard(e)
+	case Stopping:
+		m.stop(e.By)
 	}
 	m.release()
 	return m.out
@@ -138,6 +140,7 @@
 		return
 	}
 	c := m.classes[q.Class]
+	q.Due = min(q.Due, m.lastDue)
 	r := &request{Request: q, class: c, arrived: m.now, slot: -1}
 	r.queue = c.queues[min(q.Tenant, len(c.queues)-1)]
 	m.open[q.ID] = r
@@ -180,8 +183,7 @@
 	work := m.predict(r)
 	r.late = m.now+r.runTime(work, 1) > r.arrived+r.wanted(work)
 	r.key = r.queue.clock + m.rng.ExpFloat64()*work
-	r.queue.total += work
-	r.queued = work
+	r.queue.total, r.queued = r.queue.total+work, work
 	heap.Push(r.queue, r)
 	m.held++
 	m.review(r)
@@ -219,6 +221,17 @@
 	m.wake(r, r.Due-run)
 }
 
+// stop brings all deadlines forward to when we must be gone. What could not end by then has its
+// answer at once, so that its client goes elsewhere; the rest is served as ever.
+func (m *Module) stop(by Time) {
+	m.lastDue = by
+	for _, r := range m.open {
+		r.Due = min(r.Due, by)
+		m.do(SetTimer{At: r.Due, Token: "request " + string(r.ID)})
+		m.review(r)
+	}
+}
+
 // finish gives the final answer now: a refusal where the rules allow that promise, else a failure.
 func (m *Module) finish(r *request) {
 	if m.mayRefuse(r) {
@@ -661,8 +674,6 @@
 	}
 	alone := float64(r.runTime(work, 1)) + float64(2*m.s.Tick)
 	waiting := o.Load["queue"] >= 1 // queries wait for memory there: more is granted than there is
-	if o.Verdict == VerdictOK {
-	}
 	if waiting || lag > max(slowLimit*alone, slowPart*float64(r.wanted(work))) {
 		m.tooSlow(a, lag)
 	} else if o.Verdict == VerdictOK && m.usedUp() {
@@ -780,17 +791,6 @@
 
 // ---- order by key
 
-func (m *Module) queueUp(r *request) {
-	l := m.lanes[r.OrderKey]
-	if l == nil {
-		l = &lane{key: r.OrderKey}
-		m.lanes[r.OrderKey] = l
-	}
-	r.lane = l
-	l.line = append(l.line, r)
-	m.turn(l)
-}
-
 func (m *Module) turn(l *lane) {
 	if len(l.line) == 0 {
 		if m.now >= l.rest {
--- a/rules/state.go
+++ b/rules/state.go
@@ -30,6 +30,7 @@
 	size     Kind      // all engines that serve, as one
 	usual    window    // work of a request
 	patience Time      // of clients, at most
+	lastDue  Time      // no request is worked on beyond it
 	widest   float64   // threads of the widest class
 	share    float64   // what we take of the fleet, in even parts; learned
 	taken    []Time    // arrivals within the ration's window
@@ -175,6 +176,17 @@
 	}
 }
 
+func (m *Module) queueUp(r *request) {
+	l := m.lanes[r.OrderKey]
+	if l == nil {
+		l = &lane{key: r.OrderKey}
+		m.lanes[r.OrderKey] = l
+	}
+	r.lane = l
+	l.line = append(l.line, r)
+	m.turn(l)
+}
+
 func (l *lane) remove(r *request) {
 	for i, o := range l.line {
 		if o == r {
