Refuse held requests before they fill all connections that clients have

Counts a second and class showed about 60 run-loads running and 180 to 200 held, nearly all that was open; points and reports were hardly held. Checked and excluded: engines' connections (14 of 341), memory (8 MB), CPU (0.26 of a core).

Now Limits.MaxOpen says how many clients can have open, and makeRoom refuses what would be drawn last of the fullest class beyond four fifths of it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -153,8 +153,15 @@
 	if c.Known, err = replay(f.Known.Seq, f.Known.Results); err != nil {
 		return c, fmt.Errorf("known: %w", err)
 	}
-	c.Limits, err = newLimits(f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets, c.Settings)
-	return c, err
+	if c.Limits, err = newLimits(f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets, c.Settings); err != nil {
+		return c, err
+	}
+	// On sockets, clients can have no more requests open than they have connections.
+	open := &c.Settings.Rules.Limits.MaxOpen
+	if *open <= 0 || *open > c.Limits.ClientShare {
+		*open = c.Limits.ClientShare
+	}
+	return c, nil
 }
 
 func uniqueNames(names []string) error {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -18,7 +18,7 @@
 
 	// Clients.
 	Clients     int // connections
-	Idle        int // of these, how many may be idle before the longest idle ones are closed
+	ClientShare int // of these, what clients use at most, one request on each at a time
 	Statement   int // bytes of a packet
 	ClientOut   int // bytes that wait for a client that does not read
 	InputBytes  int // of all clients' statements, open and unfinished
@@ -45,6 +45,7 @@
 	Polls     int // queries that an answer may still come to
 
 	// Life.
+	StatsEvery  rules.Time // between lines that count what was done
 	Sweep       rules.Time // how often connections are looked over
 	StopWithin  rules.Time // after SIGTERM all is answered
 	StopLinger  rules.Time // and connections are taken for at least this
@@ -73,11 +74,11 @@
 		MemoryBytes: memory * 6 / 10,
 		Sockets:     sockets,
 		Clients:     free / 2,
-		Idle:        free / 3,
+		ClientShare: sockets / 3,
 		Statement:   mb,
 		ClientOut:   mb / 4,
 		InputBytes:  int(memory / 6),
-		Requests:    s.MaxOpen,
+		Requests:    s.Rules.Limits.MaxOpen,
 		LoginWithin: 10 * rules.Second,
 		IdleFor:     60 * rules.Second,
 		Links:       16,
@@ -94,6 +95,7 @@
 		PollEvery:   100 * rules.Millisecond,
 		Datagram:    9000,
 		Polls:       16,
+		StatsEvery:  10 * rules.Second,
 		Sweep:       500 * rules.Millisecond,
 		StopWithin:  3 * rules.Second,
 		StopLinger:  900 * rules.Millisecond,
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -81,7 +81,7 @@
 	} else {
 		g.idle.MoveToBack(c.idle)
 	}
-	for g.idle.Len() > g.lim.Idle {
+	for g.idle.Len() > g.lim.ClientShare {
 		g.closeClient(g.idle.Front().Value.(*client))
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,7 @@
 	asked    [64]uint16 // ids of the latest queries
 	askedNum int
 
+	stats    stats
 	stopping bool
 	stopped  bool
 	lingered bool
@@ -163,6 +164,8 @@
 	g.applyList(cfg.Known.Engines, rules.ListSaved)
 	g.poll()
 	g.timers.add(timer{at: now + g.lim.Sweep, kind: timerSweep})
+	g.timers.add(timer{at: now + g.lim.StatsEvery, kind: timerStats})
+	g.stats.classes = make([]classStats, len(cfg.Settings.ClassNames))
 	return g
 }
 
@@ -262,6 +265,7 @@
 	timerSweep
 	timerPoll
 	timerStop
+	timerStats
 )
 
 type timer struct {
@@ -340,6 +344,8 @@
 			g.poll()
 		case timerStop:
 			g.lingered = true
+		case timerStats:
+			g.logStats()
 		}
 	}
 }
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -18,6 +18,8 @@
 	id        rules.RequestID
 	client    *client // nil: it has left
 	class     string
+	stats     *classStats
+	at        rules.Time
 	due       rules.Time
 	statement []byte // nil once answered
 	answered  bool   // the final answer was given, or is owed no more
@@ -67,10 +69,12 @@
 		return
 	}
 	due := g.now + rules.Time(q.Fields.TimeoutMS)*rules.Millisecond
-	r := &request{id: id, client: c, class: q.Fields.Class, due: due, statement: bytes.Clone(q.Statement),
+	r := &request{id: id, client: c, class: q.Fields.Class, stats: &g.stats.classes[class], at: g.now, due: due, statement: bytes.Clone(q.Statement),
 		priority: engine.DefaultPriority}
 	g.requests[id] = r
 	g.unanswered++
+	r.stats.taken++
+	r.stats.open++
 	g.inputHeld += len(r.statement)
 	c.request = r
 	work := rules.Time(q.Fields.WorkMS * float64(rules.Millisecond))
@@ -84,6 +88,7 @@
 func (g *Gateway) settle(r *request) {
 	r.answered = true
 	g.unanswered--
+	r.stats.open--
 	g.inputHeld -= len(r.statement)
 	r.statement = nil
 	if c := r.client; c != nil {
@@ -105,6 +110,7 @@
 		return
 	}
 	r.client.request, r.client = nil, nil
+	r.stats.left++
 	g.settle(r)
 	g.tell(rules.Departure{ID: r.id})
 }
@@ -113,6 +119,7 @@
 	if r == nil || r.answered {
 		return
 	}
+	r.stats.refused++
 	text := "the query was refused"
 	if holdOff > 0 {
 		text = fmt.Sprintf("the query was refused; holdoff=%d", int64(holdOff/rules.Millisecond))
@@ -125,6 +132,7 @@
 	if r == nil || r.answered {
 		return
 	}
+	r.stats.failed++
 	g.answerErr(r.client, mysql.CodeFailed, "the query failed")
 	g.settle(r)
 }
@@ -140,6 +148,8 @@
 		priority: r.priority}
 	r.attempts = append(r.attempts, a)
 	r.out++
+	r.stats.attempts++
+	r.stats.running++
 	if s.Timeout != 0 {
 		a.deadline = min(a.deadline, g.now+s.Timeout)
 	}
@@ -203,6 +213,8 @@
 	a.done = true
 	r := a.request
 	r.out--
+	r.stats.running--
+	r.stats.verdicts[v]++
 	if a.link != nil {
 		g.leave(a.link, a)
 	}
@@ -335,6 +347,8 @@
 		}
 		r.client.out = out
 		g.touch(&r.client.pipe)
+		r.stats.served++
+		r.stats.took += g.now - r.at
 		g.settle(r)
 	}
 	a.link.out = engine.AppendFree(a.link.out, string(r.id))
--- /dev/null
+++ b/internal/gateway/stats.go
@@ -0,0 +1,34 @@
+package gateway
+
+import "foxlane/rules"
+
+// This file counts what operators want to see. It never influences anything.
+
+type stats struct{ classes []classStats }
+
+// classStats counts the requests of a class since the last line of it.
+type classStats struct {
+	taken, served, refused, failed, left int
+	took                                 rules.Time // of the served, from the query to the answer
+	attempts                             int
+	verdicts                             [8]int // of attempts
+	open, running                        int    // now, and not reset
+}
+
+// logStats notes the last while, a line a class.
+func (g *Gateway) logStats() {
+	g.timers.add(timer{at: g.now + g.lim.StatsEvery, kind: timerStats})
+	for i := range g.stats.classes {
+		c := &g.stats.classes[i]
+		mean := 0.0
+		if c.served > 0 {
+			mean = float64(c.took) / float64(c.served) / float64(rules.Millisecond)
+		}
+		g.log(Info, "class", Attr{"class", g.cfg.Settings.ClassNames[i]}, Attr{"taken", c.taken}, Attr{"served", c.served},
+			Attr{"refused", c.refused}, Attr{"failed", c.failed}, Attr{"left", c.left}, Attr{"mean_ms", int(mean)},
+			Attr{"attempts", c.attempts}, Attr{"verdicts", c.verdicts[:]}, Attr{"open", c.open}, Attr{"running", c.running})
+		*c = classStats{open: c.open, running: c.running}
+	}
+	g.log(Info, "connections", Attr{"clients", len(g.clients)}, Attr{"idle", g.idle.Len()}, Attr{"engines", len(g.links)},
+		Attr{"open", len(g.requests)}, Attr{"result_bytes", g.resultHeld}, Attr{"input_bytes", g.inputHeld})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,7 +120,6 @@
 	KindNames  []string
 	ConnIdle   rules.Time // engines close idle connections after it
 	Multiplex  int        // requests that one connection to an engine carries
-	MaxOpen    int        // requests that a gateway may hold; 0: no limit told
 }
 
 // Decode reads a settings object.
@@ -138,7 +137,7 @@
 	}
 	s := Settings{
 		Rules: r, ZoneNames: w.Zones, KindNames: w.MachineTypes,
-		ConnIdle: rules.Time(w.Limits.ConnIdle), Multiplex: w.Limits.Multiplex, MaxOpen: w.Limits.MaxOpen,
+		ConnIdle: rules.Time(w.Limits.ConnIdle), Multiplex: w.Limits.Multiplex,
 	}
 	for _, c := range w.Classes {
 		s.ClassNames = append(s.ClassNames, c.Name)
@@ -168,6 +167,7 @@
 		ScaleIsSize:    w.WeightSource == "nominal" || w.WeightSource == "rough",
 		Limits: rules.Limits{
 			MaxAttempts:    w.Limits.MaxAttempts,
+			MaxOpen:        w.Limits.MaxOpen,
 			ParallelTries:  w.Limits.ParallelTries,
 			Cancel:         w.Limits.Cancel,
 			Probes:         w.Limits.Probes,
--- a/rules/api.go
+++ b/rules/api.go
@@ -95,6 +95,7 @@
 // Limits is what the site permits.
 type Limits struct {
 	MaxAttempts    int // attempts a request may have; 0: no limit told
+	MaxOpen        int // requests that may be open; more do not reach the gateway; 0: no limit told
 	ParallelTries  bool
 	Cancel         bool
 	Probes         bool
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -41,6 +41,7 @@
 	overduePart    = 0.4 // overdue: over this part of the time in which it is wanted, and
 	overdueTimes   = 1.2 // overdue: over this times the run time that estimates two deviations off give
 	dragGain       = 0.2 // weight of the newest outcome in an engine's drag
+	roomPart       = 0.8 // part of the requests that may be open, from which held ones make room
 	missStart      = 0.5 // deviation of estimates that is assumed before any was seen
 )
 
@@ -156,6 +157,16 @@
 		return
 	}
 	m.hold(r)
+	m.makeRoom()
+}
+
+// makeRoom refuses, where as many requests are open as clients may have with us, the one that would
+// be drawn last of the class with the most held. What is held without hope, as loads that wait for
+// each other's data sets, must not shut out what could run at once.
+func (m *Module) makeRoom() {
+	for m.held > 0 && m.s.Limits.MaxOpen > 0 && float64(len(m.open)) > roomPart*float64(m.s.Limits.MaxOpen) {
+		m.finish(m.fullest().last())
+	}
 }
 
 // predict is the request's expected work, all threads together.
@@ -481,13 +492,6 @@
 	m.do(TellPeers{Payload: note{e.ID, e.told.threads, e.told.work}.encode()})
 }
 
-// heard takes what a peer runs on an engine.
-func (m *Module) heard(p PeerMessage) {
-	if n, ok := decodeNote(p.Payload); ok && m.byID[n.engine] != nil {
-		m.byID[n.engine].others.set(p.From, m.now, n)
-	}
-}
-
 // busy is the engine time predicted for what runs there of ours and for the request itself. With few
 // queries of ours out, the engine's drag is all that tells two engines apart.
 func (m *Module) busy(r *request, e *engine) float64 {
@@ -814,15 +818,6 @@
 	}
 }
 
-func (m *Module) leaveLane(r *request) {
-	l := r.lane
-	l.remove(r)
-	if len(l.line) == 0 && m.now < l.rest {
-		m.do(SetTimer{At: l.rest, Token: "lane " + l.key})
-	}
-	m.turn(l)
-}
-
 // Less makes a queue a race: each held request draws an exponential time with mean its predicted
 // work, and the shortest goes first. So the odds of the next draw are one over predicted time, as
 // the design has it, at the cost of a heap. Requests that can't be in time any more go last.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 )
 
@@ -761,3 +762,69 @@
 		}
 	}
 }
+
+// Loads that wait for each other's data sets once filled all connections that clients may have with a
+// gateway, and short queries no longer reached it. Held requests must make room, the heavy ones first.
+func TestHeldRequestsMakeRoom(t *testing.T) {
+	s := Settings{
+		Siblings: 1, Tick: 5 * Millisecond, Kinds: []Kind{{Cores: 64, MemoryMB: 1 << 20}},
+		Limits: Limits{MaxOpen: 20},
+		Classes: []Class{
+			{Aim: Second, GiveUp: 10 * Second, Worth: 1, Threads: 1},
+			{Aim: 10 * Second, GiveUp: 60 * Second, Worth: 25, Threads: 2, IsLoad: true, Effect: EffectUnsafe},
+		},
+	}
+	m := New(s, 1)
+	m.Handle(0, FleetChange{Mode: ListSaved, Engines: []Engine{{ID: 1, Scale: 1}}})
+	sent, refused := 0, 0
+	count := func(actions []Action) {
+		for _, a := range actions {
+			switch a.(type) {
+			case Send:
+				sent++
+			case Refuse:
+				refused++
+			}
+		}
+	}
+	for i := range 30 {
+		id := RequestID("load " + string(rune('a'+i)))
+		count(m.Handle(Time(i+1)*Millisecond, Arrival{Request{ID: id, Class: 1, DataSet: 7, Due: 60 * Second}}))
+	}
+	if sent != 1 || refused != 13 || len(m.open) != 16 {
+		t.Fatalf("%d loads sent, %d refused, %d open; want 1, 13 and 16 of 20", sent, refused, len(m.open))
+	}
+	count(m.Handle(Second, Arrival{Request{ID: "short", Class: 0, Due: 11 * Second}}))
+	if sent != 2 || refused != 14 {
+		t.Errorf("a short query: %d sent, %d refused; want it sent and one more load refused", sent, refused)
+	}
+}
+
+// A gateway that ends brings all deadlines forward: nothing may be open after the time it is told.
+func TestStoppingEndsAllInTime(t *testing.T) {
+	s := Settings{
+		Siblings: 1, Tick: 5 * Millisecond, Kinds: []Kind{{Cores: 64, MemoryMB: 1 << 20}}, Limits: Limits{Cancel: true},
+		Classes: []Class{{Aim: Second, GiveUp: 60 * Second, Worth: 1, Threads: 2, IsLoad: true, Effect: EffectUnsafe}},
+	}
+	m := New(s, 1)
+	m.Handle(0, FleetChange{Mode: ListSaved, Engines: []Engine{{ID: 1, Scale: 1}}})
+	for _, id := range []RequestID{"runs", "held"} {
+		m.Handle(Millisecond, Arrival{Request{ID: id, DataSet: 7, Due: 60 * Second}})
+	}
+	by := 3 * Second
+	m.Handle(2*Millisecond, Stopping{By: by})
+	m.Handle(3*Millisecond, Arrival{Request{ID: "new", DataSet: 7, Due: 60 * Second}})
+	var ended []Action
+	for _, id := range []string{"runs", "held", "new"} {
+		for _, a := range m.Handle(by, Alarm{Token: "request " + id}) {
+			switch a.(type) {
+			case Fail, Refuse:
+				ended = append(ended, a)
+			}
+		}
+	}
+	want := []Action{Fail{ID: "runs"}, Refuse{ID: "held"}, Refuse{ID: "new"}}
+	if !reflect.DeepEqual(ended, want) {
+		t.Errorf("got %v, want %v", ended, want)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -187,6 +187,15 @@
 	m.turn(l)
 }
 
+func (m *Module) leaveLane(r *request) {
+	l := r.lane
+	l.remove(r)
+	if len(l.line) == 0 && m.now < l.rest {
+		m.do(SetTimer{At: l.rest, Token: "lane " + l.key})
+	}
+	m.turn(l)
+}
+
 func (l *lane) remove(r *request) {
 	for i, o := range l.line {
 		if o == r {
@@ -276,6 +285,13 @@
 	}
 }
 
+// heard takes what a peer runs on an engine.
+func (m *Module) heard(p PeerMessage) {
+	if n, ok := decodeNote(p.Payload); ok && m.byID[n.engine] != nil {
+		m.byID[n.engine].others.set(p.From, m.now, n)
+	}
+}
+
 func (m *Module) unhold(r *request) {
 	if r.slot < 0 {
 		return
--- a/rules/tools.go
+++ b/rules/tools.go
@@ -26,6 +26,30 @@
 	return r
 }
 
+// last is the held request that would be drawn last.
+func (q *queue) last() *request {
+	last := 0
+	for i := range q.held {
+		if q.Less(last, i) {
+			last = i
+		}
+	}
+	return q.held[last]
+}
+
+// fullest is the queue that holds the most requests.
+func (m *Module) fullest() *queue {
+	most := m.classes[0].queues[0]
+	for _, c := range m.classes {
+		for _, q := range c.queues {
+			if q.Len() > most.Len() {
+				most = q
+			}
+		}
+	}
+	return most
+}
+
 // window is a mean that forgets: what is older than its span counts little.
 type window struct {
 	span        Time
