Correct the test of making room

The short query of the test was late from the start, since an unknown run time is taken as the aim; it is of a class now whose aim stretches.

--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -770,7 +770,7 @@
 		Siblings: 1, Tick: 5 * Millisecond, Kinds: []Kind{{Cores: 64, MemoryMB: 1 << 20}},
 		Limits: Limits{MaxOpen: 20},
 		Classes: []Class{
-			{Aim: Second, GiveUp: 10 * Second, Worth: 1, Threads: 1},
+			quick,
 			{Aim: 10 * Second, GiveUp: 60 * Second, Worth: 25, Threads: 2, IsLoad: true, Effect: EffectUnsafe},
 		},
 	}
@@ -794,7 +794,7 @@
 	if sent != 1 || refused != 14 || len(m.open) != 16 {
 		t.Fatalf("%d loads sent, %d refused, %d open; want 1, 14 and 16 of 20", sent, refused, len(m.open))
 	}
-	count(m.Handle(Second, Arrival{Request{ID: "short", Class: 0, Due: 11 * Second}}))
+	count(m.Handle(Second, Arrival{Request{ID: "short", Class: 0, Due: 4 * Second}}))
 	if sent != 2 || refused != 15 {
 		t.Errorf("a short query: %d sent, %d refused; want it sent and one more load refused", sent, refused)
 	}
