--- a/cmd/foxlane/main.go
+++ b/cmd/foxlane/main.go
@@ -19,6 +19,9 @@
 	"foxlane/internal/net"
 )
 
+// gcPercent is high, since little is kept and much is allocated; the memory limit bounds it.
+const gcPercent = 800
+
 // version is set by the linker for releases.
 var version = "dev"
 
@@ -60,6 +63,7 @@
 
 func serve(cfg config.Config, verbose bool) error {
 	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(cfg.Limits.MemoryBytes)
 	log, err := newLog(verbose)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,8 @@
 	rng     *rand.Rand
 	now     rules.Time
 	effects []Effect
+	given   []Effect // handed out last
+	spare   [][]byte // large buffers
 	dirty   []*pipe
 	timers  timers
 	armed   rules.Time
@@ -131,6 +133,11 @@
 	lingered bool
 }
 
+const (
+	keepOut   = 2048 // bytes of a buffer that a connection keeps
+	keepSpare = 64   // larger buffers kept for all
+)
+
 // pipe is a connection's way out.
 type pipe struct {
 	id    ConnID
@@ -212,7 +219,7 @@
 		if !p.ended && len(p.out) > 0 {
 			g.effects = append(g.effects, Effect{Kind: Write, Conn: p.id, Data: p.out})
 		}
-		p.out = nil
+		g.reuse(p)
 	}
 	g.dirty = g.dirty[:0]
 	if at, ok := g.timers.next(); ok && at != g.armed {
@@ -220,13 +227,31 @@
 		g.effects = append(g.effects, Effect{Kind: Arm, At: at})
 	}
 	out := g.effects
-	g.effects = nil
-	if len(out) > 0 {
-		g.effects = make([]Effect, 0, 16)
-	}
+	g.effects, g.given = g.given[:0], out
 	return out
 }
 
+// reuse empties a connection's way out. Large buffers go round: few results are written at a time,
+// and the many connections would keep them all.
+func (g *Gateway) reuse(p *pipe) {
+	if cap(p.out) <= keepOut {
+		p.out = p.out[:0]
+		return
+	}
+	if len(g.spare) < keepSpare {
+		g.spare = append(g.spare, p.out[:0])
+	}
+	p.out = nil
+}
+
+// roomy gives a connection's empty way out a large buffer.
+func (g *Gateway) roomy(p *pipe) {
+	if n := len(g.spare) - 1; len(p.out) == 0 && n >= 0 {
+		p.out, g.spare[n] = g.spare[n], nil
+		g.spare = g.spare[:n]
+	}
+}
+
 func (g *Gateway) do(e Effect) { g.effects = append(g.effects, e) }
 
 func (g *Gateway) log(level Level, text string, attrs ...Attr) {
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -325,7 +325,9 @@
 		g.badAnswer(a, "a page ends within a row")
 		return
 	}
-	a.pages[n] = append([]byte{}, body...)
+	if a.pages[n] = body; a.missing > 1 {
+		a.pages[n] = append([]byte{}, body...) // the last one is used at once
+	}
 	a.bytes += len(body)
 	if a.missing--; a.missing == 0 {
 		g.complete(a)
@@ -340,6 +342,7 @@
 func (g *Gateway) complete(a *attempt) {
 	r := a.request
 	if !r.answered {
+		g.roomy(&r.client.pipe)
 		out, ok := appendResult(r.client.out, a.pages)
 		if !ok {
 			g.badAnswer(a, "a row has not three columns")
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "foxlane/rules"
+import (
+	"slices"
+
+	"foxlane/rules"
+)
 
 // This file counts what operators want to see. It never influences anything.
 
@@ -26,7 +30,7 @@
 		}
 		g.log(Info, "class", Attr{"class", g.cfg.Settings.ClassNames[i]}, Attr{"taken", c.taken}, Attr{"served", c.served},
 			Attr{"refused", c.refused}, Attr{"failed", c.failed}, Attr{"left", c.left}, Attr{"mean_ms", int(mean)},
-			Attr{"attempts", c.attempts}, Attr{"verdicts", c.verdicts[:]}, Attr{"open", c.open}, Attr{"running", c.running})
+			Attr{"attempts", c.attempts}, Attr{"verdicts", slices.Clone(c.verdicts[:])}, Attr{"open", c.open}, Attr{"running", c.running})
 		*c = classStats{open: c.open, running: c.running}
 	}
 	g.log(Info, "connections", Attr{"clients", len(g.clients)}, Attr{"idle", g.idle.Len()}, Attr{"engines", len(g.links)},
