Send no FREE for a result of one page

Counted within the gateway: turns of the reducer 0.3 ms at the 99th percentile, also in the burst; pages gathered in 2 ms when quiet and in 25 ms during the burst, with 90 answers at a time written and not yet read by the clients.

--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -354,8 +354,10 @@
 		r.stats.took += g.now - r.at
 		g.settle(r)
 	}
-	a.link.out = engine.AppendFree(a.link.out, string(r.id))
-	g.touch(&a.link.pipe)
+	if len(a.pages) > 1 { // of a single page the engine keeps nothing
+		a.link.out = engine.AppendFree(a.link.out, string(r.id))
+		g.touch(&a.link.pipe)
+	}
 	g.conclude(a, rules.VerdictOK)
 }
 
