Write the last answers before exit, and let answers leave ahead of the client's timeout

The client counts from when it sent the request; requests.go counted from when it came, so an answer at the deadline was as late as both ways together. Now a tenth of the patience, 100 ms at most, is kept for the ways.

Found by the new tests: gateway.go asked for Exit before the writes of the same turn, so the answers given at the end of SIGTERM were never written (the client saw a closed connection). maybeExit now stands behind the writes in Flush.

--- /dev/null
+++ b/example/toy/main.go
@@ -0,0 +1,63 @@
+// Command toy is a small world for a gateway to be tried in: two engines that
+// answer every statement with a few rows after a while, and a name service
+// that lists them. It owns nothing that a real deployment would use.
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"foxlane/internal/standin"
+)
+
+const (
+	listName  = "_data._tcp.farm.lan"
+	namesAddr = "127.0.0.1:5300"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "toy:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	names, err := standin.NewNames(namesAddr, listName)
+	if err != nil {
+		return err
+	}
+	defer names.Close()
+	var hosts []standin.Host
+	for i, zone := range []string{"hall-a", "hall-b"} {
+		id := fmt.Sprintf("s-0000000%d", i+1)
+		e, err := standin.NewEngine(fmt.Sprintf("127.0.0.1:700%d", i+2), func(a standin.Ask) standin.Reply { return answer(id, a) })
+		if err != nil {
+			return err
+		}
+		defer e.Close()
+		hosts = append(hosts, standin.Host{ID: id, Zone: zone, Addr: netip.MustParseAddrPort(e.Addr()), Weight: 4, Kind: "std-16"})
+		fmt.Printf("engine %s in %s at %s\n", id, zone, e.Addr())
+	}
+	names.Set(2, hosts)
+	fmt.Printf("name service at %s; end with Ctrl-C\n", names.Addr())
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	<-stop
+	return nil
+}
+
+// answer takes a tenth of a second and gives two pages that say what was asked.
+func answer(engine string, a standin.Ask) standin.Reply {
+	fmt.Printf("%s: %s %s\n", engine, a.Fields["lane"], a.Statement)
+	statement := strings.NewReplacer("\t", " ", "\n", " ").Replace(a.Statement)
+	return standin.Reply{After: 100 * time.Millisecond, Word: "served", Pages: []string{
+		"engine\tclass\tstatement\n" + engine + "\t" + a.Fields["lane"] + "\t" + statement + "\n",
+		"page\t2\tof two\n",
+	}}
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -25,6 +25,8 @@
 	Requests    int // open
 	LoginWithin rules.Time
 	IdleFor     rules.Time
+	WayMost     rules.Time // allowed for the ways between client and gateway, at most
+	WayPart     rules.Time // and this part of the client's patience, as a divisor
 
 	// Engines.
 	Links       int // connections to one engine
@@ -81,6 +83,8 @@
 		Requests:    s.Rules.Limits.MaxOpen,
 		LoginWithin: 10 * rules.Second,
 		IdleFor:     60 * rules.Second,
+		WayMost:     100 * rules.Millisecond,
+		WayPart:     10,
 		Links:       16,
 		AllLinks:    free / 3,
 		Multiplex:   max(s.Multiplex, 1),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -209,7 +209,6 @@
 	case Terminate:
 		g.stop()
 	}
-	g.maybeExit()
 }
 
 // Flush returns what is to be done, in order. It is valid until the next Step.
@@ -222,6 +221,7 @@
 		g.reuse(p)
 	}
 	g.dirty = g.dirty[:0]
+	g.maybeExit() // behind the last answers, or they would never be written
 	if at, ok := g.timers.next(); ok && at != g.armed {
 		g.armed = at
 		g.effects = append(g.effects, Effect{Kind: Arm, At: at})
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math"
+	"slices"
 
 	"foxlane/internal/engine"
 	"foxlane/internal/mysql"
@@ -58,6 +59,13 @@
 		g.answerErr(c, mysql.CodeParse, fmt.Sprintf("unknown class %.40q", q.Fields.Class))
 		return
 	}
+	tenant := 0
+	if q.Fields.Tenant != "" {
+		if tenant = slices.Index(g.cfg.Settings.Tenants, q.Fields.Tenant); tenant < 0 {
+			g.answerErr(c, mysql.CodeParse, fmt.Sprintf("unknown tenant %.40q", q.Fields.Tenant))
+			return
+		}
+	}
 	id := rules.RequestID(q.Fields.ID)
 	if g.requests[id] != nil {
 		g.answerErr(c, mysql.CodeFailed, "a request with this id is open")
@@ -68,7 +76,10 @@
 		g.answerErr(c, mysql.CodeLimitReached, "too much is open")
 		return
 	}
-	due := g.now + rules.Time(q.Fields.TimeoutMS)*rules.Millisecond
+	// The client counts from when it sent the request and until it has the answer. Both ways take time,
+	// more where machines are busy, so its answer must leave earlier.
+	patience := rules.Time(q.Fields.TimeoutMS) * rules.Millisecond
+	due := g.now + patience - min(patience/g.lim.WayPart, g.lim.WayMost)
 	r := &request{id: id, client: c, class: q.Fields.Class, stats: &g.stats.classes[class], at: g.now, due: due, statement: bytes.Clone(q.Statement),
 		priority: engine.DefaultPriority}
 	g.requests[id] = r
@@ -79,7 +90,7 @@
 	c.request = r
 	work := rules.Time(q.Fields.WorkMS * float64(rules.Millisecond))
 	g.tell(rules.Arrival{Request: rules.Request{
-		ID: id, Class: class, Due: due, Work: work, HasWork: work > 0, MemoryMB: q.Fields.MemoryMB,
+		ID: id, Class: class, Tenant: tenant, OrderKey: q.Fields.Key, Due: due, Work: work, HasWork: work > 0, MemoryMB: q.Fields.MemoryMB,
 		DataSet: q.Group, Repeat: q.Fields.Repeat, Write: q.Write,
 	}})
 }
--- /dev/null
+++ b/internal/mysql/mysql_test.go
@@ -0,0 +1,196 @@
+package mysql
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestScan(t *testing.T) {
+	for _, c := range []struct {
+		text  string
+		group int
+		write bool
+	}{
+		{"SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day", 17, false},
+		{"select * from `sales_17`.`orders`", 17, false},
+		{"SELECT 'FROM sales_1.x' FROM sales_2.x", 2, false},
+		{`SELECT 'it\'s FROM sales_1.x' FROM sales_2.x`, 2, false},
+		{"SELECT 'it''s FROM sales_1.x' FROM sales_2.x", 2, false},
+		{`SELECT "a ""FROM sales_1.x" FROM sales_2.x`, 2, false},
+		{"SELECT /* FROM sales_1.x */ 1 FROM -- sales_3.y\n sales_2.x", 2, false},
+		{"SELECT 1 # FROM sales_1.x\nFROM sales_2.x", 2, false},
+		{"SELECT 1--1 FROM sales_2.x", 2, false},
+		{"INSERT INTO sales_4.orders SELECT * FROM staging.in_9", 4, true},
+		{"INSERT INTO staging.rows_9 SELECT * FROM sales_5.orders", 5, true},
+		{"LOAD DATA INFILE 'sales_1.csv' INTO TABLE sales_6.orders", 6, true},
+		{"SELECT o_3.day FROM staging.a JOIN sales_7.orders AS o_3 ON o_3.id = a.id", 7, false},
+		{"SELECT * FROM staging.a, sales_8.orders", 8, false},
+		{"SELECT * FROM staging . a , sales_8 . orders", 8, false},
+		{"UPDATE sales_9.orders SET note = 1", 9, true},
+		{"COPY sales_10.orders", 10, true},
+		{"SELECT `a``b`.c FROM `x_11`.y", 11, false},
+		{"SELECT 1", 0, false},
+		{"SELECT * FROM sales.orders", 0, false},
+		{"SELECT * FROM sales_99999999999.orders", 0, false},
+		{"SELECT * FROM sales_12.orders /* never ends", 12, false},
+		{"SELECT 'never ends FROM sales_1.x", 0, false},
+	} {
+		if group, write := scan([]byte(c.text)); group != c.group || write != c.write {
+			t.Errorf("%s: got %d, %v, want %d, %v", c.text, group, write, c.group, c.write)
+		}
+	}
+}
+
+func TestParseQuery(t *testing.T) {
+	const id = "9b1f03aa5c7e2d41"
+	q, err := ParseQuery([]byte(" /* kind=report,req=" + id + ",timeout=1500,ms=820.0,need_mb=96,later=x */ SELECT 'a''b'  FROM s_3.t "))
+	want := Fields{Class: "report", ID: id, TimeoutMS: 1500, WorkMS: 820, MemoryMB: 96}
+	if err != nil || q.Fields != want || q.Group != 3 || string(q.Statement) != "SELECT 'a''b'  FROM s_3.t " {
+		t.Fatalf("got %+v, %v", q, err)
+	}
+	for name, text := range map[string]string{
+		"no comment":       "SELECT 1",
+		"never ends":       "/* kind=report,req=" + id + ",timeout=1500 SELECT 1",
+		"no statement":     "/* kind=report,req=" + id + ",timeout=1500 */ ",
+		"missing":          "/* kind=report,req=" + id + " */ SELECT 1",
+		"twice":            "/* kind=report,kind=point,req=" + id + ",timeout=1500 */ SELECT 1",
+		"no value":         "/* kind,req=" + id + ",timeout=1500 */ SELECT 1",
+		"short id":         "/* kind=report,req=9b1f,timeout=1500 */ SELECT 1",
+		"id with spaces":   "/* kind=report,req=9b1f03aa5c7e2d4 ,timeout=1500 */ SELECT 1",
+		"zero timeout":     "/* kind=report,req=" + id + ",timeout=0 */ SELECT 1",
+		"negative timeout": "/* kind=report,req=" + id + ",timeout=-5 */ SELECT 1",
+		"huge timeout":     "/* kind=report,req=" + id + ",timeout=99999999999999 */ SELECT 1",
+		"memory is NaN":    "/* kind=report,req=" + id + ",timeout=5,need_mb=NaN */ SELECT 1",
+		"memory is Inf":    "/* kind=report,req=" + id + ",timeout=5,need_mb=Inf */ SELECT 1",
+	} {
+		var e *Error
+		if _, err := ParseQuery([]byte(text)); !errors.As(err, &e) || e.Code != CodeParse {
+			t.Errorf("%s: got %v, want a parse error", name, err)
+		}
+	}
+}
+
+func TestParseKill(t *testing.T) {
+	for _, c := range []struct {
+		text      string
+		session   uint32
+		query, ok bool
+	}{
+		{"KILL QUERY 17", 17, true, true}, {"kill 17;", 17, false, true}, {"KILL CONNECTION 4294967295", 4294967295, false, true},
+		{"KILL QUERY", 0, true, false}, {"KILL QUERY 1 2", 1, true, false}, {"SELECT 17", 0, false, false}, {"KILL -1", 0, false, false},
+	} {
+		if s, q, ok := ParseKill([]byte(c.text)); ok != c.ok || ok && (s != c.session || q != c.query) {
+			t.Errorf("%s: got %d, %v, %v", c.text, s, q, ok)
+		}
+	}
+}
+
+// Packets come whole however the stream is cut, and too large ones are an error before they are held.
+func TestDecoder(t *testing.T) {
+	stream := append([]byte{3, 0, 0, 7, 'a', 'b', 'c'}, 0, 0, 0, 8, 1, 0, 0, 9, 'd')
+	for size := 1; size <= len(stream); size++ {
+		d := Decoder{Max: 10}
+		var got []string
+		for rest := stream; len(rest) > 0; {
+			n := min(size, len(rest))
+			d.Feed(rest[:n])
+			rest = rest[n:]
+			for {
+				p, seq, ok, err := d.Next()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !ok {
+					break
+				}
+				got = append(got, string(p)+string('0'+seq))
+			}
+		}
+		if s := strings.Join(got, ","); s != "abc7,8,d9" {
+			t.Errorf("cut at %d: %s", size, s)
+		}
+	}
+	d := Decoder{Max: 10}
+	d.Feed([]byte{11, 0, 0, 0})
+	var e *Error
+	if _, _, _, err := d.Next(); !errors.As(err, &e) || e.Code != CodeTooLarge {
+		t.Errorf("a packet of 11 bytes: %v", err)
+	}
+}
+
+func TestParseLogin(t *testing.T) {
+	fixed := func(caps ...byte) []byte {
+		return append(append([]byte{}, caps...), make([]byte, loginFixed-len(caps))...)
+	}
+	good := append(fixed(0x08, 0x82, 0x08, 0), "app\x00\x00main\x00mysql_native_password\x00"...)
+	if l, err := ParseLogin(good); err != nil || l != (Login{User: "app", Database: "main"}) {
+		t.Errorf("got %+v, %v", l, err)
+	}
+	if l, err := ParseLogin(append(fixed(0, 0x82), "app\x00\x02xy"...)); err != nil || !l.Password {
+		t.Errorf("a password: %+v, %v", l, err)
+	}
+	for n := range len(good) - len("mysql_native_password\x00") {
+		if _, err := ParseLogin(good[:n]); err == nil {
+			t.Errorf("half a login of %d bytes passed", n)
+		}
+	}
+	for name, p := range map[string][]byte{
+		"encryption":    fixed(0, 0x8a),
+		"old protocol":  append(fixed(0, 0x80), "app\x00\x00"...),
+		"long password": append(fixed(0, 0x82, 0x20), "app\x00\xfe\xff\xff\xff\xff\xff\xff\xff\xffxy"...),
+	} {
+		if _, err := ParseLogin(p); err == nil {
+			t.Errorf("%s passed", name)
+		}
+	}
+}
+
+// Rows of any size have their lengths right, and a row of other columns is told.
+func TestAppendRow(t *testing.T) {
+	for _, n := range []int{0, 1, 250, 251, 252, 70000} {
+		cell := strings.Repeat("x", n)
+		out, next, ok := AppendRow(nil, 255, []byte("a\t"+cell+"\t"), 3)
+		if !ok || next != 0 || out[3] != 255 {
+			t.Fatalf("row of %d: %v, next %d", n, ok, next)
+		}
+		rest := out[headerSize:]
+		for _, want := range []string{"a", cell, ""} {
+			var s []byte
+			if s, rest, ok = cutLenenc(rest); !ok || string(s) != want {
+				t.Fatalf("row of %d: cell is wrong", n)
+			}
+		}
+		if len(rest) > 0 || int(out[0])|int(out[1])<<8|int(out[2])<<16 != len(out)-headerSize {
+			t.Errorf("row of %d: length is wrong", n)
+		}
+	}
+	for _, line := range []string{"", "a\tb", "a\tb\tc\td"} {
+		if _, _, ok := AppendRow(nil, 0, []byte(line), 3); ok {
+			t.Errorf("%q passed for three columns", line)
+		}
+	}
+}
+
+func FuzzClient(f *testing.F) {
+	f.Add([]byte{3, 0, 0, 7, 'a', 'b', 'c'})
+	f.Add([]byte("/* kind=a,req=9b1f03aa5c7e2d41,timeout=5 */ SELECT 'x\\' FROM `a_1`.b -- c"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d := Decoder{Max: 1 << 10}
+		d.Feed(b)
+		for {
+			p, _, ok, err := d.Next()
+			if err != nil || !ok {
+				break
+			}
+			_, _ = ParseLogin(p)
+		}
+		if q, err := ParseQuery(b); err == nil && !bytes.HasSuffix(b, q.Statement) {
+			t.Errorf("the statement %q is not what came", q.Statement)
+		}
+		scan(b)
+		ParseKill(b)
+		FirstWord(b)
+	})
+}
--- a/internal/mysql/packet.go
+++ b/internal/mysql/packet.go
@@ -177,7 +177,7 @@
 		return bad("password does not end")
 	}
 	l.Password = len(auth) > 0
-	if caps&capConnectWithDB != 0 && len(p) > 0 {
+	if caps&capConnectWithDB != 0 {
 		db, _, ok := cutNul(p)
 		if !ok {
 			return bad("database does not end")
--- a/internal/mysql/sql.go
+++ b/internal/mysql/sql.go
@@ -27,6 +27,8 @@
 	WorkMS    float64 // 0: not told
 	MemoryMB  float64 // 0: not told
 	Repeat    bool
+	Tenant    string // empty: none
+	Key       string // of a class that keeps its order; empty: none
 }
 
 const (
@@ -102,6 +104,10 @@
 		f.WorkMS, ok = amount(value)
 	case "need_mb":
 		f.MemoryMB, ok = amount(value)
+	case "owner":
+		f.Tenant, ok = value, true
+	case "subject":
+		f.Key, ok = value, true
 	case "resent":
 		f.Repeat, ok = value != "0", true
 	default:
--- /dev/null
+++ b/internal/net/edge_test.go
@@ -0,0 +1,312 @@
+package net
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"io"
+	stdnet "net"
+	"net/netip"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-sql-driver/mysql"
+	"go.uber.org/zap"
+
+	"foxlane/internal/config"
+	"foxlane/internal/standin"
+)
+
+const testSettings = `{"classes":[
+ {"name":"point","aim":200000,"aimStretch":1.5,"giveUp":1500000,"effect":"pure","group":"all","lateValue":0.1,"worth":1},
+ {"name":"load","aim":1300000,"aimStretch":3,"giveUp":4000000,"effect":"side_effect","group":"all","lateValue":0.6,"worth":25}],
+"extra":{"classThreads":[1,2],"cpuOfKind":[16],"ramOfKindMb":[65536],"isLoad":[false,true],"takesGrants":true,"ranksHeeded":true,"tellsCost":true},
+"limits":{"cancel":true,"connIdle":15000000,"connectTimeout":250000,"maxAttempts":3,"maxOpen":20000,"multiplex":32,"parallelTries":true},
+"machineTypes":["std-16"],"membershipMode":"push","rules":{"answerSlack":5000},"siblings":1,"tick":1000,"zones":["hall-a"]}`
+
+// stage is a gateway between stand-ins, on loopback.
+type stage struct {
+	t       *testing.T
+	addr    string
+	names   *standin.Names
+	engines []*standin.Engine
+	hosts   []standin.Host
+	stop    chan os.Signal
+	ended   chan error
+	db      *sql.DB
+}
+
+func newStage(t *testing.T, answers ...func(standin.Ask) standin.Reply) *stage {
+	t.Helper()
+	s := &stage{t: t, stop: make(chan os.Signal, 1), ended: make(chan error, 1)}
+	var err error
+	if s.names, err = standin.NewNames("127.0.0.1:0", "_data._tcp.farm.lan"); err != nil {
+		t.Fatal(err)
+	}
+	var servers []string
+	for i, answer := range answers {
+		e, err := standin.NewEngine("127.0.0.1:0", answer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := standin.Host{ID: fmt.Sprintf("s-%08x", i), Zone: "hall-a", Kind: "std-16", Weight: 4, Addr: netip.MustParseAddrPort(e.Addr())}
+		s.engines, s.hosts = append(s.engines, e), append(s.hosts, h)
+		servers = append(servers, fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"hall-a","kind":"std-16","state":"active","weight":4}`, h.ID, h.Addr))
+	}
+	s.names.Set(1, s.hosts)
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.addr = ln.Addr().String()
+	ln.Close()
+	cfg, err := config.Parse([]byte(`{"name":"n0","listen":"` + s.addr + `","seed":"01","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"dns":"` + s.names.Addr() + `","known":{"seq":1,"results":[{"seq":1,"fleet":{"full":true,"servers":[` +
+		strings.Join(servers, ",") + `]}}]},"settings":` + testSettings + `}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { s.ended <- Run(cfg, zap.NewNop(), s.stop) }()
+	if s.db, err = sql.Open("mysql", "app@tcp("+s.addr+")/main?interpolateParams=true"); err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; s.db.Ping() != nil; i++ {
+		if i > 200 {
+			t.Fatal("the gateway does not answer")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return s
+}
+
+// end asks the gateway to end and closes the rest.
+func (s *stage) end() {
+	s.t.Helper()
+	s.stop <- syscall.SIGTERM
+	select {
+	case err := <-s.ended:
+		if err != nil {
+			s.t.Errorf("ended with %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		s.t.Error("not ended 5 s after SIGTERM")
+	}
+	s.db.Close()
+	for _, e := range s.engines {
+		e.Close()
+	}
+	s.names.Close()
+}
+
+func fields(class, id string, timeout int) string {
+	return fmt.Sprintf("/* kind=%s,req=%s,timeout=%d */ SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = 'x''y'", class, id, timeout)
+}
+
+// rows reads all of a result.
+func rows(ctx context.Context, db *sql.DB, text string) (out []string, err error) {
+	r, err := db.QueryContext(ctx, text)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	for r.Next() {
+		var a, b, c string
+		if err := r.Scan(&a, &b, &c); err != nil {
+			return out, err
+		}
+		out = append(out, a+"|"+b+"|"+c)
+	}
+	return out, r.Err()
+}
+
+func served(after time.Duration, pages ...string) func(standin.Ask) standin.Reply {
+	return func(standin.Ask) standin.Reply { return standin.Reply{After: after, Word: "served", Pages: pages} }
+}
+
+// A whole life on loopback, with an ordinary client library as the peer: many
+// queries at a time, an engine that dies, a killed query, SIGTERM with queries
+// open. Nothing of it is left behind.
+func TestLife(t *testing.T) {
+	goroutines, files := runtime.NumGoroutine(), descriptors(t)
+	long := strings.Repeat("x", 300)
+	pages := []string{"1\ta\t" + long + "\n2\tb\t\n", "3\tc\tz\n", "4\td\tz\n"}
+	s := newStage(t, served(20*time.Millisecond, pages...), served(20*time.Millisecond, pages...), served(time.Hour))
+	s.names.Set(2, s.hosts[:2]) // the third never answers; it leaves the list
+	time.Sleep(300 * time.Millisecond)
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			got, err := rows(t.Context(), s.db, fields("point", fmt.Sprintf("%016x", i), 1500))
+			if want := []string{"1|a|" + long, "2|b|", "3|c|z", "4|d|z"}; err != nil || strings.Join(got, "\n") != strings.Join(want, "\n") {
+				t.Errorf("query %d: %v, %.200q", i, err, got)
+			}
+		})
+	}
+	wg.Wait()
+	if n := len(s.engines[0].Asks()) + len(s.engines[1].Asks()); n != 60 || len(s.engines[2].Asks()) > 0 {
+		t.Errorf("%d attempts for 60 queries, %d to an engine that has left", n, len(s.engines[2].Asks()))
+	}
+	if a := append(s.engines[0].Asks(), s.engines[1].Asks()...)[0]; a.Fields["lane"] != "point" || !strings.HasPrefix(a.Statement, "SELECT day") {
+		t.Errorf("the engine got %+v", a)
+	}
+	s.engines[0].Close() // its connections are reset; safe queries go elsewhere
+	for i := range 10 {
+		if _, err := rows(t.Context(), s.db, fields("point", fmt.Sprintf("%016x", 100+i), 1500)); err != nil {
+			t.Errorf("after an engine died: %v", err)
+		}
+	}
+	s.end()
+	s.stillThere(goroutines, files)
+}
+
+// stillThere checks that goroutines and descriptors are as before.
+func (s *stage) stillThere(goroutines, files int) {
+	s.t.Helper()
+	for i := 0; ; i++ {
+		n, f := runtime.NumGoroutine(), descriptors(s.t)
+		if n <= goroutines && f <= files {
+			return
+		}
+		if i > 100 {
+			s.t.Fatalf("%d goroutines and %d descriptors are left, %d and %d before", n, f, goroutines, files)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func descriptors(t *testing.T) int {
+	t.Helper()
+	list, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Skip("no /proc here")
+	}
+	return len(list)
+}
+
+// KILL QUERY from another session gives a query up at its engine, and the killed session gets nothing.
+func TestKillQuery(t *testing.T) {
+	s := newStage(t, served(time.Hour))
+	defer s.end()
+	conn, err := s.db.Conn(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	nc, err := stdnet.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	// A client of our own that writes login and query ahead of the greeting.
+	login := append([]byte{0, 0x82, 8, 0, 0, 0, 0, 1, 45}, make([]byte, 23)...)
+	login = append(login, "app\x00\x00"...)
+	q := append([]byte{3}, fields("load", "00000000000000aa", 4000)...)
+	ahead := append([]byte{byte(len(login)), 0, 0, 1}, login...)
+	ahead = append(append(ahead, byte(len(q)), 0, 0, 0), q...)
+	if _, err := nc.Write(ahead); err != nil {
+		t.Fatal(err)
+	}
+	buf := make([]byte, 4096)
+	n, err := nc.Read(buf)
+	if err != nil || n < 30 {
+		t.Fatal(n, err)
+	}
+	version := 5 + strings.IndexByte(string(buf[5:n]), 0) + 1
+	session := uint32(buf[version]) | uint32(buf[version+1])<<8 | uint32(buf[version+2])<<16 | uint32(buf[version+3])<<24
+	waitFor(t, "the query at its engine", func() bool { return len(s.engines[0].Asks()) == 1 })
+	if _, err := s.db.ExecContext(t.Context(), fmt.Sprintf("KILL QUERY %d", session)); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the query given up", func() bool { return len(s.engines[0].Quits()) == 1 })
+	nc.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	rest, err := io.ReadAll(nc)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || len(rest) > 11 { // the OK of the login at most
+		t.Errorf("the killed session got %q, %v", rest, err)
+	}
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 200 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("waited in vain for %s", what)
+}
+
+// SIGTERM: what is open is answered, new connections are still taken, and all ends in time.
+func TestTerminate(t *testing.T) {
+	s := newStage(t, func(a standin.Ask) standin.Reply {
+		if a.Fields["lane"] == "load" {
+			return standin.Reply{After: time.Hour, Word: "served"}
+		}
+		return standin.Reply{After: 300 * time.Millisecond, Word: "served", Pages: []string{"a\tb\tc\n"}}
+	})
+	results := make(chan error, 2)
+	go func() {
+		_, err := rows(context.Background(), s.db, fields("load", "00000000000000bb", 30000))
+		results <- err
+	}()
+	waitFor(t, "the load at its engine", func() bool { return len(s.engines[0].Asks()) == 1 })
+	began := time.Now()
+	s.stop <- syscall.SIGTERM
+	time.Sleep(100 * time.Millisecond)
+	fresh, err := sql.Open("mysql", "app@tcp("+s.addr+")/main")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer fresh.Close()
+	if got, err := rows(t.Context(), fresh, fields("point", "00000000000000cc", 1500)); err != nil || len(got) != 1 {
+		t.Errorf("a query after SIGTERM: %v, %v", got, err)
+	}
+	err = <-results
+	var answer *mysql.MySQLError
+	if !errors.As(err, &answer) || answer.Number == 1040 || answer.Number == 1203 || answer.Number == 1226 {
+		t.Errorf("a load that may have run ended with %v, want an error that is no refusal", err)
+	}
+	if took := time.Since(began); took > 3500*time.Millisecond {
+		t.Errorf("the last answer came %v after SIGTERM", took)
+	}
+	s.end()
+}
+
+// What a client library sees of a refusal: an error that says when to come back is harmless to retry.
+func TestRefusal(t *testing.T) {
+	s := newStage(t, func(standin.Ask) standin.Reply { return standin.Reply{Word: "overload"} })
+	defer s.end()
+	_, err := rows(t.Context(), s.db, fields("load", "00000000000000dd", 800))
+	var answer *mysql.MySQLError
+	if !errors.As(err, &answer) || answer.Number != 1226 {
+		t.Errorf("got %v, want error 1226", err)
+	}
+	for _, bad := range []string{"SELECT 1", fields("other", "00000000000000de", 800), "/* kind=point", fields("point", "xyz", 800)} {
+		if _, err := rows(t.Context(), s.db, bad); !errors.As(err, &answer) || answer.Number != 1064 {
+			t.Errorf("%.30q: got %v, want error 1064", bad, err)
+		}
+	}
+}
+
+// An address that is taken is an error, and nothing runs on.
+func TestListenFails(t *testing.T) {
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	cfg, err := config.Parse([]byte(`{"name":"n0","listen":"` + ln.Addr().String() + `","seed":"01",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"dns":"127.0.0.1:9","known":{"seq":0},"settings":` + testSettings + `}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Run(cfg, zap.NewNop(), nil); err == nil {
+		t.Error("serving on an address that is taken")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,7 @@
 	OverShareWorth float64  `json:"overShareWorth"`
 	Parties        []struct {
 		Fraction  float64 `json:"fraction"`
+		Name      string  `json:"name"`
 		QuotaPerS float64 `json:"quotaPerS"`
 	} `json:"parties"`
 	Report struct {
@@ -118,6 +119,7 @@
 	ClassNames []string
 	ZoneNames  []string
 	KindNames  []string
+	Tenants    []string   // their names
 	ConnIdle   rules.Time // engines close idle connections after it
 	Multiplex  int        // requests that one connection to an engine carries
 }
@@ -142,6 +144,9 @@
 	for _, c := range w.Classes {
 		s.ClassNames = append(s.ClassNames, c.Name)
 	}
+	for _, p := range w.Parties {
+		s.Tenants = append(s.Tenants, p.Name)
+	}
 	return s, nil
 }
 
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,246 @@
+// Package standin owns small stand-ins for what a gateway talks to: an engine
+// and the name service, for tests on loopback and for the example. They speak
+// the public protocols and nothing of the gateway's own code, so that both
+// sides can't share a mistake. They must never be part of the gateway.
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Ask is a request that came to an engine.
+type Ask struct {
+	ID        string
+	Fields    map[string]string
+	Statement string
+}
+
+// Reply is how an engine ends a request.
+type Reply struct {
+	After time.Duration
+	Word  string   // served, overload, crashed, nobody; empty: never
+	Pages []string // of a served one
+	Break bool     // reset the connection instead
+	Raw   string   // write this instead
+}
+
+// Engine is a stand-in for one engine.
+type Engine struct {
+	ln      net.Listener
+	answer  func(Ask) Reply
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	conns   map[net.Conn]struct{}
+	asks    []Ask
+	quits   []string
+	stopped bool
+}
+
+// NewEngine starts an engine on an address that answers as told.
+func NewEngine(addr string, answer func(Ask) Reply) (*Engine, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{ln: ln, answer: answer, conns: map[net.Conn]struct{}{}}
+	e.wg.Add(1)
+	go e.accept()
+	return e, nil
+}
+
+// Addr is where it listens.
+func (e *Engine) Addr() string { return e.ln.Addr().String() }
+
+// Asks are the requests that came so far.
+func (e *Engine) Asks() []Ask {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Ask(nil), e.asks...)
+}
+
+// Quits are the ids that were given up so far.
+func (e *Engine) Quits() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.quits...)
+}
+
+// Close ends the engine as a process that dies does: its connections are reset.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	e.stopped = true
+	e.ln.Close()
+	for c := range e.conns {
+		reset(c)
+	}
+	e.mu.Unlock()
+	e.wg.Wait()
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (e *Engine) accept() {
+	defer e.wg.Done()
+	for {
+		c, err := e.ln.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		if e.stopped {
+			reset(c)
+		} else {
+			e.conns[c] = struct{}{}
+			e.wg.Add(1)
+			go e.serve(c)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// session is one connection.
+type session struct {
+	engine  *Engine
+	conn    net.Conn
+	mu      sync.Mutex
+	running map[string]*time.Timer
+	results map[string][]string
+}
+
+func (e *Engine) serve(c net.Conn) {
+	defer e.wg.Done()
+	s := &session{engine: e, conn: c, running: map[string]*time.Timer{}, results: map[string][]string{}}
+	in := bufio.NewReader(c)
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil || !s.command(in, strings.Fields(line)) {
+			break
+		}
+	}
+	c.Close()
+	s.mu.Lock()
+	for _, t := range s.running {
+		t.Stop()
+	}
+	s.mu.Unlock()
+	e.mu.Lock()
+	delete(e.conns, c)
+	e.mu.Unlock()
+}
+
+func (s *session) command(in *bufio.Reader, words []string) (ok bool) {
+	if len(words) < 2 {
+		return false
+	}
+	id := words[1]
+	switch words[0] {
+	case "ASK":
+		return len(words) == 4 && s.ask(in, id, words[2], words[3])
+	case "QUIT", "FREE":
+		s.mu.Lock()
+		if t := s.running[id]; t != nil {
+			t.Stop()
+		}
+		delete(s.running, id)
+		delete(s.results, id)
+		s.mu.Unlock()
+		if words[0] == "QUIT" {
+			s.engine.mu.Lock()
+			s.engine.quits = append(s.engine.quits, id)
+			s.engine.mu.Unlock()
+		}
+	case "NEXT":
+		n, err := strconv.Atoi(words[len(words)-1])
+		s.mu.Lock()
+		pages := s.results[id]
+		s.mu.Unlock()
+		if err != nil || n < 1 || n >= len(pages) {
+			s.write(id, "crashed", "-", "")
+		} else {
+			s.write(id, "rows", "index="+strconv.Itoa(n), pages[n])
+		}
+	case "NOOP":
+		s.write(id, "green", "-", "")
+	case "INFO":
+		s.mu.Lock()
+		n := len(s.running)
+		s.mu.Unlock()
+		s.write(id, "green", fmt.Sprintf("rep=inflight:%d;util:0.50", n), "")
+	case "PRIO":
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *session) ask(in *bufio.Reader, id, fields, length string) bool {
+	n, err := strconv.Atoi(length)
+	if err != nil || n < 0 || n > 1<<24 {
+		return false
+	}
+	body := make([]byte, n+2)
+	if _, err := io.ReadFull(in, body); err != nil || string(body[n:]) != "\r\n" {
+		return false
+	}
+	a := Ask{ID: id, Fields: map[string]string{}, Statement: string(body[:n])}
+	for _, f := range strings.Split(fields, ",") {
+		if name, value, ok := strings.Cut(f, "="); ok {
+			a.Fields[name] = value
+		}
+	}
+	s.engine.mu.Lock()
+	s.engine.asks = append(s.engine.asks, a)
+	s.engine.mu.Unlock()
+	r := s.engine.answer(a)
+	s.mu.Lock()
+	s.running[id] = time.AfterFunc(r.After, func() { s.end(id, r) })
+	s.mu.Unlock()
+	return true
+}
+
+func (s *session) end(id string, r Reply) {
+	s.mu.Lock()
+	_, open := s.running[id]
+	delete(s.running, id)
+	if open && r.Word == "served" {
+		s.results[id] = r.Pages
+	}
+	s.mu.Unlock()
+	switch {
+	case !open:
+	case r.Break:
+		reset(s.conn)
+	case r.Raw != "":
+		s.raw(r.Raw)
+	case r.Word == "served":
+		page := ""
+		if len(r.Pages) > 0 {
+			page = r.Pages[0]
+		}
+		s.write(id, r.Word, fmt.Sprintf("total=%d,elapsed=%d,rss=64", max(len(r.Pages), 1), r.After.Milliseconds()), page)
+	case r.Word != "":
+		s.write(id, r.Word, "-", "")
+	}
+}
+
+func (s *session) write(id, word, fields, body string) {
+	s.raw(fmt.Sprintf("%s %s %s %d\r\n%s\r\n", id, word, fields, len(body), body))
+}
+
+func (s *session) raw(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = io.WriteString(s.conn, text) // a broken connection shows when it is read
+}
--- /dev/null
+++ b/internal/standin/names.go
@@ -0,0 +1,139 @@
+package standin
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+)
+
+// Host is one engine of a list.
+type Host struct {
+	ID, Zone string
+	Addr     netip.AddrPort
+	Draining bool
+	Weight   int // as in the list; records hold ten times as much
+	Kind     string
+	Cell     int
+	Started  int64
+}
+
+// Names is a stand-in for the name service.
+type Names struct {
+	conn   net.PacketConn
+	name   string
+	done   chan struct{}
+	mu     sync.Mutex
+	serial uint32
+	hosts  []Host
+	mangle func([]byte) []byte
+}
+
+// NewNames starts a name service that answers for the list under a name.
+func NewNames(addr, name string) (*Names, error) {
+	conn, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return nil, err
+	}
+	n := &Names{conn: conn, name: name, done: make(chan struct{}), serial: 1}
+	go n.serve()
+	return n, nil
+}
+
+// Addr is where it listens.
+func (n *Names) Addr() string { return n.conn.LocalAddr().String() }
+
+// Set replaces the list.
+func (n *Names) Set(serial uint32, hosts []Host) {
+	n.mu.Lock()
+	n.serial, n.hosts = serial, hosts
+	n.mu.Unlock()
+}
+
+// Mangle changes every answer from now on; nil stops that, and an answer of nil is lost.
+func (n *Names) Mangle(f func([]byte) []byte) {
+	n.mu.Lock()
+	n.mangle = f
+	n.mu.Unlock()
+}
+
+// Close ends it.
+func (n *Names) Close() {
+	n.conn.Close()
+	<-n.done
+}
+
+func (n *Names) serve() {
+	defer close(n.done)
+	buf := make([]byte, 512)
+	for {
+		size, from, err := n.conn.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		if size < 12 {
+			continue
+		}
+		n.mu.Lock()
+		msg := Answer(binary.BigEndian.Uint16(buf), n.name, n.serial, n.hosts)
+		if n.mangle != nil {
+			msg = n.mangle(msg)
+		}
+		n.mu.Unlock()
+		if msg != nil {
+			_, _ = n.conn.WriteTo(msg, from)
+		}
+	}
+}
+
+// Answer is the whole answer to a query. The name asked for is pointed to, and
+// so is each target, as servers do.
+func Answer(id uint16, name string, serial uint32, hosts []Host) []byte {
+	b := binary.BigEndian.AppendUint16(nil, id)
+	b = append(b, 0x84, 0, 0, 1)
+	b = binary.BigEndian.AppendUint16(b, uint16(len(hosts)))
+	b = append(b, 0, 1)
+	b = binary.BigEndian.AppendUint16(b, uint16(2*len(hosts)))
+	b = append(appendName(b, name), 0, 33, 0, 1)
+	targets := make([]int, len(hosts))
+	for i, h := range hosts {
+		var data []byte
+		priority := uint16(0)
+		if h.Draining {
+			priority = 1
+		}
+		data = binary.BigEndian.AppendUint16(data, priority)
+		data = binary.BigEndian.AppendUint16(data, uint16(10*h.Weight))
+		data = binary.BigEndian.AppendUint16(data, h.Addr.Port())
+		b = appendRecord(append(b, 0xc0, 12), 33, appendName(data, h.ID+"."+h.Zone+".hosts"))
+		targets[i] = len(b) - len(h.ID+"."+h.Zone+".hosts") - 2
+	}
+	soa := append(appendName(nil, "ns.lan"), 0)
+	soa = binary.BigEndian.AppendUint32(soa, serial)
+	b = appendRecord(append(b, 0xc0, 12), 6, append(soa, make([]byte, 16)...))
+	for i, h := range hosts {
+		pointer := []byte{0xc0 | byte(targets[i]>>8), byte(targets[i])}
+		addr := h.Addr.Addr().As4()
+		b = appendRecord(append(b, pointer...), 1, addr[:])
+		var text []byte
+		for _, s := range []string{"kind=" + h.Kind, fmt.Sprint("cell=", h.Cell), fmt.Sprint("started=", h.Started)} {
+			text = append(append(text, byte(len(s))), s...)
+		}
+		b = appendRecord(append(b, pointer...), 16, text)
+	}
+	return b
+}
+
+func appendName(b []byte, name string) []byte {
+	for _, label := range strings.Split(name, ".") {
+		b = append(append(b, byte(len(label))), label...)
+	}
+	return append(b, 0)
+}
+
+func appendRecord(b []byte, kind byte, data []byte) []byte {
+	b = append(b, 0, kind, 0, 1, 0, 0, 0, 0)
+	return append(binary.BigEndian.AppendUint16(b, uint16(len(data))), data...)
+}
