Keep the edge's notes on a connection under its own lock

The race detector reported onOpen's write and onData's read of nbio's session field, which nbio does not synchronise between its goroutines. A map under the edge's lock takes its place; go test -race passes.

--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -109,6 +109,7 @@
 
 	mu       sync.Mutex
 	conns    map[gateway.ConnID]*conn
+	byNB     map[*nbio.Conn]*conn
 	accepted gateway.ConnID
 	dials    sync.WaitGroup
 	udpDone  chan struct{}
@@ -116,7 +117,8 @@
 
 // Run serves until the process is asked to end by stop, and all is answered.
 func Run(cfg config.Config, log *zap.Logger, stop <-chan os.Signal) error {
-	e := &Edge{cfg: cfg, log: log, box: newMailbox(), conns: map[gateway.ConnID]*conn{}, start: time.Now(),
+	e := &Edge{cfg: cfg, log: log, box: newMailbox(), conns: map[gateway.ConnID]*conn{},
+		byNB: map[*nbio.Conn]*conn{}, start: time.Now(),
 		udpDone: make(chan struct{})}
 	e.unix = e.start.UnixMicro()
 	if err := e.open(); err != nil {
@@ -148,12 +150,12 @@
 	})
 	e.engine.OnOpen(e.onOpen)
 	e.engine.OnData(func(nb *nbio.Conn, data []byte) {
-		if c, ok := nb.Session().(*conn); ok {
+		if c := e.of(nb); c != nil {
 			e.box.put(gateway.Event{Kind: gateway.Data, Conn: c.id, Data: data})
 		}
 	})
 	e.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
-		if c, ok := nb.Session().(*conn); ok {
+		if c := e.of(nb); c != nil {
 			c.pending.Add(-int64(n))
 			if c.closing.Load() && c.pending.Load() <= 0 {
 				go nb.Close() // this runs under the connection's lock
@@ -161,7 +163,7 @@
 		}
 	})
 	e.engine.OnClose(func(nb *nbio.Conn, err error) {
-		if c, ok := nb.Session().(*conn); ok {
+		if c := e.of(nb); c != nil {
 			e.forget(c)
 			e.box.put(gateway.Event{Kind: gateway.Closed, Conn: c.id, Err: err})
 		}
@@ -189,6 +191,7 @@
 func (e *Edge) forget(c *conn) {
 	e.mu.Lock()
 	delete(e.conns, c.id)
+	delete(e.byNB, c.nb)
 	e.mu.Unlock()
 }
 
@@ -198,22 +201,25 @@
 	return e.conns[id]
 }
 
+// of finds what is remembered of a connection of nbio. Its own place for that
+// is not synchronised between its goroutines.
+func (e *Edge) of(nb *nbio.Conn) *conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.byNB[nb]
+}
+
 // onOpen takes in a connection that a client has opened, or that a dial has.
 func (e *Edge) onOpen(nb *nbio.Conn) {
-	c, dialled := nb.Session().(*conn)
 	e.mu.Lock()
-	if !dialled {
+	c, kind := e.byNB[nb], gateway.Connected
+	if c == nil {
 		e.accepted++
-		c = &conn{id: e.accepted}
+		c, kind = &conn{id: e.accepted, nb: nb}, gateway.Accepted
+		e.byNB[nb] = c
 	}
-	c.nb = nb
 	e.conns[c.id] = c
 	e.mu.Unlock()
-	nb.SetSession(c)
-	kind := gateway.Accepted
-	if dialled {
-		kind = gateway.Connected
-	}
 	e.box.put(gateway.Event{Kind: kind, Conn: c.id})
 }
 
@@ -224,10 +230,14 @@
 	if err == nil {
 		var nb *nbio.Conn
 		if nb, err = nbio.NBConn(std); err == nil {
-			nb.SetSession(&conn{id: id})
+			c := &conn{id: id, nb: nb}
+			e.mu.Lock()
+			e.byNB[nb] = c
+			e.mu.Unlock()
 			if _, err = e.engine.AddConn(nb); err == nil {
 				return
 			}
+			e.forget(c)
 		}
 	}
 	e.box.put(gateway.Event{Kind: gateway.DialFailed, Conn: id, Err: err})
