Leave silent connections, bound unfinished input, and test bad input from all sides

A machine that vanishes says nothing: once an attempt was given up on a connection after a silence longer than the connect time-out, the next one dials anew (links.go, doubt). Packets of all clients that are not whole yet are bounded together. A statement over 256 KB could not be written to an engine, since one limit of unsent bytes served clients and engines; each has its own now.

--- /dev/null
+++ b/example/client/main.go
@@ -0,0 +1,54 @@
+// Command client asks a gateway one query of each class, through an ordinary
+// MySQL client library, and prints the rows. It owns nothing but that.
+package main
+
+import (
+	"database/sql"
+	"fmt"
+	"math/rand/v2"
+	"os"
+
+	_ "github.com/go-sql-driver/mysql"
+)
+
+func main() {
+	addr := "127.0.0.1:7001"
+	if len(os.Args) > 1 {
+		addr = os.Args[1]
+	}
+	if err := run(addr); err != nil {
+		fmt.Fprintln(os.Stderr, "client:", err)
+		os.Exit(1)
+	}
+}
+
+func run(addr string) error {
+	db, err := sql.Open("mysql", "app@tcp("+addr+")/main")
+	if err != nil {
+		return err
+	}
+	defer db.Close()
+	for _, class := range []string{"point", "report", "load"} {
+		fields := fmt.Sprintf("/* kind=%s,req=%016x,timeout=2000 */ ", class, rand.Uint64())
+		if err := ask(db, fields+"SELECT day, count(*), max(note) FROM sales_17.orders GROUP BY day"); err != nil {
+			return fmt.Errorf("%s: %w", class, err)
+		}
+	}
+	return nil
+}
+
+func ask(db *sql.DB, query string) error {
+	rows, err := db.Query(query)
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var a, b, c string
+		if err := rows.Scan(&a, &b, &c); err != nil {
+			return err
+		}
+		fmt.Printf("%s | %s | %s\n", a, b, c)
+	}
+	return rows.Err()
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -36,6 +36,7 @@
 	Page        int // bytes of a page
 	Pages       int // of a result
 	Result      int // bytes of a result
+	LinkOut     int // bytes that wait for an engine that does not read
 	ResultBytes int // of all results that wait for their last page
 	LinkIdle    rules.Time
 	Connect     rules.Time
@@ -79,7 +80,7 @@
 		ClientShare: sockets / 3,
 		Statement:   mb,
 		ClientOut:   mb / 4,
-		InputBytes:  int(memory / 6),
+		InputBytes:  int(memory / 8), // and as much for packets that are not whole yet
 		Requests:    s.Rules.Limits.MaxOpen,
 		LoginWithin: 10 * rules.Second,
 		IdleFor:     60 * rules.Second,
@@ -93,6 +94,7 @@
 		Pages:       256,
 		Result:      64 << 10,
 		ResultBytes: int(memory / 8),
+		LinkOut:     4 * mb,
 		LinkIdle:    max(s.ConnIdle-2*rules.Second, s.ConnIdle/2),
 		Connect:     s.Rules.Limits.ConnectTimeout,
 		ProbeWithin: s.Rules.Limits.ConnectTimeout,
--- /dev/null
+++ b/internal/gateway/bad_test.go
@@ -0,0 +1,375 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"foxlane/internal/standin"
+	"foxlane/rules"
+)
+
+// bench is a gateway with one engine and what it asks for, step by step.
+type bench struct {
+	t     *testing.T
+	g     *Gateway
+	now   rules.Time
+	sent  map[ConnID][]byte
+	shut  map[ConnID]bool
+	dials []ConnID
+	exit  bool
+}
+
+var oneHost = standin.Host{ID: "s-00000001", Zone: "hall-b", Kind: "std-16", Weight: 4,
+	Addr: netip.MustParseAddrPort("127.8.1.1:7001")}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, now: 1_700_000_000 * rules.Second, sent: map[ConnID][]byte{}, shut: map[ConnID]bool{}}
+	b.g = New(worldConfig(t, []standin.Host{oneHost}), b.now)
+	b.flush()
+	return b
+}
+
+func (b *bench) flush() {
+	for _, f := range b.g.Flush() {
+		switch f.Kind {
+		case Write:
+			b.sent[f.Conn] = append(b.sent[f.Conn], f.Data...)
+		case Close:
+			b.shut[f.Conn] = true
+		case Dial:
+			b.dials = append(b.dials, f.Conn)
+		case Exit:
+			b.exit = true
+		}
+	}
+}
+
+func (b *bench) step(kind EventKind, conn ConnID, data string) {
+	b.g.Step(b.now, Event{Kind: kind, Conn: conn, Data: []byte(data)})
+	b.flush()
+}
+
+// pass lets time go by, with all timers.
+func (b *bench) pass(d rules.Time) {
+	for end := b.now + d; ; {
+		at, ok := b.g.timers.next()
+		if !ok || at > end {
+			b.now = end
+			return
+		}
+		b.now = max(b.now, at)
+		b.step(Wake, 0, "")
+	}
+}
+
+func (b *bench) client(id ConnID) {
+	b.step(Accepted, id, "")
+	b.step(Data, id, string(login()))
+}
+
+func ask(class, id string) string {
+	return string(query(fmt.Sprintf("/* kind=%s,req=%s,timeout=2000 */ SELECT 1 FROM sales_1.x", class, id)))
+}
+
+const (
+	idA = "00000000000000aa"
+	idB = "00000000000000bb"
+)
+
+// after is what was sent on a connection since the last call.
+func (b *bench) after(id ConnID) string {
+	out := string(b.sent[id])
+	delete(b.sent, id)
+	return out
+}
+
+// Whatever a client sends, it alone is concerned.
+func TestBadClients(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	for name, c := range map[string]struct {
+		data   string
+		shut   bool
+		answer string
+	}{
+		"a packet too large":        {"\xff\xff\xff\x00", true, "packet of"},
+		"a packet just too large":   {"\x01\x00\x10\x00" + long, true, "packet of"},
+		"wrong sequence number":     {string(packet(3, []byte{14})), true, "wrong sequence"},
+		"an empty command":          {string(packet(0, nil)), true, "empty command"},
+		"an unknown command":        {string(packet(0, []byte{0x16})), false, "unknown command"},
+		"an unknown class":          {ask("other", idB), false, "unknown class"},
+		"an id that is open":        {ask("point", idA), false, "id is open"},
+		"no fields":                 {string(query("SELECT 1")), false, "no comment"},
+		"a comment that never ends": {string(query("/* kind=point,req=" + idB)), false, "never ends"},
+		"a field twice":             {string(query("/* kind=point,kind=point,req=" + idB + ",timeout=5 */ SELECT 1")), false, "twice"},
+		"KILL of nobody":            {string(query("KILL QUERY 1")), false, "unknown session"},
+		"another database":          {string(packet(0, []byte("\x02other"))), false, "unknown database"},
+		"a query while one is open": {ask("point", idB) + ask("point", "00000000000000cc"), true, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.client(1)
+			b.step(Data, 1, ask("point", idA))
+			b.client(2)
+			b.after(1)
+			b.after(2)
+			b.step(Data, 2, c.data)
+			if got := b.after(2); !strings.Contains(got, c.answer) || b.shut[2] != c.shut {
+				t.Errorf("answered %q, closed %v", got, b.shut[2])
+			}
+			if b.shut[1] || b.after(1) != "" || b.g.requests[idA] == nil {
+				t.Error("another client was concerned")
+			}
+		})
+	}
+}
+
+func TestBadLogins(t *testing.T) {
+	for name, data := range map[string]string{
+		"half":            string(login()[:20]),
+		"another user":    strings.Replace(string(login()), "app\x00", "apa\x00", 1),
+		"another base":    strings.Replace(string(login()), "main\x00", "mane\x00", 1),
+		"wrong number":    "\x05" + string(login()[1:3]) + "\x02" + string(login()[4:]),
+		"a password":      string(packet(1, append(login()[4:36], "app\x00\x02xymain\x00"...))),
+		"random bytes":    "\x20\x00\x00\x01" + strings.Repeat("\xff", 32),
+		"a query at once": string(query("SELECT 1")),
+	} {
+		b := newBench(t)
+		b.step(Accepted, 1, "")
+		b.step(Data, 1, data)
+		b.pass(11 * rules.Second)
+		if !b.shut[1] || len(b.g.clients) != 0 || len(b.g.sessions) != 0 {
+			t.Errorf("%s: the session goes on", name)
+		}
+	}
+}
+
+// Random bytes from all sides never break the reducer.
+func TestNoise(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 300 {
+		b := newBench(t)
+		b.client(1)
+		b.step(Data, 1, ask("point", idA))
+		b.step(Connected, b.dials[0], "")
+		pieces := []string{ask("load", idB), string(login()), idA + " served total=3 2\r\n\r\n\r\n", idA + " rows index=1 0\r\n\r\n",
+			"\x00\x01\x02", "p1 green - 0\r\n\r\n", string(standin.Answer(uint16(b.g.asked[0]), listName, 2, []standin.Host{oneHost}))}
+		for range 10 {
+			p := []byte(pieces[rng.IntN(len(pieces))])
+			if rng.IntN(2) == 0 {
+				p[rng.IntN(len(p))] ^= byte(1 << rng.IntN(8))
+			}
+			b.step([]EventKind{Data, Data, Datagram}[rng.IntN(3)], []ConnID{1, b.dials[0]}[rng.IntN(2)], string(p))
+			b.pass(rules.Time(rng.IntN(100)) * rules.Millisecond)
+		}
+		b.step(Closed, 1, "")
+		b.pass(5 * rules.Second)
+		if len(b.g.requests) != 0 || b.g.unanswered != 0 || b.g.partial != 0 {
+			t.Fatalf("%d requests and %d bytes are left", len(b.g.requests), b.g.partial)
+		}
+	}
+}
+
+// What an engine says wrong ends that attempt, or the connection, and claims no more than is known:
+// a load that may have run is never refused and never sent again.
+func TestBadEngines(t *testing.T) {
+	for name, c := range map[string]struct {
+		data  string
+		shut  bool // the connection
+		again bool // a safe query is tried again
+	}{
+		"a line too long":     {strings.Repeat("x", 5000), true, true},
+		"an unknown word":     {idA + " dance - 0\r\n\r\n", true, true},
+		"a bad length":        {idA + " served - x\r\n", true, true},
+		"too many pages":      {idA + " served total=999 0\r\n\r\n", false, true},
+		"a page not asked":    {idA + " rows index=1 0\r\n\r\n", false, true},
+		"served twice":        {idA + " served total=2 0\r\n\r\n" + idA + " served total=2 0\r\n\r\n", false, true},
+		"a page twice":        {idA + " served total=3 0\r\n\r\n" + idA + " rows index=1 0\r\n\r\n" + idA + " rows index=1 0\r\n\r\n", false, true},
+		"a page half a row":   {idA + " served total=1 3\r\na\tb\r\n", false, true},
+		"a row of two":        {idA + " served total=1 4\r\na\tb\n\r\n", false, true},
+		"health":              {idA + " green - 0\r\n\r\n", false, true},
+		"a page lost":         {idA + " served total=2 0\r\n\r\n" + idA + " crashed - 0\r\n\r\n", false, true},
+		"an unknown id":       {idB + " served total=1 0\r\n\r\n", false, false},
+		"an id without words": {idA + "\r\n", true, true},
+	} {
+		for _, class := range []string{"point", "load"} {
+			b := newBench(t)
+			b.client(1)
+			b.step(Data, 1, ask(class, idA))
+			link := b.dials[0]
+			b.step(Connected, link, "")
+			if got := b.after(link); !strings.HasPrefix(got, "ASK "+idA+" lane="+class) {
+				t.Fatalf("the engine got %q", got)
+			}
+			b.after(1)
+			b.step(Data, link, c.data)
+			if b.shut[link] != c.shut {
+				t.Errorf("%s: connection closed: %v", name, b.shut[link])
+			}
+			if b.shut[1] {
+				t.Errorf("%s: the client was concerned", name)
+			}
+			r := b.g.requests[idA]
+			switch {
+			case !c.again:
+				if r == nil || r.out != 1 {
+					t.Errorf("%s, %s: the attempt is over", name, class)
+				}
+			case class == "load":
+				if got := b.after(1); r != nil || !strings.Contains(got, "the query failed") {
+					t.Errorf("%s: a load that may have run: %q", name, got)
+				}
+			case r == nil || r.answered:
+				t.Errorf("%s: a safe query was given up", name)
+			}
+		}
+	}
+}
+
+// Pages may come in any order, and reach the client in theirs.
+func TestPagesInAnyOrder(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, ask("point", idA))
+	link := b.dials[0]
+	b.step(Connected, link, "")
+	b.after(link)
+	b.step(Data, link, idA+" served total=3 6\r\n1\ta\tb\n\r\n")
+	if got := b.after(link); got != "NEXT "+idA+" 1\r\nNEXT "+idA+" 2\r\n" {
+		t.Fatalf("asked for %q", got)
+	}
+	b.after(1)
+	b.step(Data, link, idA+" rows index=2 6\r\n3\ta\tb\n\r\n")
+	if b.after(1) != "" {
+		t.Fatal("the client has rows of a result that is not whole")
+	}
+	b.step(Data, link, idA+" rows index=1 6\r\n2\ta\tb\n\r\n")
+	got := b.after(1)
+	at := []int{strings.Index(got, "\x011\x01a"), strings.Index(got, "\x012\x01a"), strings.Index(got, "\x013\x01a")}
+	if at[0] < 0 || at[1] < at[0] || at[2] < at[1] {
+		t.Errorf("rows at %v of %q", at, got)
+	}
+	if got := b.after(link); got != "FREE "+idA+"\r\n" {
+		t.Errorf("the engine got %q", got)
+	}
+}
+
+// A queued request meets the list anew when its connection comes up: an engine that drains meanwhile gets nothing.
+func TestListIsCheckedWhenWritten(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, ask("load", idA))
+	h := oneHost
+	h.Draining = true
+	b.step(Datagram, 0, string(standin.Answer(b.g.asked[0], listName, 2, []standin.Host{h})))
+	b.step(Connected, b.dials[0], "")
+	if got := b.after(b.dials[0]); got != "" {
+		t.Errorf("a draining engine got %q", got)
+	}
+	if r := b.g.requests[idA]; r == nil || r.answered {
+		t.Error("a load that never ran was given up")
+	}
+}
+
+// A lost, late, forged or broken answer of the name service keeps the last list.
+func TestListStays(t *testing.T) {
+	b := newBench(t)
+	other := oneHost
+	other.ID = "s-00000002"
+	good := standin.Answer(b.g.asked[0], listName, 2, []standin.Host{other})
+	for name, msg := range map[string][]byte{
+		"forged":       standin.Answer(b.g.asked[0]+1, listName, 9, nil),
+		"older":        standin.Answer(b.g.asked[0], listName, 1, nil),
+		"cut":          good[:len(good)-1],
+		"another name": standin.Answer(b.g.asked[0], "_data._tcp.other.lan", 9, nil),
+		"empty":        {},
+	} {
+		b.step(Datagram, 0, string(msg))
+		if len(b.g.order) != 1 || b.g.order[0].entry.ID != oneHost.ID || b.g.order[0].state != rules.EngineServing {
+			t.Errorf("%s: the list has changed", name)
+		}
+	}
+	b.step(Datagram, 0, string(good))
+	if len(b.g.order) != 1 || b.g.order[0].entry.ID != other.ID {
+		t.Error("a good answer has not changed the list")
+	}
+}
+
+// A machine that vanishes says nothing. Once an attempt was given up on a silent connection, the next
+// one dials anew: that fails soon where the machine is gone, and proves that nothing ran.
+func TestSilentConnectionIsLeft(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, ask("point", idA))
+	b.step(Connected, b.dials[0], "")
+	b.pass(2 * rules.Second)
+	b.step(Data, 1, ask("load", idB))
+	b.pass(rules.Second)
+	if len(b.dials) < 2 {
+		t.Fatal("the silent connection is still used")
+	}
+	if got := b.after(b.dials[0]); strings.Contains(got, idB) {
+		t.Errorf("the silent connection got %q", got)
+	}
+}
+
+// A request does not go to a connection that its engine may be about to close as idle.
+func TestIdleConnectionIsLeft(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, ask("point", idA))
+	b.step(Connected, b.dials[0], "")
+	b.step(Data, b.dials[0], idA+" served total=1 0\r\n\r\n")
+	b.now += b.g.lim.LinkIdle // before the sweep has seen it
+	b.step(Data, 1, ask("load", idB))
+	if len(b.dials) != 2 {
+		t.Errorf("%d dials, want 2", len(b.dials))
+	}
+}
+
+// The session id of KILL concerns the query of that session only, and the killed one hears nothing.
+func TestKill(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, ask("point", idA))
+	b.client(2)
+	b.step(Data, 2, ask("point", idB))
+	link := b.dials[0]
+	b.step(Connected, link, "")
+	b.after(link)
+	b.after(1)
+	b.client(3)
+	b.step(Data, 3, string(query(fmt.Sprintf("KILL QUERY %d", b.g.clients[1].session))))
+	if got := b.after(link); got != "QUIT "+idA+"\r\n" {
+		t.Errorf("the engine got %q", got)
+	}
+	b.step(Data, link, idA+" served total=1 0\r\n\r\n") // crosses the QUIT
+	if got := b.after(1); got != "" {
+		t.Errorf("the killed session got %q", got)
+	}
+	if b.g.requests[idB] == nil || b.g.requests[idA] != nil {
+		t.Error("the wrong request is gone")
+	}
+}
+
+// Unfinished packets of all clients together stay within bounds.
+func TestUnfinishedInputIsBounded(t *testing.T) {
+	b := newBench(t)
+	piece := string(bytes.Repeat([]byte{0xff, 0xff, 0x0f, 0}, 1)) + strings.Repeat("x", 900_000)
+	for id := ConnID(1); id <= 40; id++ {
+		b.client(id)
+		b.step(Data, id, piece)
+		if b.g.partial > b.g.lim.InputBytes {
+			t.Fatalf("%d bytes are held, %d at most", b.g.partial, b.g.lim.InputBytes)
+		}
+	}
+	if !b.shut[40] || b.shut[1] {
+		t.Error("the newest should have been turned away, and it alone")
+	}
+	if got := b.after(40); !strings.Contains(got, "unfinished") {
+		t.Errorf("got %.100q", got)
+	}
+}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -27,6 +27,7 @@
 	request *request
 	killed  bool // its query was killed: no answer follows, so the session is of no more use
 	seen    rules.Time
+	partial int // bytes of an unfinished packet
 	idle    *list.Element
 }
 
@@ -55,6 +56,8 @@
 // dropClient forgets a session and gives its request up.
 func (g *Gateway) dropClient(c *client) {
 	c.ended = true
+	g.partial -= c.partial
+	c.partial = 0
 	delete(g.clients, c.id)
 	delete(g.sessions, c.session)
 	if c.idle != nil {
@@ -109,6 +112,7 @@
 
 func (g *Gateway) clientData(c *client, data []byte) {
 	c.dec.Feed(data)
+	defer g.countPartial(c)
 	for !c.ended {
 		payload, seq, ok, err := c.dec.Next()
 		if err != nil {
@@ -126,6 +130,19 @@
 	}
 }
 
+// countPartial keeps unfinished packets of all clients together within bounds.
+func (g *Gateway) countPartial(c *client) {
+	held := c.dec.Held()
+	if c.ended {
+		held = 0
+	}
+	g.partial += held - c.partial
+	c.partial = held
+	if held > 0 && g.partial > g.lim.InputBytes {
+		g.breach(c, 1, &mysql.Error{Code: mysql.CodeTooLarge, Text: "too much input is unfinished"})
+	}
+}
+
 // breach ends a session that breaks the protocol.
 func (g *Gateway) breach(c *client, seq byte, err error) {
 	code := uint16(mysql.CodeFailed)
@@ -178,7 +195,7 @@
 		g.closeClient(c)
 		return
 	case mysql.ComQuery:
-		g.query1(c, payload[1:])
+		g.statement(c, payload[1:])
 	case mysql.ComPing, mysql.ComReset:
 		g.answerOK(c)
 	case mysql.ComInitDB:
@@ -204,9 +221,9 @@
 	g.touch(&c.pipe)
 }
 
-// query1 takes a COM_QUERY: a request with its fields, KILL, or what client
+// statement takes a COM_QUERY: a request with its fields, KILL, or what client
 // libraries say of their own accord.
-func (g *Gateway) query1(c *client, text []byte) {
+func (g *Gateway) statement(c *client, text []byte) {
 	if mysql.HasFields(text) {
 		q, err := mysql.ParseQuery(text)
 		if err != nil {
@@ -234,6 +251,7 @@
 			return
 		}
 	}
+	g.log(Info, "client: query without fields", Attr{"session", c.session})
 	g.answerErr(c, mysql.CodeParse, "no comment with fields ahead of the statement")
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 	sessions  map[uint32]*client
 	idle      list.List // of clients without a request, longest idle first
 	inputHeld int       // bytes of statements held for all clients
+	partial   int       // bytes of unfinished packets of all clients
 	session   uint32    // last id given
 
 	requests   map[rules.RequestID]*request
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -22,6 +22,7 @@
 	open    map[string]*attempt
 	probes  map[string]*probe
 	used    rules.Time // when something was last written or read
+	heard   rules.Time // when something was last read
 }
 
 type probe struct {
@@ -135,6 +136,15 @@
 	g.maybeShut(l)
 }
 
+// doubt retires a connection on which an attempt was given up in vain, with not a byte of anything
+// since: its machine may have vanished without a word. What comes next dials anew, and if the machine
+// is gone, that fails soon and proves that nothing ran.
+func (g *Gateway) doubt(a *attempt) {
+	if l := a.link; a.sent && l.heard <= a.at && g.now-a.at > g.lim.Connect {
+		l.retired = true
+	}
+}
+
 // maybeShut closes a retired connection once nothing is left on it.
 func (g *Gateway) maybeShut(l *link) {
 	if l.retired && l.load() == 0 && !l.ended {
@@ -215,7 +225,7 @@
 
 // linkData takes what came from an engine. Breaking the protocol ends the connection.
 func (g *Gateway) linkData(l *link, data []byte) {
-	l.used = g.now
+	l.used, l.heard = g.now, g.now
 	l.dec.Feed(data)
 	for !l.ended {
 		m, ok, err := l.dec.Next()
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -212,6 +212,7 @@
 			a.link.out = engine.AppendQuit(a.link.out, id)
 		}
 		g.touch(&a.link.pipe)
+		g.doubt(a)
 	}
 	g.conclude(a, v)
 }
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -94,9 +94,12 @@
 	id      gateway.ConnID
 	nb      *nbio.Conn
 	pending atomic.Int64 // bytes written and not yet taken by the system
+	most    int64        // bytes that may be pending
 	closing atomic.Bool  // to be closed once they are
 }
 
+var errNotRead = errors.New("the other side does not read")
+
 // Edge is the outside of one gateway.
 type Edge struct {
 	cfg    config.Config
@@ -146,7 +149,7 @@
 	e.udp = udp
 	e.engine = nbio.NewEngine(nbio.Config{
 		Network: "tcp", Addrs: []string{e.cfg.Listen.String()}, NPoller: 1, ReadBufferSize: readBuffer,
-		MaxWriteBufferSize: e.cfg.Limits.ClientOut, MaxConnReadTimesPerEventLoop: readsInTurn,
+		MaxConnReadTimesPerEventLoop: readsInTurn,
 	})
 	e.engine.OnOpen(e.onOpen)
 	e.engine.OnData(func(nb *nbio.Conn, data []byte) {
@@ -215,7 +218,7 @@
 	c, kind := e.byNB[nb], gateway.Connected
 	if c == nil {
 		e.accepted++
-		c, kind = &conn{id: e.accepted, nb: nb}, gateway.Accepted
+		c, kind = &conn{id: e.accepted, nb: nb, most: int64(e.cfg.Limits.ClientOut)}, gateway.Accepted
 		e.byNB[nb] = c
 	}
 	e.conns[c.id] = c
@@ -230,7 +233,7 @@
 	if err == nil {
 		var nb *nbio.Conn
 		if nb, err = nbio.NBConn(std); err == nil {
-			c := &conn{id: id, nb: nb}
+			c := &conn{id: id, nb: nb, most: int64(e.cfg.Limits.LinkOut)}
 			e.mu.Lock()
 			e.byNB[nb] = c
 			e.mu.Unlock()
@@ -304,6 +307,8 @@
 			c.pending.Add(int64(len(f.Data)))
 			if _, err := c.nb.Write(f.Data); err != nil {
 				_ = c.nb.CloseWithError(err)
+			} else if c.pending.Load() > c.most {
+				_ = c.nb.CloseWithError(errNotRead)
 			}
 		}
 	case gateway.Close:
