--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -81,7 +81,7 @@
 		Statement:   mb,
 		ClientOut:   mb / 4,
 		InputBytes:  int(memory / 8), // and as much for packets that are not whole yet
-		Requests:    s.Rules.Limits.MaxOpen,
+		Requests:    free / 2,
 		LoginWithin: 10 * rules.Second,
 		IdleFor:     60 * rules.Second,
 		WayMost:     100 * rules.Millisecond,
@@ -107,8 +107,8 @@
 		StopLinger:  900 * rules.Millisecond,
 		FlushWithin: 300 * rules.Millisecond,
 	}
-	if l.Requests <= 0 {
-		l.Requests = l.Clients
+	if most := s.Rules.Limits.MaxOpen; most > 0 {
+		l.Requests = min(l.Requests, most)
 	}
 	if l.Connect <= 0 {
 		l.Connect = rules.Second
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -115,6 +115,7 @@
 	byNB     map[*nbio.Conn]*conn
 	accepted gateway.ConnID
 	dials    sync.WaitGroup
+	ending   atomic.Bool
 	udpDone  chan struct{}
 }
 
@@ -172,6 +173,9 @@
 		}
 	})
 	e.engine.OnAcceptError(func(err error) {
+		if e.ending.Load() {
+			return
+		}
 		e.log.Warn("accept failed", zap.Error(err))
 		time.Sleep(10 * time.Millisecond) // descriptors ran out: they come back when something closes
 	})
@@ -184,6 +188,7 @@
 }
 
 func (e *Edge) close() {
+	e.ending.Store(true)
 	e.box.close()
 	e.udp.Close()
 	<-e.udpDone
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -38,11 +38,11 @@
 	sharedPart     = 0.8              // part of the fleet that must fail for the cause to be shared
 	restFirst      = 500 * Millisecond
 	restMost       = 4 * Second
-	overduePart    = 0.4 // overdue: over this part of the time in which it is wanted, and
-	overdueTimes   = 1.2 // overdue: over this times the run time that estimates two deviations off give
-	dragGain       = 0.2 // weight of the newest outcome in an engine's drag
-	roomPart       = 0.8 // part of the requests that may be open, from which held ones make room
-	missStart      = 0.5 // deviation of estimates that is assumed before any was seen
+	overduePart    = 0.4  // overdue: over this part of the time in which it is wanted, and
+	overdueTimes   = 1.2  // overdue: over this times the run time that estimates two deviations off give
+	dragGain       = 0.2  // weight of the newest outcome in an engine's drag
+	roomPart       = 0.65 // part of the requests that may be open, from which held ones make room
+	missStart      = 0.5  // deviation of estimates that is assumed before any was seen
 )
 
 // New returns the module of a gateway that has just started.
