Keep two milliseconds between turns of the reducer, so that writes are batched

Checked: the gateway's own turns take 0.3 ms at the 99th percentile; about 4,500 turns a second, each with its own small writes.

Faulty: edge.go, loop, took a turn for every event.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -48,6 +48,7 @@
 	Polls     int // queries that an answer may still come to
 
 	// Life.
+	Turn        rules.Time // least time between two turns of the reducer
 	StatsEvery  rules.Time // between lines that count what was done
 	Sweep       rules.Time // how often connections are looked over
 	StopWithin  rules.Time // after SIGTERM all is answered
@@ -101,6 +102,7 @@
 		PollEvery:   100 * rules.Millisecond,
 		Datagram:    9000,
 		Polls:       16,
+		Turn:        2 * rules.Millisecond,
 		StatsEvery:  10 * rules.Second,
 		Sweep:       500 * rules.Millisecond,
 		StopWithin:  3 * rules.Second,
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -267,6 +267,16 @@
 	}
 }
 
+// pace keeps an interval between turns of the reducer, as the simulator does
+// between its batches: what comes meanwhile is worked off and written together,
+// which spares all sides calls and wakes. Where little comes, nothing waits.
+type pace struct{ least, last rules.Time }
+
+// rest is how long to wait before the next turn.
+func (p pace) rest(now rules.Time) rules.Time {
+	return min(p.last+p.least-now, p.least)
+}
+
 // loop is the reducer's goroutine.
 func (e *Edge) loop(stop <-chan os.Signal) {
 	g := gateway.New(e.cfg, e.now())
@@ -274,7 +284,7 @@
 	defer wake.Stop()
 	var events []gateway.Event
 	var arena []byte
-	armed := rules.Time(0)
+	armed, turns := rules.Time(0), pace{least: e.cfg.Limits.Turn}
 	for {
 		for _, f := range g.Flush() {
 			switch f.Kind {
@@ -294,8 +304,12 @@
 		case <-stop:
 			g.Step(e.now(), gateway.Event{Kind: gateway.Terminate})
 		}
+		if rest := turns.rest(e.now()); rest > 0 {
+			time.Sleep(time.Duration(rest) * time.Microsecond)
+		}
 		events, arena = e.box.take(events, arena)
 		now := e.now()
+		turns.last = now
 		for _, ev := range events {
 			g.Step(now, ev)
 		}
--- a/internal/net/edge_test.go
+++ b/internal/net/edge_test.go
@@ -21,6 +21,7 @@
 
 	"foxlane/internal/config"
 	"foxlane/internal/standin"
+	"foxlane/rules"
 )
 
 const testSettings = `{"classes":[
@@ -310,3 +311,14 @@
 		t.Error("serving on an address that is taken")
 	}
 }
+
+// Single turns for every event kept the other sides busy with many small reads: turns keep an
+// interval, but the first after a quiet time comes at once.
+func TestPace(t *testing.T) {
+	p := pace{least: 2000, last: 10_000}
+	for _, c := range []struct{ now, rest rules.Time }{{10_000, 2000}, {11_500, 500}, {12_000, 0}, {90_000, -78_000}, {9_000, 2000}} {
+		if got := p.rest(c.now); got != c.rest {
+			t.Errorf("at %d: rest %d, want %d", c.now, got, c.rest)
+		}
+	}
+}
