--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -35,6 +35,10 @@
 	Red
 )
 
+var words = map[string]Word{
+	"served": Served, "overload": Overload, "crashed": Crashed, "nobody": Nobody, "rows": Rows, "green": Green, "red": Red,
+}
+
 // Answer is one answer. Its bytes are valid until the next Feed.
 type Answer struct {
 	ID      []byte
@@ -101,22 +105,7 @@
 		return a, 0, ErrMalformed
 	}
 	a.ID = id
-	switch string(word) {
-	case "served":
-		a.Word = Served
-	case "overload":
-		a.Word = Overload
-	case "crashed":
-		a.Word = Crashed
-	case "nobody":
-		a.Word = Nobody
-	case "rows":
-		a.Word = Rows
-	case "green":
-		a.Word = Green
-	case "red":
-		a.Word = Red
-	default:
+	if a.Word = words[string(word)]; a.Word == 0 {
 		return a, 0, ErrUnknownWord
 	}
 	return a, size, a.fields(fields)
--- a/internal/gateway/bad_test.go
+++ b/internal/gateway/bad_test.go
@@ -303,16 +303,34 @@
 func TestSilentConnectionIsLeft(t *testing.T) {
 	b := newBench(t)
 	b.client(1)
-	b.step(Data, 1, ask("point", idA))
+	b.step(Data, 1, string(query("/* kind=load,req="+idA+",timeout=900 */ SELECT 1 FROM sales_1.x")))
 	b.step(Connected, b.dials[0], "")
-	b.pass(2 * rules.Second)
+	b.pass(900 * rules.Millisecond) // less than what makes a connection idle
+	if b.g.requests[idA] != nil || len(b.dials) != 1 {
+		t.Fatal("the load should have failed, with no further attempt")
+	}
+	b.after(b.dials[0])
 	b.step(Data, 1, ask("load", idB))
-	b.pass(rules.Second)
-	if len(b.dials) < 2 {
-		t.Fatal("the silent connection is still used")
+	if got := b.after(b.dials[0]); got != "" || len(b.dials) != 2 {
+		t.Errorf("the silent connection got %q; %d dials, want 2", got, len(b.dials))
+	}
+}
+
+// SIGTERM brings the answers of patient clients forward, and the process ends behind them.
+func TestTerminateAnswersAll(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, string(query("/* kind=load,req="+idA+",timeout=60000 */ SELECT 1 FROM sales_1.x")))
+	b.step(Connected, b.dials[0], "")
+	b.after(1)
+	b.step(Terminate, 0, "")
+	b.pass(b.g.lim.StopWithin - rules.Millisecond)
+	if b.exit || b.after(1) != "" {
+		t.Fatal("ended before its time")
 	}
-	if got := b.after(b.dials[0]); strings.Contains(got, idB) {
-		t.Errorf("the silent connection got %q", got)
+	b.pass(2 * rules.Millisecond)
+	if got := b.after(1); !strings.Contains(got, "the query failed") || !b.exit {
+		t.Errorf("answered %q, ended %v", got, b.exit)
 	}
 }
 
