--- a/internal/gateway/bad_test.go
+++ b/internal/gateway/bad_test.go
@@ -399,13 +399,13 @@
 	b.step(Data, 1, ask("load", idA)) // waits 2 s
 	b.step(Connected, b.dials[0], "")
 	b.after(1)
-	b.pass(1899 * rules.Millisecond)
+	b.pass(1799 * rules.Millisecond)
 	if got := b.after(1); got != "" {
 		t.Fatalf("answered too early: %q", got)
 	}
 	b.pass(2 * rules.Millisecond)
 	if got := b.after(1); !strings.Contains(got, "the query failed") {
-		t.Errorf("got %q, want the failure 100 ms before the client's time-out", got)
+		t.Errorf("got %q, want the failure 200 ms before the client's time-out", got)
 	}
 }
 
