Read the configuration again on SIGHUP and move to its name service; serve from 32 MB

Checked: the exit code is that of an uncaught SIGHUP; cmd/foxlane/main.go asked to be told of SIGTERM and SIGINT only.

SIGHUP is an event of the reducer now; a file that can't be used changes nothing. At fault for small machines: minMemory = 48 in internal/config/limits.go, while 32 MB are given.

--- a/cmd/foxlane/main.go
+++ b/cmd/foxlane/main.go
@@ -47,7 +47,7 @@
 	var verbose bool
 	cmd := &cobra.Command{
 		Use:   "serve",
-		Short: "Serve clients, as " + config.EnvConfig + " says, until SIGTERM",
+		Short: "Serve clients, as " + config.EnvConfig + " says, until SIGTERM; SIGHUP reads it again",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			cfg, err := config.Load()
@@ -70,9 +70,9 @@
 		return err
 	}
 	defer log.Sync()
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	return net.Run(cfg, log, stop)
+	signals := make(chan os.Signal, 4) // no SIGTERM may be lost behind a SIGHUP
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	return net.Run(cfg, log, signals)
 }
 
 // newLog writes to standard error. Repeated lines are sampled: the first ten of a kind each second,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	"foxlane/internal/settings"
@@ -112,6 +113,33 @@
 	return c, nil
 }
 
+// Reload reads the configuration again for a gateway that serves. The name
+// service's address and what it is known to have told may change, the seed is
+// of no more use; anything else that differs is an error. With an error the
+// configuration stays whole as it was: the file may be missing, half written or
+// another gateway's.
+func (c Config) Reload() (Config, error) {
+	next, err := Load()
+	if err != nil {
+		return c, err
+	}
+	for _, fixed := range []struct {
+		name     string
+		old, new any
+	}{
+		{"name", c.Name, next.Name},
+		{"listen", c.Listen, next.Listen},
+		{"limits", c.Limits, next.Limits},
+		{"settings", c.Settings, next.Settings},
+	} {
+		if !reflect.DeepEqual(fixed.old, fixed.new) {
+			return c, fmt.Errorf("%s can't change while the gateway serves", fixed.name)
+		}
+	}
+	c.DNS, c.Known = next.DNS, next.Known
+	return c, nil
+}
+
 // LoadFile reads the configuration from a file.
 func LoadFile(path string) (Config, error) {
 	raw, err := os.ReadFile(path)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -93,3 +93,65 @@
 		}
 	}
 }
+
+// A gateway that serves takes a new name service from its file, and from any file that it can't use nothing.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(sample)
+	t.Setenv(EnvConfig, path)
+	first, err := Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := strings.NewReplacer(`10.2.0.1:5300`, `10.2.0.9:5301`, `"seq":3,"results"`, `"seq":4,"results"`,
+		`8c1f30d27a5be964`, `01`).Replace(sample)
+	write(moved)
+	next, err := first.Reload()
+	if err != nil || next.DNS.String() != "10.2.0.9:5301" || next.Known.Seq != 4 || next.Seed != first.Seed {
+		t.Errorf("a new name service: %v, %v, known up to %d", err, next.DNS, next.Known.Seq)
+	}
+	for name, text := range map[string]string{
+		"half written":     moved[:len(moved)/2],
+		"empty":            "",
+		"another name":     strings.Replace(moved, `"name":"n3"`, `"name":"n4"`, 1),
+		"another address":  strings.Replace(moved, `10.0.0.4:7001`, `10.0.0.4:7002`, 1),
+		"less memory":      strings.Replace(moved, `"memory_mb":192`, `"memory_mb":96`, 1),
+		"another deadline": strings.Replace(moved, `2500000`, `2600000`, 1),
+	} {
+		write(text)
+		if kept, err := first.Reload(); err == nil || kept.DNS != first.DNS || kept.Known.Seq != 3 {
+			t.Errorf("%s: %v, name service %v, known up to %d", name, err, kept.DNS, kept.Known.Seq)
+		}
+	}
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	if kept, err := first.Reload(); err == nil || kept.DNS != first.DNS {
+		t.Errorf("a file that is gone: %v, name service %v", err, kept.DNS)
+	}
+}
+
+// From the least machine to the largest, all sizes follow from what it has.
+func TestLimitsFollowTheMachine(t *testing.T) {
+	for _, m := range []struct{ memory, sockets string }{{"32", "256"}, {"48", "256"}, {"64", "384"}, {"192", "1024"}} {
+		text := strings.NewReplacer(`"memory_mb":192`, `"memory_mb":`+m.memory, `"sockets":1024`, `"sockets":`+m.sockets).Replace(sample)
+		c, err := Parse([]byte(text))
+		if err != nil {
+			t.Errorf("%+v: %v", m, err)
+			continue
+		}
+		l := c.Limits
+		if sum := l.Clients + l.AllLinks + reserve; sum > l.Sockets || l.ClientShare > l.Clients {
+			t.Errorf("%+v: %d descriptors are shared out, %d of %d clients' connections are used", m, sum, l.ClientShare, l.Clients)
+		}
+		if sum := int64(l.InputBytes+l.ResultBytes) + l.MemoryBytes/4; sum > l.MemoryBytes {
+			t.Errorf("%+v: %d bytes are shared out of %d", m, sum, l.MemoryBytes)
+		}
+	}
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -58,7 +58,7 @@
 
 const (
 	mb        = 1 << 20
-	minMemory = 48 // MB
+	minMemory = 32 // MB
 	minFDs    = 64
 	reserve   = 32 // descriptors: standard streams, poller, name service, dials
 )
--- a/internal/gateway/bad_test.go
+++ b/internal/gateway/bad_test.go
@@ -453,3 +453,34 @@
 		}
 	}
 }
+
+// A configuration that was read again moves the gateway to another name service and asks there at
+// once. Its numbers continue: a list in the file counts only if it is newer than the one held.
+func TestReload(t *testing.T) {
+	b := newBench(t)
+	two := []standin.Host{oneHost, oneHost}
+	two[1].ID, two[1].Addr = "s-00000002", netip.MustParseAddrPort("127.8.1.2:7001")
+	cfg := worldConfig(t, two)
+	cfg.DNS = netip.MustParseAddrPort("127.0.0.9:5301")
+	reload := func() (moved, asked bool) {
+		b.g.Step(b.now, Event{Kind: Reload, Config: &cfg})
+		for _, f := range b.g.Flush() {
+			moved = moved || f.Kind == Names && f.Addr == cfg.DNS
+			asked = asked || f.Kind == Query && moved
+		}
+		return moved, asked
+	}
+	cfg.Known.Seq = b.g.serial
+	if moved, asked := reload(); !moved || !asked || len(b.g.engines) != 1 {
+		t.Errorf("moved %v, asked there %v, %d engines", moved, asked, len(b.g.engines))
+	}
+	cfg.Known.Seq++
+	if reload(); len(b.g.engines) != 2 || b.g.serial != cfg.Known.Seq {
+		t.Errorf("a newer list in the file: %d engines, at event %d", len(b.g.engines), b.g.serial)
+	}
+	b.client(1)
+	b.step(Data, 1, ask("point", idA))
+	if reload(); b.shut[1] || b.g.requests[idA] == nil {
+		t.Error("a client was concerned")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	Datagram                        // bytes came from the name service
 	Wake                            // the time asked for has come
 	Terminate                       // the process is asked to end
+	Reload                          // the configuration was read again
 )
 
 // Event is something that happened outside. Data is valid during the call only.
@@ -44,6 +45,8 @@
 	Conn ConnID
 	Data []byte
 	Err  error
+
+	Config *config.Config // with Reload: what holds from now on
 }
 
 // EffectKind is what an Effect asks for.
@@ -55,6 +58,7 @@
 	Close                       // close a connection once what was written is sent
 	Dial                        // connect to Addr within Wait
 	Query                       // send Data to the name service
+	Names                       // the name service is at Addr now
 	Arm                         // wake the reducer at At, and at no earlier time
 	Log                         // note Text
 	Exit                        // all is answered: end the process
@@ -209,6 +213,8 @@
 		g.ring()
 	case Terminate:
 		g.stop()
+	case Reload:
+		g.reload(e.Config)
 	}
 }
 
@@ -449,6 +455,20 @@
 
 // ---- the name service
 
+// reload goes over to the name service of a configuration that was read again.
+// Its numbers continue those of the last one, so the list stays until a later
+// one is told, by the file or by the name service.
+func (g *Gateway) reload(cfg *config.Config) {
+	g.log(Info, "configuration read again", Attr{"dns", cfg.DNS.String()}, Attr{"seq", cfg.Known.Seq})
+	g.cfg = *cfg
+	g.do(Effect{Kind: Names, Addr: cfg.DNS})
+	if cfg.Known.Seq > g.serial {
+		g.serial = cfg.Known.Seq
+		g.applyList(cfg.Known.Engines, rules.ListDelta)
+	}
+	g.query()
+}
+
 // poll asks the name service, again and again.
 func (g *Gateway) poll() {
 	g.query()
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -11,6 +11,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -106,7 +107,7 @@
 	log    *zap.Logger
 	box    *mailbox
 	engine *nbio.Engine
-	udp    *stdnet.UDPConn
+	udp    *stdnet.UDPConn // to the name service; the reducer's goroutine has it
 	start  time.Time
 	unix   int64 // microseconds at start
 
@@ -116,14 +117,14 @@
 	accepted gateway.ConnID
 	dials    sync.WaitGroup
 	ending   atomic.Bool
-	udpDone  chan struct{}
+	readers  sync.WaitGroup // of UDP
 }
 
-// Run serves until the process is asked to end by stop, and all is answered.
-func Run(cfg config.Config, log *zap.Logger, stop <-chan os.Signal) error {
+// Run serves until the process is asked to end by a signal, and all is answered.
+// SIGHUP makes it read its configuration again; any other signal asks it to end.
+func Run(cfg config.Config, log *zap.Logger, signals <-chan os.Signal) error {
 	e := &Edge{cfg: cfg, log: log, box: newMailbox(), conns: map[gateway.ConnID]*conn{},
-		byNB: map[*nbio.Conn]*conn{}, start: time.Now(),
-		udpDone: make(chan struct{})}
+		byNB: map[*nbio.Conn]*conn{}, start: time.Now()}
 	e.unix = e.start.UnixMicro()
 	if err := e.open(); err != nil {
 		return err
@@ -131,7 +132,7 @@
 	defer e.close()
 	log.Info("serving", zap.String("name", cfg.Name), zap.Stringer("listen", cfg.Listen),
 		zap.Int("engines", len(cfg.Known.Engines)))
-	e.loop(stop)
+	e.loop(signals)
 	return nil
 }
 
@@ -143,11 +144,9 @@
 func (e *Edge) open() error {
 	logging.SetLogger(quiet{})
 	nbio.MaxOpenFiles = max(e.cfg.Limits.Sockets, 4096) // numbers of descriptors that its table holds
-	udp, err := stdnet.DialUDP("udp", nil, stdnet.UDPAddrFromAddrPort(e.cfg.DNS))
-	if err != nil {
+	if err := e.openUDP(e.cfg.DNS); err != nil {
 		return err
 	}
-	e.udp = udp
 	e.engine = nbio.NewEngine(nbio.Config{
 		Network: "tcp", Addrs: []string{e.cfg.Listen.String()}, NPoller: 1, ReadBufferSize: readBuffer,
 		MaxConnReadTimesPerEventLoop: readsInTurn,
@@ -180,10 +179,25 @@
 		time.Sleep(10 * time.Millisecond) // descriptors ran out: they come back when something closes
 	})
 	if err := e.engine.Start(); err != nil {
-		udp.Close()
+		e.udp.Close()
+		e.readers.Wait()
 		return err
 	}
-	go e.readUDP()
+	return nil
+}
+
+// openUDP goes over to a name service. Only what comes from there is read from then on.
+func (e *Edge) openUDP(addr netip.AddrPort) error {
+	udp, err := stdnet.DialUDP("udp", nil, stdnet.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return err
+	}
+	if e.udp != nil {
+		e.udp.Close()
+	}
+	e.udp = udp
+	e.readers.Add(1)
+	go e.readUDP(udp)
 	return nil
 }
 
@@ -191,7 +205,7 @@
 	e.ending.Store(true)
 	e.box.close()
 	e.udp.Close()
-	<-e.udpDone
+	e.readers.Wait()
 	e.dials.Wait()
 	e.engine.Stop()
 }
@@ -251,11 +265,11 @@
 	e.box.put(gateway.Event{Kind: gateway.DialFailed, Conn: id, Err: err})
 }
 
-func (e *Edge) readUDP() {
-	defer close(e.udpDone)
+func (e *Edge) readUDP(udp *stdnet.UDPConn) {
+	defer e.readers.Done()
 	buf := make([]byte, e.cfg.Limits.Datagram)
 	for {
-		n, err := e.udp.Read(buf)
+		n, err := udp.Read(buf)
 		switch {
 		case err == nil:
 			e.box.put(gateway.Event{Kind: gateway.Datagram, Data: buf[:n]})
@@ -278,7 +292,7 @@
 }
 
 // loop is the reducer's goroutine.
-func (e *Edge) loop(stop <-chan os.Signal) {
+func (e *Edge) loop(signals <-chan os.Signal) {
 	g := gateway.New(e.cfg, e.now())
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
@@ -301,8 +315,10 @@
 		select {
 		case <-e.box.ready:
 		case <-wake.C:
-		case <-stop:
-			g.Step(e.now(), gateway.Event{Kind: gateway.Terminate})
+		case s := <-signals:
+			if ev, ok := e.signal(s); ok {
+				g.Step(e.now(), ev)
+			}
 		}
 		if rest := turns.rest(e.now()); rest > 0 {
 			time.Sleep(time.Duration(rest) * time.Microsecond)
@@ -319,6 +335,20 @@
 	}
 }
 
+// signal is what a signal means to the reducer. A configuration that can't be used changes nothing.
+func (e *Edge) signal(s os.Signal) (ev gateway.Event, ok bool) {
+	if s != syscall.SIGHUP {
+		return gateway.Event{Kind: gateway.Terminate}, true
+	}
+	cfg, err := e.cfg.Reload()
+	if err != nil {
+		e.log.Warn("configuration kept as it was", zap.Error(err))
+		return ev, false
+	}
+	e.cfg = cfg
+	return gateway.Event{Kind: gateway.Reload, Config: &cfg}, true
+}
+
 func (e *Edge) carryOut(f *gateway.Effect) {
 	switch f.Kind {
 	case gateway.Write:
@@ -346,6 +376,10 @@
 		if _, err := e.udp.Write(f.Data); err != nil {
 			e.log.Warn("name service: query not sent", zap.Error(err))
 		}
+	case gateway.Names:
+		if err := e.openUDP(f.Addr); err != nil {
+			e.log.Warn("name service: not reached at its new address", zap.Error(err))
+		}
 	case gateway.Log:
 		e.write(f)
 	}
