Blame no engine for spoilt answers, end their connection at once, and bound bad clients

Checked: each unreadable answer or reset ended all attempts on its connection, and every one of them was told to the module as a reset, each a failure of the engine (gateway/links.go dropLink; rules.go learn, failed): two in a row pass badLimit, so the engine got but a trickle for 0.5 to 4 s.

An outcome says now whether it tells of its engine. Spoilt answers never do, of the attempts that a reset breaks the oldest does, dials that fail for want of descriptors here do not. An answer that stops short ends its connection after 0.3 s instead of at each request's time-out; second copies of answers and pages are let pass.

Clients: a connection that asks for nothing is refused after 2.2 s (10 s before) and gives way to newcomers where places are short; idle ones go after 4.6 s (60 s); unfinished packets after 2.2 s; where unfinished input grows too large, who holds most goes; timeouts, work and memory out of range are refused. The accepting goroutine waits while clients are over their part of the descriptors. What waits for the reducer and for engines follows from the memory.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -17,14 +17,18 @@
 	Sockets     int   // descriptors, of which it keeps a reserve
 
 	// Clients.
-	Clients     int // connections
-	ClientShare int // of these, what clients use at most, one request on each at a time
-	Statement   int // bytes of a packet
-	ClientOut   int // bytes that wait for a client that does not read
-	InputBytes  int // of all clients' statements, open and unfinished
-	Requests    int // open
-	LoginWithin rules.Time
+	Clients     int        // connections
+	ClientShare int        // of these, what clients use at most, one request on each at a time
+	AcceptAhead int        // connections accepted over Clients before the reducer has closed others
+	Login       int        // bytes of a packet before the login
+	Statement   int        // bytes of a packet behind it
+	ClientOut   int        // bytes that wait for a client that does not read
+	InputBytes  int        // of all clients' statements, open and unfinished
+	Requests    int        // open
+	LoginWithin rules.Time // of connecting: the login and a first command; of its first byte: a packet
 	IdleFor     rules.Time
+	Faults      int        // commands of a session that can't be used, before it is closed
+	Patience    rules.Time // of a client, in times of its class's deadline: more is no figure of a client's
 	WayMost     rules.Time // allowed for the ways between client and gateway, at most
 	WayPart     rules.Time // and this part of the client's patience, as a divisor
 
@@ -39,6 +43,7 @@
 	LinkOut     int // bytes that wait for an engine that does not read
 	ResultBytes int // of all results that wait for their last page
 	LinkIdle    rules.Time
+	AnswerWhole rules.Time // from when an answer's bytes stop coming until its connection is ended
 	Connect     rules.Time
 	ProbeWithin rules.Time
 
@@ -48,6 +53,8 @@
 	Polls     int // queries that an answer may still come to
 
 	// Life.
+	Mailbox     int        // bytes that wait for the reducer before reading stops
+	Arena       int        // of these, the room kept for the next turn
 	Turn        rules.Time // least time between two turns of the reducer
 	StatsEvery  rules.Time // between lines that count what was done
 	Sweep       rules.Time // how often connections are looked over
@@ -79,38 +86,45 @@
 		Sockets:     sockets,
 		Clients:     free / 2,
 		ClientShare: sockets / 3,
-		Statement:   mb,
-		ClientOut:   mb / 4,
+		AcceptAhead: reserve / 2,
+		Login:       4096,
+		Statement:   64 << 10,        // those seen are a few hundred bytes
+		ClientOut:   128 << 10,       // two results
 		InputBytes:  int(memory / 8), // and as much for packets that are not whole yet
 		Requests:    free / 2,
-		LoginWithin: 10 * rules.Second,
-		IdleFor:     60 * rules.Second,
+		LoginWithin: 2200 * rules.Millisecond,
+		IdleFor:     4600 * rules.Millisecond, // clients leave idle connections after 4 s
+		Faults:      16,
+		Patience:    10,
 		WayMost:     200 * rules.Millisecond,
 		WayPart:     5,
-		Links:       16,
+		Links:       32,
 		AllLinks:    free / 3,
 		Multiplex:   max(s.Multiplex, 1),
-		Line:        4096,
-		Page:        16 << 10,
+		Line:        1024,
+		Page:        8 << 10,
 		Pages:       256,
 		Result:      64 << 10,
 		ResultBytes: int(memory / 8),
-		LinkOut:     4 * mb,
+		LinkOut:     int(memory / 32),
+		AnswerWhole: 300 * rules.Millisecond,
 		LinkIdle:    max(s.ConnIdle-2*rules.Second, s.ConnIdle/2),
 		Connect:     s.Rules.Limits.ConnectTimeout,
 		ProbeWithin: s.Rules.Limits.ConnectTimeout,
 		PollEvery:   100 * rules.Millisecond,
 		Datagram:    9000,
 		Polls:       16,
+		Mailbox:     int(memory / 32),
+		Arena:       int(memory / 256),
 		Turn:        2 * rules.Millisecond,
 		StatsEvery:  10 * rules.Second,
-		Sweep:       500 * rules.Millisecond,
+		Sweep:       200 * rules.Millisecond,
 		StopWithin:  3 * rules.Second,
 		StopLinger:  900 * rules.Millisecond,
 		FlushWithin: 300 * rules.Millisecond,
 	}
 	if s.ConnIdle <= 0 {
-		l.LinkIdle = l.IdleFor // engines are not said to close idle connections
+		l.LinkIdle = 60 * rules.Second // engines are not said to close idle connections
 	}
 	if most := s.Rules.Limits.MaxOpen; most > 0 {
 		l.Requests = min(l.Requests, most)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -61,6 +61,9 @@
 // Feed adds bytes that have come; they are copied.
 func (d *Decoder) Feed(p []byte) { d.in.Add(p) }
 
+// Held is how many bytes wait for the rest of their answer.
+func (d *Decoder) Held() int { return d.in.Len() }
+
 var crlf = []byte("\r\n")
 
 // Next returns the next whole answer, or ok false if there is none yet.
@@ -72,6 +75,9 @@
 		if len(b) >= d.MaxLine {
 			return a, false, ErrLineTooLong
 		}
+		if !printable(bytes.TrimSuffix(b, crlf[:1])) {
+			return a, false, ErrMalformed // it need not wait for an end that noise may never have
+		}
 		return a, false, nil
 	}
 	a, size, err := parse(b[:end])
@@ -93,6 +99,15 @@
 	return a, true, nil
 }
 
+func printable(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 func parse(line []byte) (a Answer, size int, err error) {
 	id, rest, ok1 := bytes.Cut(line, []byte{' '})
 	word, rest, ok2 := bytes.Cut(rest, []byte{' '})
@@ -154,10 +169,13 @@
 	return nil
 }
 
-// decimal reads a figure that is not negative and finite.
+// mostFigure is over all that milliseconds, megabytes or a report can be.
+const mostFigure = 1e9
+
+// decimal reads a figure that is not negative and within bounds.
 func decimal(b []byte) (float64, bool) {
 	f, err := strconv.ParseFloat(string(b), 64)
-	return f, err == nil && f >= 0 && f < 1e15
+	return f, err == nil && f >= 0 && f < mostFigure
 }
 
 // ParseReport reads a load report such as inflight:7;util:0.61. What can't be read is left out.
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -28,13 +28,16 @@
 	request *request
 	killed  bool // its query was killed: no answer follows, so the session is of no more use
 	seen    rules.Time
-	partial int // bytes of an unfinished packet
+	partial int        // bytes of an unfinished packet
+	began   rules.Time // when that packet did
+	faults  int        // commands that could not be used
+	fresh   *list.Element
 	idle    *list.Element
 }
 
 func (g *Gateway) accept(id ConnID) {
-	c := &client{pipe: pipe{id: id}, login: true, seen: g.now, dec: mysql.Decoder{Max: g.lim.Statement}}
-	if len(g.clients) >= g.lim.Clients {
+	c := &client{pipe: pipe{id: id}, login: true, seen: g.now, dec: mysql.Decoder{Max: g.lim.Login}}
+	if len(g.clients) >= g.lim.Clients && !g.giveWay() {
 		g.log(Warn, "client: too many connections", Attr{"clients", len(g.clients)})
 		c.out = mysql.AppendErr(nil, 0, mysql.CodeTooMany, "Too many connections")
 		g.shut(&c.pipe)
@@ -45,6 +48,7 @@
 		g.session++
 	}
 	c.session = g.session
+	c.fresh = g.fresh.PushBack(c)
 	g.clients[id], g.sessions[c.session] = c, c
 	var scramble [20]byte
 	for i := range scramble {
@@ -54,6 +58,43 @@
 	g.touch(&c.pipe)
 }
 
+// giveWay closes the connection that is worth least to make room for a newcomer: the longest silent
+// one that has asked for nothing yet, else the longest idle one. Hundreds that say nothing would
+// otherwise turn everybody else away.
+func (g *Gateway) giveWay() bool {
+	if e := g.fresh.Front(); e != nil {
+		g.turnOut(e.Value.(*client), "no room for a connection that asks for nothing")
+	} else if e := g.idle.Front(); e != nil {
+		g.closeClient(e.Value.(*client))
+	} else {
+		return false
+	}
+	return true
+}
+
+// turnOut closes a connection on which nothing was asked, with the refusal that its client may be
+// about to read as the answer to its login or its first command.
+func (g *Gateway) turnOut(c *client, why string) {
+	seq := byte(1)
+	if c.login {
+		seq = 2
+	}
+	g.log(Info, "client: turned out", Attr{"session", c.session}, Attr{"login", c.login}, Attr{"why", why})
+	c.out = mysql.AppendErr(c.out, seq, mysql.CodeTooMany, why)
+	g.closeClient(c)
+}
+
+// unlist takes a session off the lists of those that wait for their client.
+func (g *Gateway) unlist(c *client) {
+	if c.fresh != nil {
+		g.fresh.Remove(c.fresh)
+	}
+	if c.idle != nil {
+		g.idle.Remove(c.idle)
+	}
+	c.fresh, c.idle = nil, nil
+}
+
 // dropClient forgets a session and gives its request up.
 func (g *Gateway) dropClient(c *client) {
 	c.ended = true
@@ -61,10 +102,7 @@
 	c.partial = 0
 	delete(g.clients, c.id)
 	delete(g.sessions, c.session)
-	if c.idle != nil {
-		g.idle.Remove(c.idle)
-		c.idle = nil
-	}
+	g.unlist(c)
 	g.abandon(c.request)
 }
 
@@ -80,6 +118,9 @@
 		return
 	}
 	c.seen = g.now
+	if c.fresh != nil {
+		return
+	}
 	if c.idle == nil {
 		c.idle = g.idle.PushBack(c)
 	} else {
@@ -90,7 +131,16 @@
 	}
 }
 
+// sweepClients closes sessions that outstay what any client does: those that are idle for longer than
+// clients keep connections, ask for nothing, leave a packet unfinished or stay on after a KILL.
 func (g *Gateway) sweepClients() {
+	for e := g.fresh.Front(); e != nil; e = g.fresh.Front() {
+		c := e.Value.(*client)
+		if g.now-c.seen < g.lim.LoginWithin {
+			break
+		}
+		g.turnOut(c, "nothing was asked in time")
+	}
 	for e := g.idle.Front(); e != nil; e = g.idle.Front() {
 		c := e.Value.(*client)
 		if g.now-c.seen < g.lim.IdleFor {
@@ -99,13 +149,24 @@
 		g.closeClient(c)
 	}
 	for _, c := range g.clients {
-		if (c.login || c.killed) && g.now-c.seen >= g.lim.LoginWithin {
-			g.log(Info, "client: nothing came in time", Attr{"session", c.session}, Attr{"login", c.login})
+		switch {
+		case c.killed && g.now-c.seen >= g.lim.LoginWithin:
 			g.closeClient(c)
+		case c.partial > 0 && g.now-c.began >= g.lim.LoginWithin:
+			g.breach(c, 1, &mysql.Error{Code: mysql.CodeOutOfOrder, Text: "a packet never ends"})
 		}
 	}
 }
 
+// unusable answers a command that can't be used. Whoever goes on sending such is not listened to any more.
+func (g *Gateway) unusable(c *client, code uint16, text string) {
+	if c.faults++; c.faults > g.lim.Faults {
+		g.breach(c, 1, &mysql.Error{Code: code, Text: text})
+		return
+	}
+	g.answerErr(c, code, text)
+}
+
 func (g *Gateway) answerErr(c *client, code uint16, text string) {
 	c.out = mysql.AppendErr(c.out, 1, code, text)
 	g.touch(&c.pipe)
@@ -123,6 +184,7 @@
 		if !ok {
 			return
 		}
+		c.began = g.now // what follows it
 		if c.login {
 			g.clientLogin(c, payload, seq)
 		} else {
@@ -137,10 +199,19 @@
 	if c.ended {
 		held = 0
 	}
+	if c.partial == 0 {
+		c.began = g.now
+	}
 	g.partial += held - c.partial
 	c.partial = held
-	if held > 0 && g.partial > g.lim.InputBytes {
-		g.breach(c, 1, &mysql.Error{Code: mysql.CodeTooLarge, Text: "too much input is unfinished"})
+	for g.partial > g.lim.InputBytes {
+		most := c
+		for _, o := range g.clients {
+			if o.partial > most.partial {
+				most = o
+			}
+		}
+		g.breach(most, 1, &mysql.Error{Code: mysql.CodeTooLarge, Text: "too much input is unfinished"})
 	}
 }
 
@@ -173,10 +244,9 @@
 		g.breach(c, seq+1, err)
 		return
 	}
-	c.login = false
+	c.login, c.dec.Max = false, g.lim.Statement
 	c.out = mysql.AppendOK(c.out, seq+1)
 	g.touch(&c.pipe)
-	g.clientIdle(c)
 }
 
 func (g *Gateway) command(c *client, payload []byte, seq byte) {
@@ -191,6 +261,7 @@
 		g.breach(c, 1, &mysql.Error{Code: mysql.CodeUnknownCom, Text: "empty command"})
 		return
 	}
+	g.unlist(c)
 	switch com := mysql.Command(payload[0]); com {
 	case mysql.ComQuit:
 		g.closeClient(c)
@@ -201,19 +272,16 @@
 		g.answerOK(c)
 	case mysql.ComInitDB:
 		if string(payload[1:]) != clientDatabase {
-			g.answerErr(c, mysql.CodeUnknownDB, "unknown database")
+			g.unusable(c, mysql.CodeUnknownDB, "unknown database")
 		} else {
 			g.answerOK(c)
 		}
 	default:
 		g.log(Info, "client: unknown command", Attr{"session", c.session}, Attr{"command", int(com)})
-		g.answerErr(c, mysql.CodeUnknownCom, "unknown command")
+		g.unusable(c, mysql.CodeUnknownCom, "unknown command")
 	}
 	if c.request == nil {
 		g.clientIdle(c)
-	} else if c.idle != nil {
-		g.idle.Remove(c.idle)
-		c.idle = nil
 	}
 }
 
@@ -229,7 +297,7 @@
 		q, err := mysql.ParseQuery(text)
 		if err != nil {
 			g.log(Info, "client: unusable query", Attr{"session", c.session}, Attr{"error", err.Error()})
-			g.answerErr(c, mysql.CodeParse, err.Error())
+			g.unusable(c, mysql.CodeParse, err.Error())
 			return
 		}
 		g.open(c, &q)
@@ -257,14 +325,14 @@
 		}
 	}
 	g.log(Info, "client: query without fields", Attr{"session", c.session})
-	g.answerErr(c, mysql.CodeParse, "no comment with fields ahead of the statement")
+	g.unusable(c, mysql.CodeParse, "no comment with fields ahead of the statement")
 }
 
 // kill ends another session's query, without an answer to it, or the session.
 func (g *Gateway) kill(c *client, session uint32, query bool) {
 	target := g.sessions[session]
 	if target == nil {
-		g.answerErr(c, mysql.CodeNoThread, "unknown session")
+		g.unusable(c, mysql.CodeNoThread, "unknown session")
 		return
 	}
 	g.answerOK(c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,7 @@
 	Conn ConnID
 	Data []byte
 	Err  error
+	Ours bool // with DialFailed: for want of something here, such as descriptors
 
 	Config *config.Config // with Reload: what holds from now on
 }
@@ -111,7 +112,8 @@
 
 	clients   map[ConnID]*client
 	sessions  map[uint32]*client
-	idle      list.List // of clients without a request, longest idle first
+	fresh     list.List // of clients that have asked for nothing yet, oldest first
+	idle      list.List // of other clients without a request, longest idle first
 	inputHeld int       // bytes of statements held for all clients
 	partial   int       // bytes of unfinished packets of all clients
 	session   uint32    // last id given
@@ -197,7 +199,7 @@
 		if c := g.clients[e.Conn]; c != nil {
 			g.dropClient(c)
 		} else if l := g.links[e.Conn]; l != nil {
-			g.dropLink(l, e.Err)
+			g.dropLink(l, e.Err, false)
 		}
 	case Connected:
 		if l := g.links[e.Conn]; l != nil {
@@ -205,7 +207,7 @@
 		}
 	case DialFailed:
 		if l := g.links[e.Conn]; l != nil {
-			g.dropLink(l, e.Err)
+			g.dropLink(l, e.Err, e.Ours)
 		}
 	case Datagram:
 		g.datagram(e.Data)
@@ -298,6 +300,7 @@
 	timerPoll
 	timerStop
 	timerStats
+	timerWhole
 )
 
 type timer struct {
@@ -306,6 +309,7 @@
 	token   string
 	attempt *attempt
 	probe   *probe
+	link    *link
 }
 
 // timers is a heap by time. Timers are not taken back: one that has lost its
@@ -378,6 +382,8 @@
 			g.lingered = true
 		case timerStats:
 			g.logStats()
+		case timerWhole:
+			g.checkWhole(t.link)
 		}
 	}
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"slices"
 	"strconv"
 
@@ -23,6 +24,7 @@
 	probes  map[string]*probe
 	used    rules.Time // when something was last written or read
 	heard   rules.Time // when something was last read
+	watched bool       // a timer looks whether an answer is whole by then
 }
 
 type probe struct {
@@ -159,8 +161,10 @@
 	l.engine.links = slices.DeleteFunc(l.engine.links, func(o *link) bool { return o == l })
 }
 
-// dropLink: the connection broke, or never came up.
-func (g *Gateway) dropLink(l *link, err error) {
+// dropLink: the connection broke, or never came up. Connections break for reasons that say nothing of
+// their engine, and one may carry dozens of requests: of those it breaks but the oldest tells of it.
+// The next dial shows whether the engine is there. With spoilt, none does.
+func (g *Gateway) dropLink(l *link, err error, spoilt bool) {
 	g.removeLink(l)
 	if l.load() > 0 {
 		text := ""
@@ -175,6 +179,7 @@
 		verdict = rules.VerdictReset
 	}
 	for _, a := range slices.Clone(l.waiting) {
+		a.spoilt = spoilt
 		g.conclude(a, rules.VerdictConnectFailed)
 	}
 	lost := make([]*attempt, 0, len(l.open))
@@ -182,7 +187,8 @@
 		lost = append(lost, a)
 	}
 	slices.SortFunc(lost, func(a, b *attempt) int { return int(a.at - b.at) })
-	for _, a := range lost {
+	for i, a := range lost {
+		a.spoilt = spoilt || i > 0
 		g.conclude(a, rules.VerdictReset)
 	}
 	for _, p := range l.probes {
@@ -230,12 +236,11 @@
 	for !l.ended {
 		m, ok, err := l.dec.Next()
 		if err != nil {
-			g.log(Warn, "engine: broken protocol", Attr{"engine", l.engine.entry.ID}, Attr{"error", err.Error()})
-			g.shut(&l.pipe)
-			g.dropLink(l, err)
+			g.spoil(l, err)
 			return
 		}
 		if !ok {
+			g.watch(l)
 			return
 		}
 		if a := l.open[string(m.ID)]; a != nil {
@@ -251,6 +256,37 @@
 	}
 }
 
+// spoil ends a connection on which an answer came that can't be read or is not whole: nothing behind it
+// can be told apart any more. That happens to answers of any engine alike.
+func (g *Gateway) spoil(l *link, err error) {
+	g.log(Warn, "engine: broken protocol", Attr{"engine", l.engine.entry.ID}, Attr{"requests", l.load()},
+		Attr{"error", err.Error()})
+	g.shut(&l.pipe)
+	g.dropLink(l, err, true)
+}
+
+var errUnfinished = errors.New("engine: an answer never ends")
+
+// watch looks later whether an answer that has begun is whole: one that stops short would leave all
+// requests on its connection waiting, and swallow what comes behind it.
+func (g *Gateway) watch(l *link) {
+	if l.dec.Held() > 0 && !l.watched {
+		l.watched = true
+		g.timers.add(timer{at: l.heard + g.lim.AnswerWhole, kind: timerWhole, link: l})
+	}
+}
+
+func (g *Gateway) checkWhole(l *link) {
+	l.watched = false
+	switch {
+	case l.ended || l.dec.Held() == 0:
+	case g.now-l.heard < g.lim.AnswerWhole:
+		g.watch(l)
+	default:
+		g.spoil(l, errUnfinished)
+	}
+}
+
 // ---- probes
 
 func (g *Gateway) probe(id rules.EngineID) {
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -37,6 +37,7 @@
 	link     *link // nil: never had one
 	sent     bool  // written to a connection that was up
 	done     bool
+	spoilt   bool       // how it ends says nothing of its engine
 	at       rules.Time // when the module sent it
 	deadline rules.Time
 	priority int
@@ -56,19 +57,24 @@
 func (g *Gateway) open(c *client, q *mysql.Query) {
 	class, ok := g.classes[q.Fields.Class]
 	if !ok {
-		g.answerErr(c, mysql.CodeParse, fmt.Sprintf("unknown class %.40q", q.Fields.Class))
+		g.unusable(c, mysql.CodeParse, fmt.Sprintf("unknown class %.40q", q.Fields.Class))
 		return
 	}
 	tenant := 0
 	if q.Fields.Tenant != "" {
 		if tenant = slices.Index(g.cfg.Settings.Tenants, q.Fields.Tenant); tenant < 0 {
-			g.answerErr(c, mysql.CodeParse, fmt.Sprintf("unknown tenant %.40q", q.Fields.Tenant))
+			g.unusable(c, mysql.CodeParse, fmt.Sprintf("unknown tenant %.40q", q.Fields.Tenant))
 			return
 		}
 	}
+	patience := rules.Time(q.Fields.TimeoutMS) * rules.Millisecond
+	if most := g.cfg.Settings.Rules.Classes[class].GiveUp * g.lim.Patience; most > 0 && patience > most {
+		g.unusable(c, mysql.CodeParse, fmt.Sprintf("a timeout of %d ms is out of range", q.Fields.TimeoutMS))
+		return
+	}
 	id := rules.RequestID(q.Fields.ID)
 	if g.requests[id] != nil {
-		g.answerErr(c, mysql.CodeFailed, "a request with this id is open")
+		g.unusable(c, mysql.CodeFailed, "a request with this id is open")
 		return
 	}
 	if len(g.requests) >= g.lim.Requests || g.inputHeld+len(q.Statement) > g.lim.InputBytes {
@@ -78,7 +84,6 @@
 	}
 	// The client counts from when it sent the request and until it has the answer. Both ways take time,
 	// more where machines are busy, so its answer must leave earlier.
-	patience := rules.Time(q.Fields.TimeoutMS) * rules.Millisecond
 	due := g.now + patience - min(patience/g.lim.WayPart, g.lim.WayMost)
 	r := &request{id: id, client: c, class: q.Fields.Class, stats: &g.stats.classes[class], at: g.now, due: due,
 		statement: bytes.Clone(q.Statement), priority: engine.DefaultPriority}
@@ -234,7 +239,7 @@
 		a.took = g.now - a.at
 	}
 	g.freePages(a)
-	o := rules.Outcome{ID: r.id, Attempt: a.index, Engine: 0, Verdict: v, Latency: a.took, Closed: r.answered}
+	o := rules.Outcome{ID: r.id, Attempt: a.index, Engine: 0, Verdict: v, Latency: a.took, Closed: r.answered, Spoilt: a.spoilt}
 	if a.engine != nil {
 		o.Engine = a.engine.id
 	}
@@ -276,11 +281,16 @@
 func (g *Gateway) badAnswer(a *attempt, what string) {
 	g.log(Warn, "engine: unusable answer", Attr{"engine", a.engine.entry.ID}, Attr{"request", string(a.request.id)},
 		Attr{"what", what})
+	a.spoilt = true
 	g.giveUp(a, rules.VerdictError)
 }
 
 func (g *Gateway) firstPage(a *attempt, m *engine.Answer) {
 	total := max(m.Total, 1)
+	if a.served && total == len(a.pages) {
+		g.page(a, 0, m.Body) // a second copy, unless its rows are others
+		return
+	}
 	if a.served || total > g.lim.Pages {
 		g.badAnswer(a, "served twice, or too many pages")
 		return
@@ -327,9 +337,14 @@
 
 func (g *Gateway) page(a *attempt, n int, body []byte) {
 	switch {
-	case !a.served || n < 0 || n >= len(a.pages) || a.pages[n] != nil:
+	case !a.served || n < 0 || n >= len(a.pages):
 		g.badAnswer(a, "a page that was not asked for")
 		return
+	case a.pages[n] != nil:
+		if !bytes.Equal(a.pages[n], body) {
+			g.badAnswer(a, "a page that comes twice, each time another")
+		}
+		return
 	case a.bytes+len(body) > g.lim.Result:
 		g.badAnswer(a, "the result is too large")
 		return
--- a/internal/mysql/sql.go
+++ b/internal/mysql/sql.go
@@ -34,7 +34,7 @@
 const (
 	idDigits    = 16
 	mostTimeout = 1 << 40 // ms; more can't be a client's patience
-	mostAmount  = 1e15
+	mostAmount  = 1e9     // ms or MB
 )
 
 // HasFields answers whether a statement opens with a comment.
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -25,10 +25,8 @@
 )
 
 const (
-	readBuffer   = 32 << 10
-	readsInTurn  = 64      // of one connection before the next has its turn
-	mailboxBytes = 4 << 20 // that wait for the reducer before reading stops
-	keepArena    = 256 << 10
+	readBuffer  = 16 << 10
+	readsInTurn = 16 // of one connection before the next has its turn
 )
 
 // mailbox holds what has happened until the reducer takes it. Its bytes lie in
@@ -39,12 +37,14 @@
 	events []gateway.Event
 	arena  []byte
 	bytes  int
+	most   int // bytes that wait before reading stops
+	keep   int // room of an arena that is used again
 	ready  chan struct{}
 	closed bool
 }
 
-func newMailbox() *mailbox {
-	m := &mailbox{ready: make(chan struct{}, 1)}
+func newMailbox(l config.Limits) *mailbox {
+	m := &mailbox{ready: make(chan struct{}, 1), most: l.Mailbox, keep: l.Arena}
 	m.room.L = &m.mu
 	return m
 }
@@ -52,7 +52,7 @@
 // put adds an event with a copy of its bytes. Only those that carry bytes wait for room.
 func (m *mailbox) put(e gateway.Event) {
 	m.mu.Lock()
-	for len(e.Data) > 0 && m.bytes > mailboxBytes && !m.closed {
+	for len(e.Data) > 0 && m.bytes > m.most && !m.closed {
 		m.room.Wait()
 	}
 	if len(e.Data) > 0 {
@@ -72,7 +72,7 @@
 // take swaps what has come for the buffers of the last turn.
 func (m *mailbox) take(events []gateway.Event, arena []byte) ([]gateway.Event, []byte) {
 	clear(events)
-	if cap(arena) > keepArena {
+	if cap(arena) > m.keep {
 		arena = nil
 	}
 	m.mu.Lock()
@@ -97,6 +97,7 @@
 	pending atomic.Int64 // bytes written and not yet taken by the system
 	most    int64        // bytes that may be pending
 	closing atomic.Bool  // to be closed once they are
+	client  bool         // accepted, not dialled
 }
 
 var errNotRead = errors.New("the other side does not read")
@@ -112,6 +113,8 @@
 	unix   int64 // microseconds at start
 
 	mu       sync.Mutex
+	fewer    sync.Cond // clients, or the end
+	clients  int       // connections that were accepted and are not closed
 	conns    map[gateway.ConnID]*conn
 	byNB     map[*nbio.Conn]*conn
 	accepted gateway.ConnID
@@ -123,9 +126,10 @@
 // Run serves until the process is asked to end by a signal, and all is answered.
 // SIGHUP makes it read its configuration again; any other signal asks it to end.
 func Run(cfg config.Config, log *zap.Logger, signals <-chan os.Signal) error {
-	e := &Edge{cfg: cfg, log: log, box: newMailbox(), conns: map[gateway.ConnID]*conn{},
+	e := &Edge{cfg: cfg, log: log, box: newMailbox(cfg.Limits), conns: map[gateway.ConnID]*conn{},
 		byNB: map[*nbio.Conn]*conn{}, start: time.Now()}
 	e.unix = e.start.UnixMicro()
+	e.fewer.L = &e.mu
 	if err := e.open(); err != nil {
 		return err
 	}
@@ -202,7 +206,10 @@
 }
 
 func (e *Edge) close() {
+	e.mu.Lock()
 	e.ending.Store(true)
+	e.fewer.Broadcast()
+	e.mu.Unlock()
 	e.box.close()
 	e.udp.Close()
 	e.readers.Wait()
@@ -214,6 +221,10 @@
 	e.mu.Lock()
 	delete(e.conns, c.id)
 	delete(e.byNB, c.nb)
+	if c.client {
+		e.clients--
+		e.fewer.Signal()
+	}
 	e.mu.Unlock()
 }
 
@@ -231,13 +242,19 @@
 	return e.byNB[nb]
 }
 
-// onOpen takes in a connection that a client has opened, or that a dial has.
+// onOpen takes in a connection that a client has opened, or that a dial has. Where clients come
+// faster than the reducer can close others for them, the accepting goroutine waits here: descriptors
+// must not run out, or dials to engines fail with them.
 func (e *Edge) onOpen(nb *nbio.Conn) {
 	e.mu.Lock()
 	c, kind := e.byNB[nb], gateway.Connected
 	if c == nil {
+		for e.clients >= e.cfg.Limits.Clients+e.cfg.Limits.AcceptAhead && !e.ending.Load() {
+			e.fewer.Wait()
+		}
 		e.accepted++
-		c, kind = &conn{id: e.accepted, nb: nb, most: int64(e.cfg.Limits.ClientOut)}, gateway.Accepted
+		e.clients++
+		c, kind = &conn{id: e.accepted, nb: nb, most: int64(e.cfg.Limits.ClientOut), client: true}, gateway.Accepted
 		e.byNB[nb] = c
 	}
 	e.conns[c.id] = c
@@ -262,7 +279,8 @@
 			e.forget(c)
 		}
 	}
-	e.box.put(gateway.Event{Kind: gateway.DialFailed, Conn: id, Err: err})
+	ours := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+	e.box.put(gateway.Event{Kind: gateway.DialFailed, Conn: id, Err: err, Ours: ours})
 }
 
 func (e *Edge) readUDP(udp *stdnet.UDPConn) {
--- a/rules/api.go
+++ b/rules/api.go
@@ -238,6 +238,7 @@
 		Verdict      Verdict
 		Latency      Time
 		Closed       bool
+		Spoilt       bool    // how it ended says nothing of the engine: answers of any are spoilt alike
 		TrueWork     Time    // with VerdictOK where costs are told; else 0
 		TrueMemoryMB float64 // likewise
 		Load         map[string]float64
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -643,6 +643,9 @@
 // count too: figures of survivors alone would look better than things are.
 func (m *Module) learn(r *request, a *attempt, o Outcome) {
 	c, e := r.class, a.engine
+	if o.Spoilt { // answers of any engine are: none is left out for it
+		return
+	}
 	switch o.Verdict {
 	case VerdictMoot:
 		return
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -828,3 +828,27 @@
 		t.Errorf("got %v, want %v", ended, want)
 	}
 }
+
+// Spoilt answers come from any engine alike; two of them in a row kept all but a trickle from an
+// engine. They say nothing of it, while errors of its own still count.
+func TestSpoiltAnswersLeaveNoEngineOut(t *testing.T) {
+	for _, spoilt := range []bool{true, false} {
+		f := site(t, plain(quick), 3)
+		for range 12 {
+			f.ask(0, nil)
+			for _, o := range f.pending() {
+				o.Spoilt = spoilt
+				f.resolve(o, VerdictReset)
+			}
+		}
+		sick := 0
+		for _, e := range f.m.engines {
+			if f.m.sick(e) {
+				sick++
+			}
+		}
+		if spoilt != (sick == 0) {
+			t.Errorf("spoilt %v: %d engines of 3 are left out", spoilt, sick)
+		}
+	}
+}
