Inject bad clients, spoilt answers and reloads into the rule tests; rest keys after bad answers

The property tests of the seven rules on the reducer have now clients that send what no client would (each owed an error or a close within 3 s, none may reach an engine), answers that can't be read, do not fit, stop short or come twice, and a configuration read again every second.

On loopback: 300 connections that say nothing or no packet, at 32 MB and 256 descriptors, while clients beside them are served within a second.

Work and memory that an answer tells are learned from only if an engine of that kind can have spent them in the time the attempt took.

--- a/internal/gateway/bad_test.go
+++ b/internal/gateway/bad_test.go
@@ -701,3 +701,25 @@
 		}
 	}
 }
+
+// Figures that no engine of the kind can have spent are not learned from, though the answer is good.
+func TestIncredibleFigures(t *testing.T) {
+	for _, c := range []struct {
+		work, memory float64
+		took         rules.Time
+		want         bool
+	}{
+		{100, 64, 50 * rules.Millisecond, true}, {1e8, 64, 50 * rules.Millisecond, false}, {100, 1e8, 50 * rules.Millisecond, false},
+		{16, 0, 0, true}, {17, 0, 0, false},
+	} {
+		b := newBench(t)
+		a := &attempt{engine: b.g.order[0], work: c.work, memory: c.memory, took: c.took}
+		if got := b.g.credible(a); got != c.want {
+			t.Errorf("%+v: got %v", c, got)
+		}
+		a.engine = &engineState{}
+		if !b.g.credible(a) {
+			t.Errorf("%+v: nothing is known of that kind", c)
+		}
+	}
+}
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -243,7 +243,7 @@
 	if a.engine != nil {
 		o.Engine = a.engine.id
 	}
-	if v == rules.VerdictOK && g.cfg.Settings.Rules.TellsCost {
+	if v == rules.VerdictOK && g.cfg.Settings.Rules.TellsCost && g.credible(a) {
 		o.TrueWork = rules.Time(a.work * float64(rules.Millisecond))
 		o.TrueMemoryMB = a.memory
 	}
@@ -254,6 +254,19 @@
 	g.tell(o)
 }
 
+// credible answers whether an engine of that kind can have spent the work and the memory that an answer
+// tells. Of one that was spoilt without a sign the module must not learn.
+func (g *Gateway) credible(a *attempt) bool {
+	kinds := g.cfg.Settings.Rules.Kinds
+	i := indexOf(g.cfg.Settings.KindNames, a.engine.entry.Kind)
+	if i >= len(kinds) {
+		return true // nothing is known of it
+	}
+	k := kinds[i]
+	return (k.Cores <= 0 || a.work <= k.Cores*float64(a.took/rules.Millisecond+1)) &&
+		(k.MemoryMB <= 0 || a.memory <= k.MemoryMB)
+}
+
 // ---- results
 
 // answer takes what an engine says of an attempt.
@@ -277,12 +290,12 @@
 	}
 }
 
-// badAnswer ends an attempt whose answer makes no sense. It may have run.
+// badAnswer ends an attempt whose answer makes no sense. It may have run, and may still run: its key rests.
 func (g *Gateway) badAnswer(a *attempt, what string) {
 	g.log(Warn, "engine: unusable answer", Attr{"engine", a.engine.entry.ID}, Attr{"request", string(a.request.id)},
 		Attr{"what", what})
 	a.spoilt = true
-	g.giveUp(a, rules.VerdictError)
+	g.giveUp(a, rules.VerdictReset)
 }
 
 func (g *Gateway) firstPage(a *attempt, m *engine.Answer) {
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"testing"
@@ -63,13 +65,14 @@
 	if len(w.free) == 0 || w.chance(0.1) {
 		w.next++
 		c := &wconn{id: w.next, client: true, request: r}
+		r.client = c
 		w.conns[c.id] = c
 		w.step(Event{Kind: Accepted, Conn: c.id})
 		w.send(c, append(login(), q...))
 	} else {
 		c := w.free[len(w.free)-1]
 		w.free = w.free[:len(w.free)-1]
-		c.request = r
+		c.request, r.client = r, c
 		w.send(c, q)
 	}
 	w.after(patience+slack, func() {
@@ -82,9 +85,59 @@
 	}
 }
 
+// badClient sends what no client would, in one piece or in two, and reads what it is sent. It is owed
+// an error or a close within 3 s.
+func (w *world) badClient() {
+	w.next++
+	c := &wconn{id: w.next, client: true, bad: true, owed: true}
+	w.conns[c.id] = c
+	open := "open"
+	for _, r := range w.taken {
+		if !r.over {
+			open = r.id
+		}
+	}
+	const ask = "/* kind=point,req=%s,timeout=%s */ SELECT 1 FROM sales_1.x"
+	in := login()
+	switch w.rng.IntN(10) {
+	case 0:
+		in = nil // says nothing
+	case 1:
+		in = in[:w.rng.IntN(len(in))]
+	case 2: // asks for nothing
+	case 3:
+		q := query(fmt.Sprintf(ask, "00000000000000ab", "900"))
+		in = append(in, q[:w.rng.IntN(len(q))]...)
+	case 4: // 16 MB, of which little comes
+		in = append(append(in, 0xff, 0xff, 0xff, 0), bytes.Repeat([]byte{3}, 9000)...)
+	case 5:
+		in = append(in, query(fmt.Sprintf(ask, "00000000000000ab", []string{"-1", "0", "1e9", "NaN", "99999999999", ""}[w.rng.IntN(6)]))...)
+	case 6:
+		in = append(in, query(fmt.Sprintf("/* kind=%s,req=%s,timeout=900,need_mb=%s */ SELECT 1", []string{"other", "point"}[w.rng.IntN(2)],
+			"00000000000000ab", "-4"))...)
+	case 7:
+		in = append(in, query(fmt.Sprintf(ask, open, "900"))...)
+	case 8:
+		in = append(in, query("SELECT 1")...)
+	case 9:
+		in = make([]byte, 4+w.rng.IntN(300))
+		for i := range in {
+			in[i] = byte(w.rng.Uint32())
+		}
+		in[2] |= 1 // a packet larger than any login
+	}
+	w.step(Event{Kind: Accepted, Conn: c.id})
+	w.send(c, in)
+	w.after(3*rules.Second, func() {
+		if c.owed && !w.exited {
+			w.breach(1, "a bad client has no error and no close after 3 s: %.60q", in)
+		}
+	})
+}
+
 func (w *world) send(c *wconn, b []byte) {
 	cut := len(b)
-	if w.chance(0.3) {
+	if len(b) > 0 && w.chance(0.3) {
 		cut = w.rng.IntN(len(b))
 	}
 	if cut > 0 && !c.dead {
@@ -127,6 +180,21 @@
 		}
 		p := c.in[4 : 4+n]
 		r := c.request
+		if c.bad {
+			switch {
+			case c.session == 0 || p[0] == 0: // the greeting, the OK of a login
+				c.session = 1
+			case p[0] == 0xff:
+				if c.owed {
+					c.owed = false
+					w.bad++
+				}
+			default:
+				w.breach(1, "a bad client got %q", p)
+			}
+			c.in = c.in[4+n:]
+			continue
+		}
 		switch {
 		case c.session == 0:
 			if p[0] == 0xff {
@@ -381,6 +449,9 @@
 				if w.sent < 300 || w.served < 100 {
 					t.Errorf("only %d attempts and %d served: the test has lost its subject", w.sent, w.served)
 				}
+				if rough > 0 && (w.bad < 50 || w.spoilt < 2) {
+					t.Errorf("only %d bad clients and %d spoilt answers: the test has lost its subject", w.bad, w.spoilt)
+				}
 				if rough == 0 && w.failed > 0 {
 					t.Errorf("%d failures on a calm day", w.failed)
 				}
@@ -397,6 +468,15 @@
 	}
 	if w.rough > 0 {
 		w.troubles(length)
+		for at := rules.Time(0); at < length; at += rules.Time(w.rng.IntN(60)) * rules.Millisecond {
+			w.after(at, w.badClient)
+		}
+		for at := rules.Second; at < length; at += rules.Second { // the file is read again, as it was
+			w.after(at, func() {
+				cfg := w.g.cfg
+				w.step(Event{Kind: Reload, Config: &cfg})
+			})
+		}
 	}
 	w.after(length, func() {
 		w.stopped = w.now
@@ -445,3 +525,55 @@
 		t.Errorf("%d timers are left", n)
 	}
 }
+
+// Over ten minutes of engines that come and go under new names, at used addresses too, and of clients
+// that are always new, some of which ask once and stay, nothing is kept of what has gone.
+func TestLongDayLeavesNothing(t *testing.T) {
+	w := newWorld(t, 5, 0.2)
+	const length = 10 * 60 * rules.Second
+	n := len(w.engines)
+	for at := rules.Second; at < length; at += 3 * rules.Second {
+		w.after(at, func() { // the oldest leaves, and a new one comes where it was
+			old := w.engines[fmt.Sprintf("s-%08x", n-4)]
+			old.gone = true
+			w.serial++
+			w.after(rules.Second, func() {
+				w.reset(old)
+				old.down = true
+				addr := old.host.Addr
+				old.host.Addr = netip.AddrPort{}
+				e := &wengine{host: old.host, coldSince: w.now}
+				e.host.ID, e.host.Addr, e.host.Started = fmt.Sprintf("s-%08x", n), addr, int64(w.now/rules.Millisecond)
+				w.engines[e.host.ID] = e
+				n++
+				w.serial++
+			})
+		})
+	}
+	for at := rules.Time(0); at < length; at += 30 * rules.Millisecond {
+		w.after(at, func() {
+			w.free = nil // the next client is new
+			w.request()
+		})
+	}
+	var sizes [2][8]int
+	for i := range sizes { // both times a while after a change, in the middle and at the end
+		w.run(w.start + length/2*rules.Time(i+1) - 100*rules.Millisecond)
+		g := w.g
+		links := 0
+		for _, e := range g.order {
+			links += len(e.links)
+		}
+		sizes[i] = [...]int{len(g.engines), len(g.order), len(g.links), len(g.clients), len(g.sessions), len(g.requests), len(g.timers), len(g.module.Beliefs())}
+		if links != len(g.links) || len(g.engines) > 8 || len(g.module.Beliefs()) > 12 || len(g.clients) > 200 || len(g.timers) > 1500 {
+			t.Errorf("at %d s: engines, listed, connections to them, clients, sessions, requests, timers, engines in the module: %v",
+				(w.now-w.start)/rules.Second, sizes[i])
+		}
+	}
+	if w.served < 5000 {
+		t.Errorf("only %d served: the test has lost its subject", w.served)
+	}
+	for _, b := range w.broken[:min(len(w.broken), 5)] {
+		t.Error(b)
+	}
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -44,6 +44,8 @@
 	failed  int
 	exited  bool
 	stopped rules.Time // when SIGTERM came; 0: not yet
+	bad     int        // bad clients that have had their error or their close
+	spoilt  int        // answers that were
 }
 
 type happening struct {
@@ -74,6 +76,8 @@
 	client  bool
 	in      []byte
 	logged  bool
+	bad     bool // sends what no client would
+	owed    bool // an error or a close
 	request *wrequest
 	engine  *wengine
 	open    map[string]*wattempt
@@ -97,6 +101,7 @@
 
 type wrequest struct {
 	id       string
+	client   *wconn
 	class    int
 	key      string
 	at       rules.Time
@@ -399,6 +404,9 @@
 		w.t.Fatalf("request %s reached the engine as %s %q", id, fields, statement)
 	}
 	w.judgeSend(r, e)
+	if r.client == nil || r.client.bad {
+		w.t.Fatalf("engine was asked for %s of a bad client", id)
+	}
 	a := &wattempt{request: r, engine: e, conn: c, at: w.now}
 	r.attempts = append(r.attempts, a)
 	w.sent++
@@ -416,17 +424,18 @@
 		}
 		word, bad := "served", w.rng.Float64()
 		switch {
-		case w.rough == 0 || bad > 0.12:
+		case w.rough == 0 || bad > 0.16:
 		case bad < 0.04:
 			word = "overload"
 		case bad < 0.08:
 			word = "crashed"
 		case bad < 0.09:
 			word = "nobody"
-		case bad < 0.10:
-			w.say(c, id+" served total=2,elapsed=x 0\r\n\r\n", nil)
+		case bad < 0.14:
+			w.spoilt++
+			w.say(c, w.spoil(id), nil)
 			return
-		case bad < 0.11:
+		case bad < 0.15:
 			w.say(c, id+" rows index=3 0\r\n\r\n", func() { w.over(a, false) })
 			return
 		default:
@@ -440,8 +449,12 @@
 		for range 1 + w.rng.IntN(3) {
 			a.pages = append(a.pages, fmt.Sprintf("%s\tpage\t%d\n", id, len(a.pages)))
 		}
-		w.say(c, fmt.Sprintf("%s served total=%d,elapsed=%d,rss=64,rep=queue:0 %d\r\n%s\r\n", id, len(a.pages),
-			r.work/rules.Millisecond, len(a.pages[0]), a.pages[0]), func() {
+		text := fmt.Sprintf("%s served total=%d,elapsed=%d,rss=64,rep=queue:0 %d\r\n%s\r\n", id, len(a.pages),
+			r.work/rules.Millisecond, len(a.pages[0]), a.pages[0])
+		if w.chance(0.05) { // more than belongs to it
+			text = "ffffffffffffffff served total=1 6\r\n9\t9\t9\n\r\n" + text + text
+		}
+		w.say(c, text, func() {
 			if len(a.pages) == 1 {
 				w.over(a, false)
 			}
@@ -449,9 +462,28 @@
 	})
 }
 
+// spoil is an answer that can't be read, does not fit, or stops short.
+func (w *world) spoil(id string) string {
+	return []string{
+		id + " served total=2,elapsed=x 0\r\n\r\n",
+		id + " served total=1 3221225472\r\n1\t2\t3\n",
+		id + " served total=1 600\r\n1\t2",
+		id + " served total=1,elapsed=1e30 0\r\n\r\n",
+		id + " served total=1 4\r\n1\t2\t3\n\r\n",
+		id + " served total=1 4\r\n1\t2\n\r\n",
+		id + " ser",
+		"\x00\x17\xff\x80 served",
+		strings.Repeat("x", 3000),
+	}[w.rng.IntN(9)]
+}
+
 // ended closes a connection from outside, or notes that the gateway did.
 func (w *world) ended(c *wconn, byPeer bool) {
 	c.dead = true
+	if c.owed {
+		c.owed = false
+		w.bad++
+	}
 	for _, a := range c.open {
 		w.cut(a)
 	}
--- a/internal/net/edge_test.go
+++ b/internal/net/edge_test.go
@@ -46,6 +46,12 @@
 }
 
 func newStage(t *testing.T, answers ...func(standin.Ask) standin.Reply) *stage {
+	t.Helper()
+	return newStageOf(t, `{"cores":1,"memory_mb":192,"sockets":1024}`, answers...)
+}
+
+// newStageOf has a gateway with other limits.
+func newStageOf(t *testing.T, limits string, answers ...func(standin.Ask) standin.Reply) *stage {
 	t.Helper()
 	s := &stage{t: t, stop: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	var err error
@@ -69,7 +75,7 @@
 	}
 	s.addr = ln.Addr().String()
 	ln.Close()
-	s.config = `{"name":"n0","listen":"` + s.addr + `","seed":"01","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+	s.config = `{"name":"n0","listen":"` + s.addr + `","seed":"01","limits":` + limits + `,
 		"dns":"` + s.names.Addr() + `","known":{"seq":1,"results":[{"seq":1,"fleet":{"full":true,"servers":[` +
 		strings.Join(servers, ",") + `]}}]},"settings":` + testSettings + `}`
 	cfg, err := config.Parse([]byte(s.config))
@@ -369,3 +375,39 @@
 		}
 	}
 }
+
+// On the smallest machine, hundreds of connections that say nothing, or send what is no packet, get an
+// error or a close within 3 s; a client that asks meanwhile is served at once.
+func TestCrowdOnTheSmallestMachine(t *testing.T) {
+	s := newStageOf(t, `{"cores":0.25,"memory_mb":32,"sockets":256}`, served(5*time.Millisecond, "a\tb\tc\n"))
+	defer s.end()
+	var crowd sync.WaitGroup
+	for i := range 300 {
+		nc, err := stdnet.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		crowd.Go(func() {
+			defer nc.Close()
+			if i%3 == 0 {
+				nc.Write([]byte(strings.Repeat("\xff", 1+i)))
+			}
+			nc.SetReadDeadline(time.Now().Add(3 * time.Second))
+			if _, err := io.Copy(io.Discard, nc); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("connection %d of the crowd was left open", i)
+			}
+		})
+	}
+	for i := range 20 {
+		began := time.Now()
+		fresh, err := sql.Open("mysql", "app@tcp("+s.addr+")/main")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := rows(t.Context(), fresh, fields("point", fmt.Sprintf("%016x", 300+i), 1500)); err != nil || time.Since(began) > time.Second {
+			t.Errorf("a client beside the crowd: %v after %v", err, time.Since(began))
+		}
+		fresh.Close()
+	}
+	crowd.Wait()
+}
