--- a/rules/rules.go
+++ b/rules/rules.go
@@ -21,6 +21,7 @@
 	slowLimit      = 1.35             // times its run alone: slower means too much at once
 	slowPart       = 0.1              // and takes over this part of the time in which it is wanted
 	shareGrow      = 0.2              // growth of our share by a second of an even part's good work
+	startGrow      = 4.0              // times as fast on top of that at our start, fading as all that is learned
 	shareCut       = 0.13             // part of our share cut by a second of an even part in slow attempts
 	shareCutMost   = 0.3              // most that one slow attempt cuts
 	shareLeast     = 1.0              // in even parts: what we always take
@@ -488,11 +489,6 @@
 	return m.s.Limits.PeerMessages && m.s.Siblings > 1 && a.work >= tellFrom*m.usual.mean(0)
 }
 
-// tell lets peers know what runs of ours on an engine, of what they hear of.
-func (m *Module) tell(e *engine) {
-	m.do(TellPeers{Payload: note{e.ID, e.told.threads, e.told.work}.encode()})
-}
-
 // busy is the engine time predicted for what runs there of ours and for the request itself. With few
 // queries of ours out, the engine's drag is all that tells two engines apart.
 func (m *Module) busy(r *request, e *engine) float64 {
@@ -584,7 +580,7 @@
 	a.told = m.tellsOf(&a)
 	r.begin(a, &m.all)
 	if a.told {
-		m.tell(e)
+		m.do(TellPeers{Payload: e.tells()})
 	}
 	if m.cold(e) {
 		e.sent = append(e.sent, sending{m.now, r.class.usual.mean(work)})
@@ -613,7 +609,7 @@
 	m.learn(r, a, o)
 	r.conclude(a, o.Verdict, &m.all)
 	if a.told {
-		m.tell(a.engine)
+		m.do(TellPeers{Payload: a.engine.tells()})
 	}
 	if a.engine.State == EngineGone {
 		m.forgetEngines()
@@ -685,7 +681,8 @@
 	if waiting || lag > max(slowLimit*alone, slowPart*float64(r.wanted(work))) {
 		m.tooSlow(a, lag)
 	} else if o.Verdict == VerdictOK && m.usedUp() {
-		m.share = min(m.share+shareGrow*m.evenSeconds(work), shareMost*float64(m.s.Siblings))
+		grow := shareGrow * (1 + startGrow*math.Exp(-float64(m.now-m.born)/float64(learnWindow)))
+		m.share = min(m.share+grow*m.evenSeconds(work), shareMost*float64(m.s.Siblings))
 	}
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -885,3 +885,26 @@
 		}
 	}
 }
+
+// A gateway that has just started took seconds to learn that it may use what others leave, and held
+// queries meanwhile beside engines that were half empty. Its share grows faster at first, not for good.
+func TestShareGrowsFasterAfterAStart(t *testing.T) {
+	grown := func(age Time) float64 {
+		s := plain(quick)
+		s.Siblings = 3
+		f := site(t, s, 3)
+		f.m.born = f.now - age
+		for range 40 {
+			f.ask(0, nil)
+		}
+		before := f.share()
+		for _, o := range f.pending() {
+			o.Latency = 90 * Millisecond
+			f.resolve(o, VerdictOK)
+		}
+		return f.share() - before
+	}
+	if young, old := grown(0), grown(60*Second); old <= 0 || young < 3*old {
+		t.Fatalf("grew by %.4f after a start and by %.4f a minute later", young, old)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -293,6 +293,9 @@
 	}
 }
 
+// tells is what peers hear of an engine: what runs of ours there, of that which they are told.
+func (e *engine) tells() []byte { return note{e.ID, e.told.threads, e.told.work}.encode() }
+
 // Beliefs tells what is held of each engine, in the order they were first listed.
 func (m *Module) Beliefs() []Belief {
 	out := make([]Belief, 0, len(m.engines))
