--- a/rules/rules.go
+++ b/rules/rules.go
@@ -11,6 +11,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 )
 
@@ -21,7 +22,7 @@
 	slowLimit      = 1.35             // times its run alone: slower means too much at once
 	slowPart       = 0.1              // and takes over this part of the time in which it is wanted
 	shareGrow      = 0.2              // growth of our share by a second of an even part's good work
-	startGrow      = 4.0              // times as fast on top of that at our start, fading as all that is learned
+	startGrow      = 4.0              // times that on top of it after our start, fading over the window
 	shareCut       = 0.13             // part of our share cut by a second of an even part in slow attempts
 	shareCutMost   = 0.3              // most that one slow attempt cuts
 	shareLeast     = 1.0              // in even parts: what we always take
@@ -439,11 +440,16 @@
 }
 
 // pick takes the less busy, by the time we predicted for what runs there, of two random engines that
-// may take the request.
+// may take the request. One that had an attempt of it gets another only where no other engine may.
 func (m *Module) pick(r *request) *engine {
 	if m.listAble(r, m.homes(r)); len(m.able) < 2 {
 		m.listAble(r, m.engines)
 	}
+	if len(r.attempts) > 0 {
+		if others := slices.DeleteFunc(slices.Clone(m.able), r.triedOn); len(others) > 0 {
+			m.able = others
+		}
+	}
 	n := len(m.able)
 	if n < 2 {
 		return append(m.able, nil)[0]
@@ -544,13 +550,7 @@
 func (m *Module) sick(e *engine) bool { return e.bad >= badLimit || m.now < e.restTill }
 
 func (m *Module) sharedFault() bool {
-	failing := 0
-	for _, e := range m.engines {
-		if m.sick(e) {
-			failing++
-		}
-	}
-	return float64(failing) > sharedPart*float64(len(m.engines))
+	return float64(m.count(m.sick)) > sharedPart*float64(len(m.engines))
 }
 
 // grant is the memory we ask for: the need of most requests with such an estimate.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -908,3 +908,28 @@
 		t.Fatalf("grew by %.4f after a start and by %.4f a minute later", young, old)
 	}
 }
+
+// All three attempts of a query went to one engine that had just died, before it was known to fail. A
+// further attempt goes elsewhere; where there is nowhere else, it may go there again.
+func TestFurtherAttemptsGoElsewhere(t *testing.T) {
+	for engines := 1; engines <= 3; engines++ {
+		for range 20 {
+			f := site(t, plain(quick), engines)
+			id := f.ask(0, nil)
+			for range 3 {
+				if p := f.pending(); len(p) > 0 {
+					p[0].Spoilt = true
+					f.resolve(p[0], VerdictReset)
+				}
+				f.advance(Millisecond)
+			}
+			seen := map[EngineID]bool{}
+			for _, a := range f.requests[id].attempts[:engines] {
+				seen[a.engine.ID] = true
+			}
+			if len(seen) != engines || len(f.requests[id].attempts) != 4 {
+				t.Fatalf("%d engines: %d attempts, the first on %v", engines, len(f.requests[id].attempts), seen)
+			}
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -293,6 +293,21 @@
 	}
 }
 
+// triedOn answers whether the request had an attempt on an engine.
+func (r *request) triedOn(e *engine) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.engine == e })
+}
+
+// count is how many engines are so.
+func (m *Module) count(is func(*engine) bool) (n int) {
+	for _, e := range m.engines {
+		if is(e) {
+			n++
+		}
+	}
+	return n
+}
+
 // tells is what peers hear of an engine: what runs of ours there, of that which they are told.
 func (e *engine) tells() []byte { return note{e.ID, e.told.threads, e.told.work}.encode() }
 
