--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -81,6 +81,11 @@
 
 func FuzzAnswers(f *testing.F) {
 	f.Add("9b served total=2,rep=a:1;b 4\r\na\tb\n\r\n", 3)
+	f.Add("9b served total=1 3221225472\r\na\tb\n", 5) // 3 GB to come
+	f.Add("9b served total=1 600\r\na\tb", 4)          // stops short
+	f.Add("9b served total=1,elapsed=1e30 0\r\n\r\n", 7)
+	f.Add("\x00\x17\xff\x80 served", 2)
+	f.Add("9b served total=1 0\r\n\r\n9b served total=1 0\r\n\r\n", 9)
 	f.Fuzz(func(t *testing.T, in string, cut int) {
 		d := Decoder{MaxLine: 100, MaxBody: 50}
 		cut = max(0, min(cut, len(in)))
--- a/internal/mysql/mysql_test.go
+++ b/internal/mysql/mysql_test.go
@@ -176,6 +176,11 @@
 func FuzzClient(f *testing.F) {
 	f.Add([]byte{3, 0, 0, 7, 'a', 'b', 'c'})
 	f.Add([]byte("/* kind=a,req=9b1f03aa5c7e2d41,timeout=5 */ SELECT 'x\\' FROM `a_1`.b -- c"))
+	f.Add([]byte("\xff\xff\xff\x00\x03")) // 16 MB to come
+	f.Add([]byte("/* kind=a,req=9b1f03aa5c7e2d41,timeout=1e9,ms=NaN,need_mb=-Inf */ SELECT 1"))
+	f.Add([]byte("/* kind=a,req=9b1f03aa5c7e2d41,timeout=99999999999999999999 */ SELECT 1"))
+	f.Add([]byte("/* kind=a,req=9b1f03aa5c7e2d4")) // half a request
+	f.Add([]byte("KILL QUERY 99999999999999999999"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		d := Decoder{Max: 1 << 10}
 		d.Feed(b)
