--- a/rules/rules.go
+++ b/rules/rules.go
@@ -11,7 +11,6 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"strings"
 )
 
@@ -126,7 +125,7 @@
 			m.engines = append(m.engines, e)
 		}
 		if entry.StartedAt != e.StartedAt {
-			e.bad, e.drag, e.restTill = 0, 0, 0
+			e.bad, e.drag, e.pause = 0, 0, pause{}
 		}
 		e.Engine = entry
 	}
@@ -278,11 +277,8 @@
 
 // maySend is the one place that says whether the rules allow a (further) attempt on an engine.
 func (m *Module) maySend(r *request, e *engine) bool {
-	return e.State == EngineServing && m.placed(r, e) && m.mayRepeat(r, e) && m.coldRoom(r, e)
-}
-
-func (m *Module) placed(r *request, e *engine) bool {
-	return contains(r.class.Zones, e.Zone) && contains(r.class.Kinds, e.Kind)
+	return e.State == EngineServing && contains(r.class.Zones, e.Zone) && contains(r.class.Kinds, e.Kind) &&
+		m.mayRepeat(r, e) && m.coldRoom(r, e)
 }
 
 func (m *Module) mayRepeat(r *request, e *engine) bool {
@@ -445,11 +441,7 @@
 	if m.listAble(r, m.homes(r)); len(m.able) < 2 {
 		m.listAble(r, m.engines)
 	}
-	if len(r.attempts) > 0 {
-		if others := slices.DeleteFunc(slices.Clone(m.able), r.triedOn); len(others) > 0 {
-			m.able = others
-		}
-	}
+	m.able = without(m.able, r.triedOn)
 	n := len(m.able)
 	if n < 2 {
 		return append(m.able, nil)[0]
@@ -540,17 +532,27 @@
 // one, and that part is better than none.
 func (m *Module) trusted(r *request, e *engine) bool {
 	inTime := r.late || m.now+r.runTime(m.predict(r), math.Exp(e.drag)) <= r.arrived+r.wanted(m.predict(r))
-	if inTime && (!m.sick(e) || m.sharedFault()) {
+	if inTime && (!m.shuns(r.class, e) || m.sharedFault(r.class)) {
 		return true
 	}
-	return r.class.Effect == EffectSafe && m.priority(r) > 1 && e.out == 0 && m.now >= e.restTill
+	return r.class.Effect == EffectSafe && m.priority(r) > 1 && e.out == 0 &&
+		m.now >= max(e.till, e.turned[r.class].till)
 }
 
 // sick: it fails much, or is resting after that.
-func (m *Module) sick(e *engine) bool { return e.bad >= badLimit || m.now < e.restTill }
+func (m *Module) sick(e *engine) bool { return e.bad >= badLimit || m.now < e.till }
 
-func (m *Module) sharedFault() bool {
-	return float64(m.count(m.sick)) > sharedPart*float64(len(m.engines))
+// shuns: it is sick, or has turned away the class and rests from it.
+func (m *Module) shuns(c *class, e *engine) bool { return m.sick(e) || m.now < e.turned[c].till }
+
+func (m *Module) sharedFault(c *class) bool {
+	return float64(m.count(c, m.shuns)) > sharedPart*float64(len(m.engines))
+}
+
+// longer is a rest that follows another: twice as long, within bounds.
+func (p pause) longer(now Time) pause {
+	rest := min(max(2*p.rest, restFirst), restMost)
+	return pause{rest, now + rest}
 }
 
 // grant is the memory we ask for: the need of most requests with such an estimate.
@@ -654,11 +656,13 @@
 			m.failed(e)
 		}
 	case VerdictFull:
-		m.cutShare(shareCutMost)
+		m.cutShare(shareCutMost * min(1, e.drag/math.Log(slowLimit))) // it may be full of something else
+		e.turned[c] = e.turned[c].longer(m.now)
 		return
 	case VerdictOK:
 		e.bad -= badGain * e.bad
 		e.rest = 0
+		delete(e.turned, c)
 	}
 	work := m.predict(r)
 	if o.Verdict == VerdictOK && o.TrueWork > 0 {
@@ -703,9 +707,7 @@
 	}
 }
 
-func (m *Module) cutShare(by float64) {
-	m.share = max(m.share*(1-min(by, shareCutMost)), shareLeast)
-}
+func (m *Module) cutShare(by float64) { m.share = max(m.share*(1-min(by, shareCutMost)), shareLeast) }
 
 // usedUp answers whether we come near what we may put on the fleet, so that more would be used.
 func (m *Module) usedUp() bool {
@@ -719,8 +721,7 @@
 func (m *Module) failed(e *engine) {
 	e.bad += badGain * (1 - e.bad)
 	if e.bad >= badLimit {
-		e.rest = min(max(2*e.rest, restFirst), restMost)
-		e.restTill = m.now + e.rest
+		e.pause = e.pause.longer(m.now)
 	}
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -46,16 +46,16 @@
 
 type engine struct {
 	Engine
-	load             // of ours
-	told     load    // the part of it that peers hear of
-	others   others  // what peers tell of theirs
-	drag     float64 // learned logarithm of run time over that of running alone
-	heard    Time    // when the drag last learned
-	bad      float64 // learned share of failures
-	rest     Time
-	restTill Time
-	loads    map[int]int // ours that run there, by data set
-	sent     []sending   // while it is cold: what we sent within the tip window
+	load                    // of ours
+	told   load             // the part of it that peers hear of
+	others others           // what peers tell of theirs
+	drag   float64          // learned logarithm of run time over that of running alone
+	heard  Time             // when the drag last learned
+	bad    float64          // learned share of failures
+	pause                   // from all but a trickle
+	turned map[*class]pause // from classes that it turned away
+	loads  map[int]int      // ours that run there, by data set
+	sent   []sending        // while it is cold: what we sent within the tip window
 }
 
 // load is what runs of ours.
@@ -83,6 +83,9 @@
 	}
 }
 
+// pause is a rest from an engine.
+type pause struct{ rest, till Time }
+
 type sending struct {
 	at   Time
 	work float64
@@ -214,7 +217,7 @@
 }
 
 func newEngine() *engine {
-	return &engine{loads: map[int]int{}}
+	return &engine{loads: map[int]int{}, turned: map[*class]pause{}}
 }
 
 // remember sets the span that all learned figures of a class look back.
@@ -298,10 +301,10 @@
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.engine == e })
 }
 
-// count is how many engines are so.
-func (m *Module) count(is func(*engine) bool) (n int) {
+// count is how many engines are so to a class.
+func (m *Module) count(c *class, is func(*class, *engine) bool) (n int) {
 	for _, e := range m.engines {
-		if is(e) {
+		if is(c, e) {
 			n++
 		}
 	}
--- a/rules/tools.go
+++ b/rules/tools.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"math"
 	"math/rand/v2"
+	"slices"
 )
 
 // This file holds plain tools: a heap's upkeep, a forgetting mean, a draw. It decides nothing.
@@ -128,6 +129,17 @@
 	return list == nil
 }
 
+// without is the list without what is so, or the whole list where all is.
+func without[T any](list []T, is func(T) bool) []T {
+	if !slices.ContainsFunc(list, is) {
+		return list
+	}
+	if rest := slices.DeleteFunc(slices.Clone(list), is); len(rest) > 0 {
+		return rest
+	}
+	return list
+}
+
 // note is what one gateway tells the others of an engine.
 type note struct {
 	engine  EngineID
