Blame an engine for an error only if nothing good came from it since the last one

Checked: 421 requests of bad clients came to engines, which answer an error to ids that they don't know, and each counted against its engine (gateway/requests.go answer, Crashed): two in a row leave it out.

--- a/internal/gateway/bad_test.go
+++ b/internal/gateway/bad_test.go
@@ -723,3 +723,36 @@
 		}
 	}
 }
+
+// Engines answer errors to requests of bad clients, and two in a row left an engine out, whatever it
+// served beside. An error tells of its engine only if nothing good came since the last one.
+func TestErrorsOfAnEngineThatServes(t *testing.T) {
+	for _, serves := range []bool{true, false} {
+		b := newBench(t)
+		b.client(1)
+		b.client(2)
+		for i := range 12 {
+			bad, good := fmt.Sprintf("%016x", 2*i), fmt.Sprintf("%016x", 2*i+1)
+			b.step(Data, 1, ask("load", bad))
+			b.step(Data, 2, ask("point", good))
+			for _, d := range b.dials {
+				if l := b.g.links[d]; l != nil && !l.up {
+					b.step(Connected, d, "")
+				}
+			}
+			answers := map[string]string{good: good + " crashed - 0\r\n\r\n", bad: bad + " crashed - 0\r\n\r\n"}
+			if serves {
+				answers[good] = good + " served total=1 0\r\n\r\n"
+			}
+			for _, id := range []string{good, bad} {
+				if r := b.g.requests[rules.RequestID(id)]; r != nil && r.out > 0 {
+					b.step(Data, r.attempts[len(r.attempts)-1].link.id, answers[id])
+				}
+			}
+			b.pass(50 * rules.Millisecond)
+		}
+		if left := b.g.module.Beliefs()[0].LeftOut; left == serves {
+			t.Errorf("serves beside: %v, left out: %v", serves, left)
+		}
+	}
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -23,6 +23,8 @@
 	state rules.EngineState
 	links []*link
 	heard rules.Time // when something was last read from it
+	good  rules.Time // when it last served something
+	erred rules.Time // when it last answered an error
 	broke rules.Time // when a connection with requests last broke
 }
 
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -280,8 +280,13 @@
 	case engine.Nobody:
 		g.conclude(a, rules.VerdictMoot)
 	case engine.Crashed:
+		// Engines answer an error to what bad clients ask, too: it tells of the engine if nothing good
+		// came from that since the last one.
+		a.spoilt = a.engine.good > a.engine.erred
+		a.engine.erred = g.now
 		g.conclude(a, rules.VerdictError)
 	case engine.Served:
+		a.engine.good = g.now
 		g.firstPage(a, m)
 	case engine.Rows:
 		g.page(a, m.Index, m.Body)
