Share the door fairly by tenant and client, set in the operator's own file

Beside 280 flooding connections 20 quiet clients that ask for an eighth of the capacity lost two thirds of their queries: everybody shared one queue, one limit of connections and one of bytes.

internal/door is a pure reducer: start-time fair queueing over predicted work, tenants and the clients within them, one room ahead of the module a class; connections, requests, statements and unfinished input come from whoever holds most beyond its share; times of return are booked at the tenant's rate and corrected by what proved true. Without it nothing changes.

--- a/cmd/foxlane/main.go
+++ b/cmd/foxlane/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -17,6 +18,7 @@
 
 	"foxlane/internal/config"
 	"foxlane/internal/net"
+	"foxlane/internal/site"
 )
 
 // gcPercent lets garbage grow to what is in use and no more. Little is kept and little is made, so that
@@ -47,6 +49,7 @@
 
 func serveCommand() *cobra.Command {
 	var verbose bool
+	var sitePath string
 	cmd := &cobra.Command{
 		Use:   "serve",
 		Short: "Serve clients, as " + config.EnvConfig + " says, until SIGTERM; SIGHUP reads it again",
@@ -56,10 +59,14 @@
 			if err != nil {
 				return err
 			}
+			if cfg, err = cfg.WithSite(sitePath); err != nil {
+				return err
+			}
 			return serve(cfg, verbose)
 		},
 	}
 	cmd.Flags().BoolVarP(&verbose, "verbose", "v", false, "log at debug level")
+	cmd.Flags().StringVar(&sitePath, "site", "", "the operator's own file (HCL); SIGHUP reads it again")
 	return cmd
 }
 
@@ -96,24 +103,44 @@
 }
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "check FILE",
-		Short: "Read a configuration and say what it holds",
-		Args:  cobra.ExactArgs(1),
+	var sitePath string
+	cmd := &cobra.Command{
+		Use:   "check [FILE] [--site FILE]",
+		Short: "Read a configuration, the operator's own file or both, and say what holds",
+		Args:  cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				if sitePath == "" {
+					return errors.New("check: name a configuration or, with --site, the operator's own file")
+				}
+				s, err := site.LoadFile(sitePath)
+				if err != nil {
+					return err
+				}
+				_, err = fmt.Fprint(cmd.OutOrStdout(), s)
+				return err
+			}
 			c, err := config.LoadFile(args[0])
 			if err != nil {
 				return err
 			}
+			if c, err = c.WithSite(sitePath); err != nil {
+				return err
+			}
 			l := c.Limits
 			_, err = fmt.Fprintf(cmd.OutOrStdout(),
 				"%s listens on %s, name service at %s\n%d classes, %d engines known at event %d\n"+
 					"at most %d clients, %d connections to engines, %d open requests, %d MB of heap\n",
 				c.Name, c.Listen, c.DNS, len(c.Settings.ClassNames), len(c.Known.Engines), c.Known.Seq,
 				l.Clients, l.AllLinks, l.Requests, l.MemoryBytes>>20)
+			if err == nil && c.Site != nil {
+				_, err = fmt.Fprintf(cmd.OutOrStdout(), "the operator's own file, %d bytes for the door to remember:\n%s", l.DoorState, c.Site)
+			}
 			return err
 		},
 	}
+	cmd.Flags().StringVar(&sitePath, "site", "", "the operator's own file (HCL)")
+	return cmd
 }
 
 func versionCommand() *cobra.Command {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,7 @@
 	"strconv"
 
 	"foxlane/internal/settings"
+	"foxlane/internal/site"
 )
 
 // Names of the environment's variables.
@@ -31,6 +32,8 @@
 	Known    Known
 	Settings settings.Settings
 	Limits   Limits
+	SitePath string     // of the operator's own file; empty: none
+	Site     *site.Site // nil: none
 }
 
 // Known is the list of engines at the start.
@@ -113,16 +116,44 @@
 	return c, nil
 }
 
+// WithSite adds what the operator's own file sets. An empty path is no file.
+func (c Config) WithSite(path string) (Config, error) {
+	if path == "" {
+		return c, nil
+	}
+	s, err := site.LoadFile(path)
+	if err != nil {
+		return c, err
+	}
+	if c.SitePath, c.Site = path, s; s.Fair != nil && s.Fair.State > 0 {
+		c.Limits.DoorState = int(s.Fair.State)
+	}
+	if s.Fair != nil && int64(c.Limits.DoorState) > c.Limits.MemoryBytes/4 {
+		return c, fmt.Errorf("site %s: state is %d bytes, over a quarter of the %d that the gateway may use", path, c.Limits.DoorState,
+			c.Limits.MemoryBytes)
+	}
+	return c, nil
+}
+
+// fair answers whether the door is on.
+func (c Config) fair() bool { return c.Site != nil && c.Site.Fair != nil }
+
 // Reload reads the configuration again for a gateway that serves. The name
 // service's address and what it is known to have told may change, the seed is
 // of no more use; anything else that differs is an error. With an error the
 // configuration stays whole as it was: the file may be missing, half written or
-// another gateway's.
+// another gateway's. The operator's own file is read with it, whole or not at all.
 func (c Config) Reload() (Config, error) {
 	next, err := Load()
 	if err != nil {
 		return c, err
 	}
+	if next, err = next.WithSite(c.SitePath); err != nil {
+		return c, err
+	}
+	if c.fair() != next.fair() {
+		return c, errors.New("the block fair can't come or go while the gateway serves")
+	}
 	for _, fixed := range []struct {
 		name     string
 		old, new any
@@ -136,7 +167,7 @@
 			return c, fmt.Errorf("%s can't change while the gateway serves", fixed.name)
 		}
 	}
-	c.DNS, c.Known = next.DNS, next.Known
+	c.DNS, c.Known, c.Site = next.DNS, next.Known, next.Site
 	return c, nil
 }
 
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -28,6 +28,7 @@
 	LoginWithin rules.Time // of connecting: the login and a first command; of its first byte: a packet
 	IdleFor     rules.Time
 	Faults      int        // commands of a session that can't be used, before it is closed
+	DoorState   int        // bytes that remember who had how much of the door
 	Patience    rules.Time // of a client, in times of its class's deadline: more is no figure of a client's
 	WayMost     rules.Time // allowed for the ways between client and gateway, at most
 	WayPart     rules.Time // and this part of the client's patience, as a divisor
@@ -95,6 +96,7 @@
 		LoginWithin: 2200 * rules.Millisecond,
 		IdleFor:     4600 * rules.Millisecond, // clients leave idle connections after 4 s
 		Faults:      16,
+		DoorState:   int(memory / 32),
 		Patience:    10,
 		WayMost:     200 * rules.Millisecond,
 		WayPart:     5,
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"container/list"
 	"errors"
+	"net/netip"
 	"strconv"
 
+	"foxlane/internal/door"
 	"foxlane/internal/mysql"
 	"foxlane/rules"
 )
@@ -22,6 +24,8 @@
 
 type client struct {
 	pipe
+	slot    int // at the door
+	greeted bool
 	session uint32
 	dec     mysql.Decoder
 	login   bool // still to come
@@ -35,9 +39,9 @@
 	idle    *list.Element
 }
 
-func (g *Gateway) accept(id ConnID) {
+func (g *Gateway) accept(id ConnID, from netip.Addr) {
 	c := &client{pipe: pipe{id: id}, login: true, seen: g.now, dec: mysql.Decoder{Max: g.lim.Login}}
-	if len(g.clients) >= g.lim.Clients && !g.giveWay() {
+	if g.gate == nil && len(g.clients) >= g.lim.Clients && !g.giveWay() {
 		g.log(Warn, "client: too many connections", Attr{"clients", len(g.clients)})
 		c.out = mysql.AppendErr(nil, 0, mysql.CodeTooMany, "Too many connections")
 		g.shut(&c.pipe)
@@ -50,6 +54,10 @@
 	c.session = g.session
 	c.fresh = g.fresh.PushBack(c)
 	g.clients[id], g.sessions[c.session] = c, c
+	if g.gate != nil && !g.enterGate(c, from) {
+		return
+	}
+	c.greeted = true
 	var scramble [20]byte
 	for i := range scramble {
 		scramble[i] = byte(1 + g.rng.IntN(127))
@@ -76,7 +84,10 @@
 // about to read as the answer to its login or its first command.
 func (g *Gateway) turnOut(c *client, why string) {
 	seq := byte(1)
-	if c.login {
+	switch {
+	case !c.greeted:
+		seq = 0
+	case c.login:
 		seq = 2
 	}
 	g.log(Info, "client: turned out", Attr{"session", c.session}, Attr{"login", c.login}, Attr{"why", why})
@@ -104,6 +115,7 @@
 	delete(g.sessions, c.session)
 	g.unlist(c)
 	g.abandon(c.request)
+	g.leaveGate(c)
 }
 
 func (g *Gateway) closeClient(c *client) {
@@ -121,6 +133,7 @@
 	if c.fresh != nil {
 		return
 	}
+	g.atGate(door.Event{Kind: door.Idle, Conn: c.slot})
 	if c.idle == nil {
 		c.idle = g.idle.PushBack(c)
 	} else {
@@ -203,7 +216,11 @@
 		c.began = g.now
 	}
 	g.partial += held - c.partial
+	changed := c.partial != held
 	c.partial = held
+	if changed && !c.ended {
+		g.atGate(door.Event{Kind: door.Input, Conn: c.slot, Bytes: held})
+	}
 	for g.partial > g.lim.InputBytes {
 		most := c
 		for _, o := range g.clients {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"foxlane/internal/config"
 	"foxlane/internal/dns"
+	"foxlane/internal/door"
 	"foxlane/rules"
 )
 
@@ -45,7 +46,8 @@
 	Conn ConnID
 	Data []byte
 	Err  error
-	Ours bool // with DialFailed: for want of something here, such as descriptors
+	From netip.Addr // with Accepted: the client's address, if it is known
+	Ours bool       // with DialFailed: for want of something here, such as descriptors
 
 	Config *config.Config // with Reload: what holds from now on
 }
@@ -134,6 +136,8 @@
 	asked    [64]uint16 // ids of the latest queries
 	askedNum int
 
+	gate *gate // nil: the door is off, all requests go to the module at once
+
 	stats    stats
 	stopping bool
 	stopped  bool
@@ -175,6 +179,7 @@
 	for i, name := range cfg.Settings.ClassNames {
 		g.classes[name] = i
 	}
+	g.gate = newGate(&g.cfg)
 	g.applyList(cfg.Known.Engines, rules.ListSaved)
 	g.poll()
 	g.timers.add(timer{at: now + g.lim.Sweep, kind: timerSweep})
@@ -188,7 +193,7 @@
 	g.now = max(g.now, now)
 	switch e.Kind {
 	case Accepted:
-		g.accept(e.Conn)
+		g.accept(e.Conn, e.From)
 	case Data:
 		if c := g.clients[e.Conn]; c != nil {
 			g.clientData(c, e.Data)
@@ -231,7 +236,7 @@
 	}
 	g.dirty = g.dirty[:0]
 	g.maybeExit() // behind the last answers, or they would never be written
-	if at, ok := g.timers.next(); ok && at != g.armed {
+	if at, ok := g.nextWake(); ok && at != g.armed {
 		g.armed = at
 		g.effects = append(g.effects, Effect{Kind: Arm, At: at})
 	}
@@ -275,15 +280,20 @@
 	}
 }
 
+// writeNow sends what is in a pipe ahead of what others hold.
+func (g *Gateway) writeNow(p *pipe) {
+	if len(p.out) > 0 {
+		g.do(Effect{Kind: Write, Conn: p.id, Data: p.out})
+		p.out = nil
+	}
+}
+
 // shut closes a connection behind what was written to it.
 func (g *Gateway) shut(p *pipe) {
 	if p.ended {
 		return
 	}
-	if len(p.out) > 0 {
-		g.do(Effect{Kind: Write, Conn: p.id, Data: p.out})
-		p.out = nil
-	}
+	g.writeNow(p)
 	p.ended = true
 	g.do(Effect{Kind: Close, Conn: p.id})
 }
@@ -358,6 +368,7 @@
 
 func (g *Gateway) ring() {
 	g.armed = 0
+	g.ringGate()
 	for {
 		at, ok := g.timers.next()
 		if !ok || at > g.now {
@@ -448,6 +459,7 @@
 	g.stopping = true
 	g.log(Info, "stopping", Attr{"open", g.unanswered})
 	g.timers.add(timer{at: g.now + g.lim.StopLinger, kind: timerStop})
+	g.atGate(door.Event{Kind: door.Stopping, By: g.now + g.lim.StopWithin})
 	g.tell(rules.Stopping{By: g.now + g.lim.StopWithin})
 }
 
@@ -467,6 +479,7 @@
 func (g *Gateway) reload(cfg *config.Config) {
 	g.log(Info, "configuration read again", Attr{"dns", cfg.DNS.String()}, Attr{"seq", cfg.Known.Seq})
 	g.cfg = *cfg
+	g.retuneGate()
 	g.do(Effect{Kind: Names, Addr: cfg.DNS})
 	if cfg.Known.Seq > g.serial {
 		g.serial = cfg.Known.Seq
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 
+	"foxlane/internal/door"
 	"foxlane/internal/engine"
 	"foxlane/internal/mysql"
 	"foxlane/rules"
@@ -18,6 +19,10 @@
 type request struct {
 	id        rules.RequestID
 	client    *client // nil: it has left
+	slot      int     // at the door
+	passed    bool    // the module knows of it
+	served    bool
+	arrival   *rules.Request // while it is held at the door
 	class     int
 	stats     *classStats
 	at        rules.Time
@@ -62,7 +67,10 @@
 	}
 	tenant := 0
 	if q.Fields.Tenant != "" {
-		if tenant = slices.Index(g.cfg.Settings.Tenants, q.Fields.Tenant); tenant < 0 {
+		if tenant = slices.Index(g.cfg.Settings.Tenants, q.Fields.Tenant); tenant < 0 && g.gate.knows(q.Fields.Tenant) {
+			tenant = 0
+		}
+		if tenant < 0 {
 			g.unusable(c, mysql.CodeParse, fmt.Sprintf("unknown tenant %.40q", q.Fields.Tenant))
 			return
 		}
@@ -77,7 +85,7 @@
 		g.unusable(c, mysql.CodeFailed, "a request with this id is open")
 		return
 	}
-	if len(g.requests) >= g.lim.Requests || g.inputHeld+len(q.Statement) > g.lim.InputBytes {
+	if g.gate == nil && (len(g.requests) >= g.lim.Requests || g.inputHeld+len(q.Statement) > g.lim.InputBytes) {
 		g.log(Warn, "client: too much is open, request refused", Attr{"requests", len(g.requests)})
 		g.answerErr(c, mysql.CodeLimitReached, "too much is open")
 		return
@@ -94,10 +102,25 @@
 	g.inputHeld += len(r.statement)
 	c.request = r
 	work := rules.Time(q.Fields.WorkMS * float64(rules.Millisecond))
-	g.tell(rules.Arrival{Request: rules.Request{
+	arrival := rules.Request{
 		ID: id, Class: class, Tenant: tenant, OrderKey: q.Fields.Key, Due: due, Work: work, HasWork: work > 0,
 		MemoryMB: q.Fields.MemoryMB, DataSet: q.Group, Repeat: q.Fields.Repeat, Write: q.Write,
-	}})
+	}
+	if g.gate != nil {
+		r.arrival = &arrival
+		g.askGate(r, q.Fields.Tenant)
+		return
+	}
+	r.passed = true
+	g.tell(rules.Arrival{Request: arrival})
+}
+
+// pass hands a request to the module, after it was held for a while.
+func (g *Gateway) pass(r *request, held rules.Time) {
+	q := r.arrival
+	q.Held = held
+	r.passed, r.arrival = true, nil
+	g.tell(rules.Arrival{Request: *q})
 }
 
 // settle notes that no answer is owed any more.
@@ -115,8 +138,9 @@
 }
 
 func (g *Gateway) forget(r *request) {
-	if r.answered && r.out == 0 {
+	if r.answered && r.out == 0 && g.requests[r.id] == r {
 		delete(g.requests, r.id)
+		g.atGate(door.Event{Kind: door.Done, Slot: r.slot, Served: r.served})
 	}
 }
 
@@ -128,13 +152,25 @@
 	r.client.request, r.client = nil, nil
 	r.stats.left++
 	g.settle(r)
-	g.tell(rules.Departure{ID: r.id})
+	if r.passed {
+		g.tell(rules.Departure{ID: r.id})
+	}
 }
 
+// refuse carries out the module's refusal. Where the door is on, that names the time of return.
 func (g *Gateway) refuse(r *request, holdOff rules.Time) {
 	if r == nil || r.answered {
 		return
 	}
+	if g.gate != nil {
+		g.atGate(door.Event{Kind: door.TurnDown, Slot: r.slot})
+		return
+	}
+	g.turnAway(r, holdOff)
+}
+
+// turnAway gives the answer that promises that a retry is harmless.
+func (g *Gateway) turnAway(r *request, holdOff rules.Time) {
 	r.stats.refused++
 	text := "the query was refused"
 	if holdOff > 0 {
@@ -166,6 +202,9 @@
 	r.out++
 	r.stats.attempts++
 	r.stats.running++
+	if r.out == 1 {
+		g.atGate(door.Event{Kind: door.Sent, Slot: r.slot})
+	}
 	if s.Timeout != 0 {
 		a.deadline = min(a.deadline, g.now+s.Timeout)
 	}
@@ -216,7 +255,7 @@
 		} else {
 			a.link.out = engine.AppendQuit(a.link.out, id)
 		}
-		g.touch(&a.link.pipe)
+		g.writeNow(&a.link.pipe) // ahead of another attempt, which may go out on a connection that was written to before
 		g.doubt(a)
 	}
 	g.conclude(a, v)
@@ -239,6 +278,9 @@
 		a.took = g.now - a.at
 	}
 	g.freePages(a)
+	if a.sent {
+		g.atGate(door.Event{Kind: door.Spent, Slot: r.slot, Took: a.took})
+	}
 	o := rules.Outcome{ID: r.id, Attempt: a.index, Engine: 0, Verdict: v, Latency: a.took, Closed: r.answered, Spoilt: a.spoilt}
 	if a.engine != nil {
 		o.Engine = a.engine.id
@@ -395,6 +437,7 @@
 		}
 		r.client.out = out
 		g.touch(&r.client.pipe)
+		r.served = true
 		r.stats.served++
 		r.stats.took += g.now - r.at
 		g.settle(r)
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -127,6 +127,9 @@
 		in[2] |= 1 // a packet larger than any login
 	}
 	w.step(Event{Kind: Accepted, Conn: c.id})
+	if r := w.reqs[open]; r != nil && r.over { // it gave way to this connection: its id is free again
+		in = append(login(), query("SELECT 1")...)
+	}
 	w.send(c, in)
 	w.after(3*rules.Second, func() {
 		if c.owed && !w.exited {
@@ -159,10 +162,12 @@
 				w.ended(c, true)
 				return
 			}
-			r.killed, r.over = true, true
-			w.connect(query(fmt.Sprintf("KILL QUERY %d", c.session)))
+			if k := w.connect(nil); !k.dead && !r.over && c.request == r { // neither was turned away for the other
+				r.killed, r.over = true, true
+				w.step(Event{Kind: Data, Conn: k.id, Data: query(fmt.Sprintf("KILL QUERY %d", c.session))})
+			}
 			w.after(500*rules.Millisecond, func() {
-				if !c.dead {
+				if !c.dead && (r.killed || c.request == r) {
 					w.ended(c, true)
 				}
 			})
@@ -474,6 +479,9 @@
 		for at := rules.Second; at < length; at += rules.Second { // the file is read again, as it was
 			w.after(at, func() {
 				cfg := w.g.cfg
+				if w.retune != nil {
+					w.retune(&cfg)
+				}
 				w.step(Event{Kind: Reload, Config: &cfg})
 			})
 		}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -43,9 +43,11 @@
 	refused int
 	failed  int
 	exited  bool
-	stopped rules.Time // when SIGTERM came; 0: not yet
-	bad     int        // bad clients that have had their error or their close
-	spoilt  int        // answers that were
+	stopped rules.Time           // when SIGTERM came; 0: not yet
+	bad     int                  // bad clients that have had their error or their close
+	spoilt  int                  // answers that were
+	from    func() netip.Addr    // of the next client; nil: unknown
+	retune  func(*config.Config) // what changes at a reload; nil: nothing
 }
 
 type happening struct {
@@ -176,6 +178,11 @@
 }
 
 func newWorld(t *testing.T, seed uint64, rough float64) *world {
+	return newWorldWith(t, seed, rough, nil)
+}
+
+// newWorldWith starts a gateway on a configuration that was changed.
+func newWorldWith(t *testing.T, seed uint64, rough float64, change func(*config.Config)) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1_700_000_000 * rules.Second, rough: rough, serial: 1,
 		conns: map[ConnID]*wconn{}, engines: map[string]*wengine{}, reqs: map[string]*wrequest{}}
 	w.start = w.now
@@ -186,7 +193,11 @@
 		hosts = append(hosts, h)
 		w.engines[h.ID] = &wengine{host: h}
 	}
-	w.g = New(worldConfig(t, hosts), w.now)
+	cfg := worldConfig(t, hosts)
+	if change != nil {
+		change(&cfg)
+	}
+	w.g = New(cfg, w.now)
 	w.carryOut()
 	return w
 }
@@ -204,6 +215,9 @@
 	if w.exited {
 		return
 	}
+	if e.Kind == Accepted && w.from != nil {
+		e.From = w.from()
+	}
 	w.g.Step(w.now, e)
 	w.carryOut()
 }
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -9,6 +9,7 @@
 	stdnet "net"
 	"net/netip"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -65,6 +66,7 @@
 	m.mu.Unlock()
 	select {
 	case m.ready <- struct{}{}:
+		runtime.Gosched() // the reducer may go at once, not when the poller's next wait has lost its processor
 	default:
 	}
 }
@@ -259,7 +261,19 @@
 	}
 	e.conns[c.id] = c
 	e.mu.Unlock()
-	e.box.put(gateway.Event{Kind: kind, Conn: c.id})
+	ev := gateway.Event{Kind: kind, Conn: c.id}
+	if c.client {
+		ev.From = addressOf(nb.RemoteAddr())
+	}
+	e.box.put(ev)
+}
+
+// addressOf is the address of the other side, or none.
+func addressOf(a stdnet.Addr) netip.Addr {
+	if tcp, ok := a.(*stdnet.TCPAddr); ok {
+		return tcp.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
 }
 
 // dial connects by the standard library, which tells a refusal from a silence.
--- /dev/null
+++ b/internal/site/fair.go
@@ -0,0 +1,193 @@
+package site
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/hashicorp/hcl/v2"
+	"go4.org/netipx"
+
+	"foxlane/internal/door"
+)
+
+// This file owns the block `fair`: who shares the door, with what weights.
+
+type fairBlock struct {
+	AnyTenant *hcl.Attribute `hcl:"any_tenant,optional"`
+	Weight    *hcl.Attribute `hcl:"weight,optional"`
+	Ahead     *hcl.Attribute `hcl:"ahead,optional"`
+	Burst     *hcl.Attribute `hcl:"burst,optional"`
+	Longest   *hcl.Attribute `hcl:"longest,optional"`
+	Ignored   *hcl.Attribute `hcl:"ignored,optional"`
+	State     *hcl.Attribute `hcl:"state,optional"`
+	Networks  []networkBlock `hcl:"network,block"`
+	Tenants   []tenantBlock  `hcl:"tenant,block"`
+}
+
+type networkBlock struct {
+	Name      string         `hcl:"name,label"`
+	Range     hcl.Range      `hcl:",def_range"`
+	Addresses *hcl.Attribute `hcl:"addresses,optional"`
+	Weight    *hcl.Attribute `hcl:"weight,optional"`
+	Together  *hcl.Attribute `hcl:"together,optional"`
+	Trusted   *hcl.Attribute `hcl:"trusted,optional"`
+}
+
+type tenantBlock struct {
+	Name     string         `hcl:"name,label"`
+	Range    hcl.Range      `hcl:",def_range"`
+	Weight   *hcl.Attribute `hcl:"weight,optional"`
+	Networks *hcl.Attribute `hcl:"networks,optional"`
+}
+
+// Bounds of what may be written. State of under 16 KB would remember nobody.
+const (
+	leastWeight = 1e-6
+	mostWeight  = 1e6
+	mostAhead   = 1024
+	mostIgnored = 250
+	leastState  = 16 << 10
+	mostState   = 1 << 30
+)
+
+func (b *fairBlock) decode() (*Fair, hcl.Diagnostics) {
+	f := &Fair{Door: door.Defaults()}
+	s := &f.Door
+	var r reader
+	r.flag(b.AnyTenant, &s.AnyTenant)
+	r.number(b.Weight, leastWeight, mostWeight, &s.Unlisted)
+	r.count(b.Ahead, 1, mostAhead, &s.Ahead)
+	r.duration(b.Burst, &s.Burst)
+	r.duration(b.Longest, &s.Longest)
+	r.count(b.Ignored, 1, mostIgnored, &s.Ignored)
+	r.size(b.State, leastState, mostState, &f.State)
+	var names []string
+	for _, n := range b.Networks {
+		if slices.Contains(names, n.Name) {
+			r.diags = append(r.diags, wrong(n.Range, "network %q comes twice", n.Name))
+		}
+		r.name(n.Name, "network", n.Range)
+		names = append(names, n.Name)
+		s.Networks = append(s.Networks, n.decode(&r))
+	}
+	seen := map[string]bool{}
+	for _, t := range b.Tenants {
+		r.name(t.Name, "tenant", t.Range)
+		if seen[t.Name] {
+			r.diags = append(r.diags, wrong(t.Range, "tenant %q has no name of its own", t.Name))
+		}
+		seen[t.Name] = true
+		out := door.Tenant{Name: t.Name, Weight: 1}
+		r.number(t.Weight, leastWeight, mostWeight, &out.Weight)
+		for _, w := range r.words(t.Networks) {
+			if !slices.Contains(names, w.text) {
+				hint := ""
+				if near := nearest(w.text, names); near != "" {
+					hint = fmt.Sprintf("; did you mean %q?", near)
+				}
+				r.diags = append(r.diags, wrong(w.at, "no network %q is declared%s", w.text, hint))
+			}
+			out.Networks = append(out.Networks, w.text)
+		}
+		if t.Networks != nil && len(out.Networks) == 0 && !r.diags.HasErrors() {
+			r.diags = append(r.diags, wrong(t.Networks.Range, "tenant %q may be told nowhere: name a network, or leave networks out", t.Name))
+		}
+		s.Tenants = append(s.Tenants, out)
+	}
+	if !r.diags.HasErrors() {
+		if err := s.Validate(); err != nil { // the bounds here are the door's own: nothing should be left
+			r.diags = append(r.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: "fair: " + err.Error()})
+		}
+	}
+	return f, r.diags
+}
+
+func (b *networkBlock) decode(r *reader) door.Network {
+	n := door.Network{Name: b.Name, Weight: 1}
+	r.number(b.Weight, leastWeight, mostWeight, &n.Weight)
+	r.flag(b.Together, &n.Together)
+	r.flag(b.Trusted, &n.Trusted)
+	var set netipx.IPSetBuilder
+	words := r.words(b.Addresses)
+	for _, w := range words {
+		if err := addTo(&set, w.text); err != nil {
+			r.diags = append(r.diags, wrong(w.at, "%v", err))
+		}
+	}
+	if len(words) == 0 && !r.diags.HasErrors() {
+		r.diags = append(r.diags, wrong(b.Range, "network %q holds no address", b.Name))
+	}
+	all, err := set.IPSet()
+	if err != nil {
+		r.diags = append(r.diags, wrong(b.Range, "network %q: %v", b.Name, err))
+	}
+	n.Set = all
+	return n
+}
+
+// addTo adds an address, a prefix or a range, or takes one out that stands behind "!".
+func addTo(set *netipx.IPSetBuilder, text string) error {
+	text, without := strings.CutPrefix(text, "!")
+	if p, err := netip.ParsePrefix(text); err == nil {
+		if p != p.Masked() {
+			return fmt.Errorf("%s has bits behind its length; %s is meant?", text, p.Masked())
+		}
+		if p.Addr().Is4In6() {
+			return fmt.Errorf("%s: write IPv4 networks as such", text)
+		}
+		if without {
+			set.RemovePrefix(p)
+		} else {
+			set.AddPrefix(p)
+		}
+		return nil
+	}
+	if r, err := netipx.ParseIPRange(text); err == nil {
+		if without {
+			set.RemoveRange(r)
+		} else {
+			set.AddRange(r)
+		}
+		return nil
+	}
+	a, err := netip.ParseAddr(text)
+	if err != nil || a.Zone() != "" {
+		return fmt.Errorf("%q is no address, no prefix and no range", text)
+	}
+	if without {
+		set.Remove(a.Unmap())
+	} else {
+		set.Add(a.Unmap())
+	}
+	return nil
+}
+
+func (f *Fair) write(b *bytes.Buffer) {
+	s := f.Door
+	fmt.Fprintf(b, "fair {\n  any_tenant = %v\n  weight     = %v\n  ahead      = %d\n  burst      = %q\n  longest    = %q\n  ignored    = %d\n",
+		s.AnyTenant, s.Unlisted, s.Ahead, timeText(s.Burst), timeText(s.Longest), s.Ignored)
+	if f.State > 0 {
+		fmt.Fprintf(b, "  state      = %q\n", sizeText(f.State))
+	} else {
+		fmt.Fprintf(b, "  # state follows from the machine: a 32nd of its memory\n")
+	}
+	for _, n := range s.Networks {
+		var ranges []string
+		for _, p := range n.Set.Prefixes() {
+			ranges = append(ranges, fmt.Sprintf("%q", p.String()))
+		}
+		fmt.Fprintf(b, "\n  network %q {\n    addresses = [%s]\n    weight    = %v\n    together  = %v\n    trusted   = %v\n  }\n",
+			n.Name, strings.Join(ranges, ", "), n.Weight, n.Together, n.Trusted)
+	}
+	for _, t := range s.Tenants {
+		fmt.Fprintf(b, "\n  tenant %q {\n    weight = %v\n", t.Name, t.Weight)
+		if t.Networks != nil {
+			fmt.Fprintf(b, "    networks = [\"%s\"]\n", strings.Join(t.Networks, `", "`))
+		}
+		b.WriteString("  }\n")
+	}
+	b.WriteString("}\n")
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,112 @@
+// Package site owns the operator's own file: HCL, a block a subsystem,
+// strictly checked, each block absent unless it is written. It must never
+// start anything or guess: what can't be used is an error with its file, line
+// and column, and nothing of such a file holds.
+package site
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+
+	"foxlane/internal/door"
+)
+
+// mostBytes bounds a file: a larger one is no operator's.
+const mostBytes = 4 << 20
+
+// Site is what the operator has set. A subsystem without a block is nil and off.
+type Site struct {
+	Fair *Fair
+}
+
+// Fair are the settings of the door.
+type Fair struct {
+	Door  door.Settings
+	State int64 // bytes that remember principals; 0: what follows from the machine
+}
+
+type document struct {
+	Fair *fairBlock `hcl:"fair,block"`
+}
+
+// LoadFile reads the operator's file.
+func LoadFile(path string) (*Site, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("site: %w", err)
+	}
+	if info.Size() > mostBytes {
+		return nil, fmt.Errorf("site: %s holds %d bytes, %d at most", path, info.Size(), mostBytes)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("site: %w", err)
+	}
+	return Parse(text, path)
+}
+
+// Parse reads the text of a file; the name stands in errors.
+func Parse(text []byte, name string) (*Site, error) {
+	f, diags := hclparse.NewParser().ParseHCL(text, name)
+	if diags.HasErrors() {
+		return nil, problem(diags)
+	}
+	var d document
+	if diags = gohcl.DecodeBody(f.Body, nil, &d); diags.HasErrors() {
+		return nil, problem(diags)
+	}
+	s := &Site{}
+	if d.Fair != nil {
+		fair, diags := d.Fair.decode()
+		if diags.HasErrors() {
+			return nil, problem(diags)
+		}
+		s.Fair = fair
+	}
+	return s, nil
+}
+
+// Problem is all that is wrong with a file, a line each: place and cause.
+type Problem struct{ Lines []string }
+
+func (p *Problem) Error() string { return strings.Join(p.Lines, "\n") }
+
+func problem(diags hcl.Diagnostics) error {
+	p := &Problem{}
+	for _, d := range diags {
+		if d.Severity != hcl.DiagError {
+			continue
+		}
+		text := d.Summary
+		if d.Detail != "" {
+			text += ": " + strings.Join(strings.Fields(d.Detail), " ")
+		}
+		if d.Subject != nil {
+			text = fmt.Sprintf("%s:%d:%d: %s", d.Subject.Filename, d.Subject.Start.Line, d.Subject.Start.Column, text)
+		}
+		p.Lines = append(p.Lines, text)
+	}
+	return p
+}
+
+// wrong is an error about a place of the file.
+func wrong(at hcl.Range, format string, args ...any) *hcl.Diagnostic {
+	return &hcl.Diagnostic{Severity: hcl.DiagError, Summary: fmt.Sprintf(format, args...), Subject: &at}
+}
+
+// String says what holds, defaults included, as a file would.
+func (s *Site) String() string {
+	var b bytes.Buffer
+	if s == nil || s.Fair == nil {
+		b.WriteString("# fair: off\n")
+	} else {
+		s.Fair.write(&b)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/site/site_test.go
@@ -0,0 +1,139 @@
+package site
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"foxlane/rules"
+)
+
+const sample = `
+fair {
+  any_tenant = true
+  ahead      = 6
+  burst      = "250ms"
+  longest    = "1m30s"
+  state      = "1.5MB"
+
+  network "offices" {
+    addresses = ["10.1.0.0/16", "2001:db8::/32", "10.2.0.1-10.2.0.9", "!10.1.9.0/24"]
+    weight    = 2
+    together  = true
+  }
+  network "proxy" {
+    addresses = ["192.0.2.7"]
+    trusted   = true
+  }
+  tenant "coop-a" {
+    weight   = 4
+    networks = ["offices", "proxy"]
+  }
+}
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(sample), "site.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := s.Fair.Door
+	if !d.AnyTenant || d.Ahead != 6 || d.Burst != 250*rules.Millisecond || d.Longest != 90*rules.Second || s.Fair.State != 3<<19 || d.Ignored != 8 {
+		t.Errorf("got %+v, state %d", d, s.Fair.State)
+	}
+	offices := d.Networks[0].Set
+	for addr, in := range map[string]bool{"10.1.2.3": true, "10.1.9.3": false, "10.2.0.9": true, "10.2.0.10": false, "2001:db8::1": true} {
+		if offices.Contains(netip.MustParseAddr(addr)) != in {
+			t.Errorf("%s in offices: %v", addr, !in)
+		}
+	}
+	if len(d.Tenants) != 1 || d.Tenants[0].Weight != 4 || len(d.Tenants[0].Networks) != 2 {
+		t.Errorf("tenants: %+v", d.Tenants)
+	}
+	// What is said to hold is a file that holds the same.
+	again, err := Parse([]byte(s.String()), "again.hcl")
+	if err != nil || again.String() != s.String() {
+		t.Errorf("%v\n%s", err, s)
+	}
+}
+
+func TestWithoutBlocksAllIsOff(t *testing.T) {
+	s, err := Parse([]byte("# nothing\n"), "site.hcl")
+	if err != nil || s.Fair != nil || s.String() != "# fair: off\n" {
+		t.Errorf("got %+v, %v", s, err)
+	}
+	s, err = Parse([]byte("fair {}\n"), "site.hcl")
+	if err != nil || s.Fair == nil {
+		t.Errorf("got %+v, %v", s, err)
+	}
+}
+
+// Every mistake is named with its place, and nothing of the file is taken.
+func TestMistakesHaveTheirPlace(t *testing.T) {
+	for text, want := range map[string]string{
+		"fair {\n  ahed = 3\n}\n":                            `s.hcl:2:3: Unsupported argument: An argument named "ahed" is not expected here. Did you mean "ahead"?`,
+		"fare {\n}\n":                                        `s.hcl:1:1: Unsupported block type`,
+		"fair {\n":                                           "s.hcl:1:6: ",
+		"fair {}\nfair {}\n":                                 "s.hcl:2:1: Duplicate fair block",
+		"fair {\n  burst = \"3 parsecs\"\n}\n":               `s.hcl:2:11: burst: "3 parsecs" is no time`,
+		"fair {\n  burst = \"-3s\"\n}\n":                     "s.hcl:2:11: burst",
+		"fair {\n  burst = 3\n}\n":                           "s.hcl:2:11: burst must be a string",
+		"fair {\n  state = \"3TB\"\n}\n":                     "s.hcl:2:11: state",
+		"fair {\n  state = \"1KB\"\n}\n":                     "s.hcl:2:11: state: 1KB is not within 16KB and 1GB",
+		"fair {\n  ahead = 2.5\n}\n":                         "s.hcl:2:11: ahead: 2.5 is no whole number",
+		"fair {\n  ahead = 0\n}\n":                           "s.hcl:2:11: ahead",
+		"fair {\n  ahead = nope\n}\n":                        "s.hcl:2:11: Variables not allowed",
+		"fair {\n  any_tenant = \"yes\"\n}\n":                "s.hcl:2:16: any_tenant must be a bool",
+		"fair {\n  tenant \"a\" {\n    weight = 0\n  }\n}\n": "s.hcl:3:14: weight: 0 is not within",
+		"fair {\n  tenant \"a$b\" {}\n}\n":                   `s.hcl:2:3: tenant "a$b": a name holds`,
+		"fair {\n  tenant \"a\" {}\n  tenant \"a\" {}\n}\n":  `s.hcl:3:3: tenant "a" has no name of its own`,
+		"fair {\n  tenant \"a\" {\n    networks = [\"offixes\"]\n  }\n  network \"offices\" {\n    addresses = [\"10.0.0.0/8\"]\n  }\n}\n": `s.hcl:3:17: no network "offixes" is declared; did you mean "offices"?`,
+		"fair {\n  tenant \"a\" {\n    networks = []\n  }\n}\n":                                                                            "s.hcl:3:5: tenant",
+		"fair {\n  network \"n\" {\n  }\n}\n":                                                                                              `s.hcl:2:3: network "n" holds no address`,
+		"fair {\n  network \"n\" {\n    addresses = []\n  }\n}\n":                                                                          `s.hcl:2:3: network "n" holds no address`,
+		"fair {\n  network \"n\" {\n    addresses = [\"10.0.0.1/8\"]\n  }\n}\n":                                                            "s.hcl:3:18: 10.0.0.1/8 has bits behind its length",
+		"fair {\n  network \"n\" {\n    addresses = [\"somewhere\"]\n  }\n}\n":                                                             `s.hcl:3:18: "somewhere" is no address`,
+		"fair {\n  network \"n\" {\n    addresses = [7]\n  }\n}\n":                                                                         "s.hcl:3:18: addresses holds something that is no string",
+		"fair {\n  network \"n\" {\n    addresses = \"10.0.0.0/8\"\n  }\n}\n":                                                              "s.hcl:3:17: addresses must be a list",
+	} {
+		s, err := Parse([]byte(text), "s.hcl")
+		if err == nil || s != nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q\n got  %v\n want %s", text, err, want)
+		}
+	}
+}
+
+func TestLoadFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "site.hcl")
+	if _, err := LoadFile(path); err == nil {
+		t.Error("a file that is not there passed")
+	}
+	if err := os.WriteFile(path, make([]byte, mostBytes+1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := LoadFile(path); err == nil || !strings.Contains(err.Error(), "at most") {
+		t.Errorf("a huge file: %v", err)
+	}
+	if err := os.WriteFile(path, []byte(sample), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if s, err := LoadFile(path); err != nil || s.Fair == nil {
+		t.Errorf("got %+v, %v", s, err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(sample))
+	f.Add([]byte("fair {\n ahead = 1e99\n}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse(text, "f.hcl")
+		if err != nil {
+			return
+		}
+		if again, err := Parse([]byte(s.String()), "again.hcl"); err != nil || again.String() != s.String() {
+			t.Errorf("%v\n%s", err, s)
+		}
+	})
+}
--- /dev/null
+++ b/internal/site/values.go
@@ -0,0 +1,205 @@
+package site
+
+import (
+	"fmt"
+	"math"
+	"math/big"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/zclconf/go-cty/cty"
+
+	"foxlane/rules"
+)
+
+// This file owns the values that more than one block has: times and sizes
+// with their units, numbers within bounds.
+
+// reader reads attributes of a block and gathers what is wrong with them.
+type reader struct{ diags hcl.Diagnostics }
+
+func (r *reader) value(a *hcl.Attribute, want cty.Type) (cty.Value, bool) {
+	if a == nil {
+		return cty.NilVal, false
+	}
+	v, diags := a.Expr.Value(nil)
+	if diags.HasErrors() {
+		r.diags = append(r.diags, diags...)
+		return v, false
+	}
+	if !v.IsWhollyKnown() || v.IsNull() || !v.Type().Equals(want) {
+		r.diags = append(r.diags, wrong(a.Expr.Range(), "%s must be a %s", a.Name, want.FriendlyName()))
+		return v, false
+	}
+	return v, true
+}
+
+// duration reads a time such as "250ms" or "1m30s" of at least 0.
+func (r *reader) duration(a *hcl.Attribute, to *rules.Time) {
+	v, ok := r.value(a, cty.String)
+	if !ok {
+		return
+	}
+	d, err := time.ParseDuration(v.AsString())
+	if err != nil || d < 0 || d != d.Truncate(time.Microsecond) {
+		r.diags = append(r.diags, wrong(a.Expr.Range(), "%s: %q is no time; a number with a unit is: us, ms, s, m, h", a.Name, v.AsString()))
+		return
+	}
+	*to = rules.Time(d / time.Microsecond)
+}
+
+var units = []struct {
+	name string
+	n    float64
+}{{"GB", 1 << 30}, {"MB", 1 << 20}, {"KB", 1 << 10}, {"B", 1}}
+
+// size reads a number of bytes such as "64KB" or "1.5MB", in powers of 1,024.
+func (r *reader) size(a *hcl.Attribute, least, most int64, to *int64) {
+	v, ok := r.value(a, cty.String)
+	if !ok {
+		return
+	}
+	n, err := parseSize(v.AsString())
+	switch {
+	case err != nil:
+		r.diags = append(r.diags, wrong(a.Expr.Range(), "%s: %v", a.Name, err))
+	case n < least || n > most:
+		r.diags = append(r.diags, wrong(a.Expr.Range(), "%s: %s is not within %s and %s", a.Name, v.AsString(), sizeText(least), sizeText(most)))
+	default:
+		*to = n
+	}
+}
+
+func parseSize(text string) (int64, error) {
+	for _, u := range units {
+		number, ok := strings.CutSuffix(text, u.name)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
+		if err != nil || !(n >= 0) || n*u.n > math.MaxInt64/2 {
+			break
+		}
+		return int64(n * u.n), nil
+	}
+	return 0, fmt.Errorf("%q is no size; a number with a unit is: B, KB, MB, GB", text)
+}
+
+func sizeText(n int64) string {
+	for _, u := range units {
+		if f := float64(n) / u.n; f >= 1 && f == math.Trunc(f) {
+			return strconv.FormatFloat(f, 'f', -1, 64) + u.name
+		}
+	}
+	return strconv.FormatInt(n, 10) + "B"
+}
+
+func timeText(t rules.Time) string { return (time.Duration(t) * time.Microsecond).String() }
+
+// number reads a number within bounds.
+func (r *reader) number(a *hcl.Attribute, least, most float64, to *float64) {
+	v, ok := r.value(a, cty.Number)
+	if !ok {
+		return
+	}
+	f, _ := v.AsBigFloat().Float64()
+	if !(f >= least && f <= most) {
+		r.diags = append(r.diags, wrong(a.Expr.Range(), "%s: %v is not within %v and %v", a.Name, f, least, most))
+		return
+	}
+	*to = f
+}
+
+// count reads a whole number within bounds.
+func (r *reader) count(a *hcl.Attribute, least, most int, to *int) {
+	v, ok := r.value(a, cty.Number)
+	if !ok {
+		return
+	}
+	n, accuracy := v.AsBigFloat().Int64()
+	if accuracy != big.Exact || n < int64(least) || n > int64(most) {
+		r.diags = append(r.diags, wrong(a.Expr.Range(), "%s: %s is no whole number within %d and %d", a.Name, v.AsBigFloat().Text('g', 10), least, most))
+		return
+	}
+	*to = int(n)
+}
+
+func (r *reader) flag(a *hcl.Attribute, to *bool) {
+	if v, ok := r.value(a, cty.Bool); ok {
+		*to = v.True()
+	}
+}
+
+// words reads a list of strings, each with its place.
+func (r *reader) words(a *hcl.Attribute) (out []word) {
+	if a == nil {
+		return nil
+	}
+	list, diags := hcl.ExprList(a.Expr)
+	if diags.HasErrors() {
+		r.diags = append(r.diags, wrong(a.Expr.Range(), "%s must be a list of strings", a.Name))
+		return nil
+	}
+	out = []word{}
+	for _, e := range list {
+		v, diags := e.Value(nil)
+		if diags.HasErrors() || v.IsNull() || v.Type() != cty.String {
+			r.diags = append(r.diags, wrong(e.Range(), "%s holds something that is no string", a.Name))
+			continue
+		}
+		out = append(out, word{v.AsString(), e.Range()})
+	}
+	return out
+}
+
+// name checks a name that the file gives to something. Quotes and what HCL would expand stay out, so that
+// what check prints can be read again.
+func (r *reader) name(name, what string, at hcl.Range) {
+	bad := func(c rune) bool { return !unicode.IsPrint(c) || strings.ContainsRune("\"\\$%", c) }
+	if name == "" || len(name) > mostName || !utf8.ValidString(name) || strings.ContainsFunc(name, bad) {
+		r.diags = append(r.diags, wrong(at, "%s %.40q: a name holds 1 to %d bytes of text without quotes, backslashes, $ and %%", what, name, mostName))
+	}
+}
+
+const mostName = 128
+
+type word struct {
+	text string
+	at   hcl.Range
+}
+
+// nearest is the name that a wrong one was probably meant to be, or nothing.
+func nearest(name string, of []string) string {
+	best, least := "", max(len(name)/3, 1)+1
+	for _, o := range of {
+		if n := distance(strings.ToLower(name), strings.ToLower(o)); n < least {
+			best, least = o, n
+		}
+	}
+	return best
+}
+
+// distance is the number of letters to insert, drop or change (Levenshtein).
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		last := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			n := last
+			if a[i] != b[j] {
+				n++
+			}
+			last = row[j+1]
+			row[j+1] = min(n, last+1, row[j]+1)
+		}
+	}
+	return row[len(b)]
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -25,10 +25,11 @@
 // Reply is how an engine ends a request.
 type Reply struct {
 	After time.Duration
-	Word  string   // served, overload, crashed, nobody; empty: never
-	Pages []string // of a served one
-	Break bool     // reset the connection instead
-	Raw   string   // write this instead
+	Work  time.Duration // that it tells of a served one; 0: as long as it took
+	Word  string        // served, overload, crashed, nobody; empty: never
+	Pages []string      // of a served one
+	Break bool          // reset the connection instead
+	Raw   string        // write this instead
 }
 
 // Engine is a stand-in for one engine.
@@ -229,7 +230,11 @@
 		if len(r.Pages) > 0 {
 			page = r.Pages[0]
 		}
-		s.write(id, r.Word, fmt.Sprintf("total=%d,elapsed=%d,rss=64", max(len(r.Pages), 1), r.After.Milliseconds()), page)
+		work := r.Work
+		if work == 0 {
+			work = r.After
+		}
+		s.write(id, r.Word, fmt.Sprintf("total=%d,elapsed=%d,rss=64", max(len(r.Pages), 1), work.Milliseconds()), page)
 	case r.Word != "":
 		s.write(id, r.Word, "-", "")
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -184,6 +184,7 @@
 	MemoryMB float64 // told memory; 0: none
 	DataSet  int
 	Repeat   bool // the client says it tried before
+	Held     Time // it has waited for so long ahead of the module
 	Write    bool
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -140,11 +140,11 @@
 	}
 	c := m.classes[q.Class]
 	q.Due = min(q.Due, m.lastDue)
-	r := &request{Request: q, class: c, arrived: m.now, slot: -1}
+	r := &request{Request: q, class: c, arrived: m.now - q.Held, slot: -1}
 	r.queue = c.queues[min(q.Tenant, len(c.queues)-1)]
 	m.open[q.ID] = r
 	if m.s.Duties.Rationed {
-		m.taken = append(recent(m.taken, m.now-m.s.Duties.RationWindow), m.now)
+		m.taken = insert(recent(m.taken, m.now-m.s.Duties.RationWindow), r.arrived)
 	}
 	c.usual.add(m.now, m.predict(r), 1)
 	m.usual.add(m.now, m.predict(r), 1)
--- a/rules/tools.go
+++ b/rules/tools.go
@@ -119,6 +119,18 @@
 	return times
 }
 
+// insert adds a time to times in order. What was held ahead of the module comes later than it was taken.
+func insert(times []Time, t Time) []Time {
+	i := len(times)
+	for i > 0 && times[i-1] > t {
+		i--
+	}
+	times = append(times, t)
+	copy(times[i+1:], times[i:])
+	times[i] = t
+	return times
+}
+
 // contains answers whether a value is in the list, or there is no list.
 func contains(list []int, v int) bool {
 	for _, x := range list {
