Add foxlab: a demo of the door and measurements on loopback

The figures of the door and of the fast path had no tool to take them.

foxlab starts stand-in engines, a name service and clients round a gateway's own process. demo shows quiet clients beside a flood with the door off and on; measure fair, cost and cost-fair print a table and a line a value.

--- /dev/null
+++ b/cmd/foxlab/main.go
@@ -0,0 +1,128 @@
+// Command foxlab is the lab: it shows and measures a gateway on loopback. This
+// file owns its command line. It must never be needed to serve: whatever is
+// large or only for the lab is imported here and not by cmd/foxlane.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"foxlane/internal/lab"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "foxlab:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:           "foxlab",
+		Short:         "Shows and measures a gateway on loopback",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	cmd.PersistentFlags().String("gateway", "", "the gateway's program; built from this repository if not given")
+	cmd.AddCommand(demoCommand(), measureCommand())
+	return cmd
+}
+
+func demoCommand() *cobra.Command {
+	var seconds int
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "A gateway, stand-in engines, a flood and quiet clients, with the door off and on",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			gateway, _ := cmd.Flags().GetString("gateway")
+			if seconds < 1 || seconds > 300 {
+				return fmt.Errorf("--seconds is %d, not within 1 and 300", seconds)
+			}
+			return lab.Demo(cmd.Context(), gateway, seconds, cmd.OutOrStdout(), isTerminal(cmd.OutOrStdout()))
+		},
+	}
+	cmd.Flags().IntVar(&seconds, "seconds", 8, "length of each of the three scenes")
+	return cmd
+}
+
+// isTerminal answers whether a writer can rewrite its line.
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// measurements are what can be measured, each within three minutes.
+var measurements = []struct {
+	name, short string
+	seconds     int
+	run         func(ctx context.Context, gateway string, seconds int, progress io.Writer) (*lab.Report, error)
+}{
+	{"fair", "the door: quiet clients beside a flood, shares, times of return, size and cost", 20, lab.MeasureFair},
+	{"cost", "the fast path: processor time, memory and added time a request, without the operator's file", 12,
+		func(ctx context.Context, gateway string, seconds int, progress io.Writer) (*lab.Report, error) {
+			return lab.MeasureCost(ctx, gateway, "", seconds, progress)
+		}},
+	{"cost-fair", "the same with the door on", 12,
+		func(ctx context.Context, gateway string, seconds int, progress io.Writer) (*lab.Report, error) {
+			return lab.MeasureCost(ctx, gateway, "fair {\n}\n", seconds, progress)
+		}},
+}
+
+func measureCommand() *cobra.Command {
+	var asJSON bool
+	var seconds int
+	names := make([]string, len(measurements))
+	long := "Measures on loopback, within three minutes, and prints a table and a line `name: value` for each value.\n"
+	for i, m := range measurements {
+		names[i] = m.name
+		long += fmt.Sprintf("\n  %-10s %s", m.name, m.short)
+	}
+	cmd := &cobra.Command{
+		Use:       "measure {" + strings.Join(names, "|") + "}",
+		Short:     "Measure a subsystem",
+		Long:      long,
+		Args:      cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs),
+		ValidArgs: names,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			gateway, _ := cmd.Flags().GetString("gateway")
+			for _, m := range measurements {
+				if m.name != args[0] {
+					continue
+				}
+				if seconds == 0 {
+					seconds = m.seconds
+				}
+				if seconds < 1 || seconds > 30 {
+					return fmt.Errorf("--seconds is %d, not within 1 and 30", seconds)
+				}
+				r, err := m.run(cmd.Context(), gateway, seconds, cmd.ErrOrStderr())
+				if err != nil {
+					return err
+				}
+				if asJSON {
+					return r.WriteJSON(cmd.OutOrStdout())
+				}
+				return r.Write(cmd.OutOrStdout())
+			}
+			return nil
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	cmd.Flags().IntVar(&seconds, "seconds", 0, "length of each scene on sockets, 30 at most")
+	return cmd
+}
--- /dev/null
+++ b/internal/lab/fair.go
@@ -0,0 +1,288 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"slices"
+	"time"
+
+	"go4.org/netipx"
+
+	"foxlane/internal/door"
+	"foxlane/rules"
+)
+
+// This file measures the door: on sockets beside a flood, in virtual time for
+// shares and times of return, and alone for its size and cost.
+
+const fairSite = "fair {\n}\n"
+
+// fairWorld is what the figures of the issue were measured on: two engines of 16 slots, 100 ms a query.
+func fairWorld(gateway, site string) Setup {
+	return Setup{Gateway: gateway, Engines: 2, Slots: 16, Run: 100 * time.Millisecond, MemoryMB: 192, Sockets: 1024, Site: site,
+		HoldOff: true, GiveUp: 2500 * time.Millisecond}
+}
+
+const quietClients = 20
+
+// warm is how long a scene runs before it is counted: hundreds of clients connect in its first second.
+const warm = 2 * time.Second
+
+// quiet asks for an eighth of what the engines give.
+func quiet() Group {
+	return Group{Name: "quiet", Clients: quietClients, Every: quietClients * time.Second / 40, Timeout: 2500 * time.Millisecond,
+		From: func(i int) netip.Addr { return host(1, i) }, Warm: warm}
+}
+
+func flood(clients int) Group {
+	return Group{Name: "flood", Clients: clients, Timeout: 2500 * time.Millisecond, From: func(int) netip.Addr { return host(2, 0) },
+		Warm: warm}
+}
+
+// MeasureFair measures the door. The gateway is a program; empty: built from this module.
+func MeasureFair(ctx context.Context, gateway string, seconds int, progress io.Writer) (*Report, error) {
+	r := newReport("fair", "scene", "quiet asked", "served", "p50 ms", "p99 ms", "flood served", "refused", "cut")
+	length := time.Duration(seconds) * time.Second
+	scene := func(name, site string, groups ...Group) (map[string]*Tally, error) {
+		length := length
+		if len(groups) == 1 && groups[0].Name == "flood" {
+			length /= 2
+		}
+		length += warm
+		fmt.Fprintf(progress, "%s, %v\n", name, length)
+		w, err := Start(fairWorld(gateway, site))
+		if err != nil {
+			return nil, err
+		}
+		defer w.Close()
+		ctx, stop := context.WithTimeout(ctx, length)
+		defer stop()
+		t := Play(ctx, w, groups...)
+		q, f := t["quiet"], t["flood"]
+		if q == nil {
+			q = newTally()
+		}
+		if f == nil {
+			f = newTally()
+		}
+		r.row(name, q.Asked.Load(), q.Served.Load(), q.P(50), q.P(99), f.Served.Load(), f.Refused.Load(), f.Cut.Load())
+		return t, nil
+	}
+	alone, err := scene("quiet alone, door on", fairSite, quiet())
+	if err != nil {
+		return r, err
+	}
+	beside, err := scene("280 flooding, door on", fairSite, quiet(), flood(280))
+	if err != nil {
+		return r, err
+	}
+	if _, err := scene("280 flooding, door off", "", quiet(), flood(280)); err != nil {
+		return r, err
+	}
+	on, err := scene("100 flooding alone, door on", fairSite, flood(100))
+	if err != nil {
+		return r, err
+	}
+	off, err := scene("100 flooding alone, door off", "", flood(100))
+	if err != nil {
+		return r, err
+	}
+	ratio := func(t *Tally) float64 { return float64(t.Served.Load()) / float64(max(t.Asked.Load(), 1)) }
+	r.set("quiet_served_ratio", ratio(beside["quiet"])/ratio(alone["quiet"]), "0.98 or more")
+	r.set("quiet_p99_ratio", beside["quiet"].P(99)/alone["quiet"].P(99), "2 or less")
+	r.set("throughput_ratio", float64(on["flood"].Served.Load())/float64(max(off["flood"].Served.Load(), 1)), "0.97 or more")
+
+	fmt.Fprintln(progress, "shares and times of return, in virtual time")
+	r.set("jain_100", jain(), "0.97 or more")
+	r.set("weight_error", weightError(), "0.1 or less")
+	kept, p50 := returns(1)
+	r.set("return_kept", kept, "0.9 or more")
+	r.set("return_ratio_p50", p50, "0.5 to 2")
+	kept, p50 = returns(2)
+	r.set("return_kept_half_capacity", kept, "")
+	r.set("return_ratio_p50_half_capacity", p50, "")
+	fmt.Fprintln(progress, "size and cost")
+	bytes, bound := stateOf(10_000)
+	r.set("state_bytes_10k", float64(bytes), fmt.Sprintf("%d at most", bound))
+	bytes, bound = stateOf(1_000_000)
+	r.set("state_bytes_1m", float64(bytes), fmt.Sprintf("%d at most", bound))
+	ns, allocs := doorCost()
+	r.set("cost_ns", ns, "2000 or less")
+	r.set("cost_allocs", allocs, "0")
+	return r, ctx.Err()
+}
+
+// trusting lets any tenant be told from this machine.
+func trusting() door.Settings {
+	s := door.Defaults()
+	var all netipx.IPSetBuilder
+	all.AddPrefix(netip.MustParsePrefix("127.0.0.0/8"))
+	set, _ := all.IPSet()
+	s.AnyTenant, s.Networks = true, []door.Network{{Name: "here", Set: set, Weight: 1, Trusted: true}}
+	return s
+}
+
+func modelSizes() door.Sizes {
+	return door.Sizes{Conns: 502, Room: 500, Asks: 342, Statements: 24 << 20, Input: 24 << 20, State: 6 << 20}
+}
+
+var here = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
+// jain is Jain's fairness index of the work that 100 equally greedy tenants got, of runs from 20 to 180 ms.
+func jain() float64 {
+	m := newModel(trusting(), modelSizes(), 32)
+	m.served = func(c *modelConn, _ *modelAsk) { m.ask(c) }
+	m.refused = func(c *modelConn, after rules.Time) { m.after(max(after, rules.Millisecond), func() { m.ask(c) }) }
+	rng := rand.New(rand.NewPCG(3, 3))
+	byTenant := make([][]*modelConn, 100)
+	for i := range byTenant {
+		for range 1 + rng.IntN(5) { // some with many connections
+			c := m.connect(tenantName(i), rules.Time(20+rng.IntN(160))*rules.Millisecond, here)
+			byTenant[i] = append(byTenant[i], c)
+			m.ask(c)
+		}
+	}
+	m.play(120 * rules.Second)
+	sum, squares := 0.0, 0.0
+	for _, conns := range byTenant {
+		work := 0.0
+		for _, c := range conns {
+			work += c.work
+		}
+		sum += work
+		squares += work * work
+	}
+	return sum * sum / (float64(len(byTenant)) * squares)
+}
+
+// weightError is the greatest part by which three greedy tenants of weights 1, 2 and 4 miss their shares.
+func weightError() float64 {
+	s := door.Defaults()
+	names := []string{"one", "two", "four"}
+	for i, name := range names {
+		s.Tenants = append(s.Tenants, door.Tenant{Name: name, Weight: float64(int(1) << i)})
+	}
+	m := newModel(s, modelSizes(), 32)
+	m.served = func(c *modelConn, _ *modelAsk) { m.ask(c) }
+	m.refused = func(c *modelConn, after rules.Time) { m.after(max(after, rules.Millisecond), func() { m.ask(c) }) }
+	var conns [3][]*modelConn
+	for i, name := range names {
+		for n := range 60 {
+			c := m.connect(name, rules.Time(20+60*i)*rules.Millisecond, host(3+i, n))
+			conns[i] = append(conns[i], c)
+			m.ask(c)
+		}
+	}
+	m.play(120 * rules.Second)
+	total, work := 0.0, [3]float64{}
+	for i := range conns {
+		for _, c := range conns[i] {
+			work[i] += c.work
+		}
+		total += work[i]
+	}
+	worst := 0.0
+	for i := range work {
+		want := total * float64(int(1)<<i) / 7
+		worst = max(worst, math.Abs(work[i]/want-1))
+	}
+	return worst
+}
+
+// returns plays 400 clients of 20 tenants that come back when they are told, where 120 requests may be open
+// and 32 run at once. Slower is how much slower engines run from the middle on. It answers how many of those
+// that came back as told were served in time, and the median of the time needed over the time told.
+func returns(slower float64) (kept, p50 float64) {
+	sizes := modelSizes()
+	sizes.Asks = 120
+	m := newModel(trusting(), sizes, 32)
+	good, bad := 0, 0
+	var ratios []float64
+	m.served = func(c *modelConn, a *modelAsk) {
+		if c.granted > 0 {
+			good++
+			ratios = append(ratios, float64(a.passed-c.granted)/float64(c.back-c.granted))
+			c.granted = 0
+		}
+		m.ask(c)
+	}
+	m.refused = func(c *modelConn, after rules.Time) {
+		if c.granted > 0 {
+			bad++
+		}
+		c.granted = 0
+		if after > 0 {
+			c.granted, c.back = m.now, m.now+after
+		}
+		m.after(max(after, 10*rules.Millisecond), func() { m.ask(c) })
+	}
+	for i := range 400 {
+		c := m.connect(tenantName(i%20), 100*rules.Millisecond, host(10, i%250))
+		m.after(rules.Time(i)*rules.Millisecond, func() { m.ask(c) })
+	}
+	m.play(30 * rules.Second)
+	m.slower = slower
+	m.play(30 * rules.Second)
+	if len(ratios) == 0 {
+		return 0, 0
+	}
+	slices.Sort(ratios)
+	return float64(good) / float64(good+bad), ratios[len(ratios)/2]
+}
+
+// stateOf is the door's state after so many tenants asked for one query each, and its bound.
+func stateOf(tenants int) (bytes, bound int) {
+	m := newModel(trusting(), modelSizes(), 32)
+	m.served = func(*modelConn, *modelAsk) {}
+	m.refused = func(*modelConn, rules.Time) {}
+	for i := range tenants {
+		c := m.connect(tenantName(i), rules.Millisecond/10, netip.AddrFrom4([4]byte{127, byte(i >> 16), byte(i >> 8), byte(i)}))
+		m.ask(c)
+		m.play(rules.Millisecond / 5)
+		m.close(c)
+		bytes = max(bytes, m.d.StateBytes())
+	}
+	return bytes, m.d.StateBound()
+}
+
+// doorCost is what a request costs in the door, with 100,000 principals known: its arrival, that it is
+// sent, what it took and its end.
+func doorCost() (ns, allocs float64) {
+	const known, rounds = 100_000, 400_000
+	d := door.New(trusting(), modelSizes(), []rules.Class{{Aim: 500 * rules.Millisecond, GiveUp: modelPatience, LateValue: 0.1, Threads: 1}}, nil, 11)
+	now := rules.Second
+	names := make([]string, known)
+	for i := range names {
+		names[i] = tenantName(i)
+	}
+	round := func(i int) {
+		now += 10
+		slot := i % 300
+		d.Handle(now, door.Event{Kind: door.Asked, Slot: slot, Conn: slot, Ask: door.Ask{Tenant: names[i%known], Due: now + modelPatience, Bytes: 100}})
+		d.Handle(now, door.Event{Kind: door.Sent, Slot: slot})
+		now += 1000
+		d.Handle(now, door.Event{Kind: door.Spent, Slot: slot, Took: 1000})
+		d.Handle(now, door.Event{Kind: door.Done, Slot: slot, Served: true})
+		d.Handle(now, door.Event{Kind: door.Idle, Conn: slot})
+	}
+	for i := range 300 {
+		d.Handle(now, door.Event{Kind: door.Opened, Conn: i, From: here})
+	}
+	for i := range known {
+		round(i)
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	start := time.Now()
+	for i := range rounds {
+		round(i)
+	}
+	took := time.Since(start)
+	runtime.ReadMemStats(&after)
+	return float64(took.Nanoseconds()) / rounds, math.Round(float64(after.Mallocs-before.Mallocs)/rounds*100) / 100
+}
--- /dev/null
+++ b/internal/lab/world.go
@@ -0,0 +1,233 @@
+// Package lab owns measurements of a gateway on loopback: stand-in engines, a
+// name service and clients round a gateway's own process, all bounded in time
+// and count. It must never be part of that process, nor reach any address but
+// this machine's.
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"foxlane/internal/standin"
+)
+
+const listName = "_data._tcp.farm.lan"
+
+// Setup says what a World is made of.
+type Setup struct {
+	Gateway  string // the program; empty: built from this module
+	Engines  int
+	Slots    int           // of an engine
+	Run      time.Duration // of a request
+	MemoryMB int
+	Sockets  int
+	Site     string // text of the operator's file; empty: none
+	HoldOff  bool   // times of return are allowed
+	GiveUp   time.Duration
+}
+
+// World is a gateway with what it talks to.
+type World struct {
+	Setup
+	Addr    string
+	slots   []*standin.Slots
+	engines []*standin.Engine
+	names   *standin.Names
+	gateway *exec.Cmd
+	log     bytes.Buffer
+	dir     string
+}
+
+// Build builds the gateway's program into a folder and returns its path.
+func Build(ctx context.Context, dir string) (string, error) {
+	out := filepath.Join(dir, "foxlane")
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", out, "foxlane/cmd/foxlane")
+	if text, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building the gateway (run this within its repository, or name a program): %w\n%s", err, text)
+	}
+	return out, nil
+}
+
+// Start starts a world; Close ends it.
+func Start(s Setup) (w *World, err error) {
+	w = &World{Setup: s}
+	defer func() {
+		if err != nil {
+			w.Close()
+		}
+	}()
+	if w.dir, err = os.MkdirTemp("", "foxlab"); err != nil {
+		return w, err
+	}
+	if w.names, err = standin.NewNames("127.0.0.1:0", listName); err != nil {
+		return w, err
+	}
+	var hosts []standin.Host
+	for i := range s.Engines {
+		slots := standin.NewSlots(s.Slots)
+		e, err := standin.NewEngine("127.0.0.1:0", func(standin.Ask) standin.Reply {
+			return standin.Reply{After: slots.Use(s.Run), Work: s.Run, Word: "served", Pages: []string{"a\tb\tc\n"}}
+		})
+		if err != nil {
+			return w, err
+		}
+		w.slots, w.engines = append(w.slots, slots), append(w.engines, e)
+		hosts = append(hosts, standin.Host{ID: fmt.Sprintf("s-%08x", i+1), Zone: "hall-a", Addr: netip.MustParseAddrPort(e.Addr()),
+			Weight: 4, Kind: "std"})
+	}
+	w.names.Set(2, hosts)
+	return w, w.startGateway(hosts)
+}
+
+// Slow makes all engines run at a part of their speed from now on.
+func (w *World) Slow(part float64) {
+	for _, s := range w.slots {
+		s.Slow(part)
+	}
+}
+
+type object = map[string]any
+
+func (w *World) config(hosts []standin.Host, listen string) object {
+	var servers []object
+	for _, h := range hosts {
+		servers = append(servers, object{"id": h.ID, "addr": h.Addr.String(), "zone": h.Zone, "kind": h.Kind, "state": "active", "weight": 4})
+	}
+	giveUp := w.GiveUp.Microseconds()
+	class := func(name string, aim int64) object {
+		return object{"name": name, "aim": aim, "aimStretch": 1.5, "giveUp": giveUp, "effect": "pure", "group": "all", "lateValue": 0.1, "worth": 1}
+	}
+	return object{
+		"name": "lab", "listen": listen, "seed": "8c1f30d27a5be964", "dns": w.names.Addr(),
+		"limits": object{"cores": 1, "memory_mb": w.MemoryMB, "sockets": w.Sockets},
+		"known":  object{"seq": 1, "results": []object{{"seq": 1, "fleet": object{"version": 1, "full": true, "servers": servers}}}},
+		"settings": object{
+			"classes": []object{class("point", 500_000), class("report", 1_500_000)},
+			"extra":   object{"classThreads": []int{1, 1}, "cpuOfKind": []int{w.Slots}, "ramOfKindMb": []int{65536}, "tellsCost": true},
+			"limits": object{"cancel": true, "connIdle": 15_000_000, "connectTimeout": 250_000, "maxAttempts": 3, "maxOpen": 20000,
+				"multiplex": 32, "retryAfter": w.HoldOff, "maxRetryAfter": 10_000_000},
+			"machineTypes": []string{"std"}, "membershipMode": "push", "siblings": 1, "tick": 1000, "zones": []string{"hall-a"},
+			"rules": object{"answerSlack": 5000, "stopSendingWithin": 1_000_000, "overloadFactor": 2},
+		},
+	}
+}
+
+func (w *World) startGateway(hosts []standin.Host) error {
+	if w.Gateway == "" {
+		program, err := Build(context.Background(), w.dir)
+		if err != nil {
+			return err
+		}
+		w.Gateway = program
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	w.Addr = ln.Addr().String()
+	ln.Close()
+	raw, err := json.Marshal(w.config(hosts, w.Addr))
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(w.dir, "config.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return err
+	}
+	args := []string{"serve"}
+	if w.Site != "" {
+		site := filepath.Join(w.dir, "foxlane.hcl")
+		if err := os.WriteFile(site, []byte(w.Site), 0o600); err != nil {
+			return err
+		}
+		args = append(args, "--site", site)
+	}
+	w.gateway = exec.Command(w.Gateway, args...)
+	w.gateway.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_NAME=", "LB_LISTEN=")
+	w.gateway.Stderr = &w.log
+	if err := w.gateway.Start(); err != nil {
+		return err
+	}
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if c, err := standin.Connect(w.Addr, netip.Addr{}, time.Second); err == nil {
+			c.Close()
+			return nil
+		}
+	}
+	return errors.New("the gateway does not serve: " + w.Log())
+}
+
+// Log is the gateway's log. It is whole only once the gateway has ended.
+func (w *World) Log() string { return w.log.String() }
+
+// CPU is the processor time that the gateway has used so far.
+func (w *World) CPU() (time.Duration, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", w.gateway.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, ok := strings.Cut(string(raw), ") ")
+	fields := strings.Fields(rest)
+	if !ok || len(fields) < 13 {
+		return 0, fmt.Errorf("lab: %q is no stat of a process", raw)
+	}
+	ticks := 0
+	for _, f := range fields[11:13] { // user and system time
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			return 0, err
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / 100, nil // USER_HZ is 100 on Linux
+}
+
+// RSS is the memory that the gateway holds now, in MB.
+func (w *World) RSS() (float64, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.gateway.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for _, line := range strings.Split(string(raw), "\n") {
+		if kb, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			n, err := strconv.Atoi(strings.Fields(kb)[0])
+			return float64(n) / 1024, err
+		}
+	}
+	return 0, errors.New("lab: no VmRSS")
+}
+
+// Close ends the world and waits for the gateway: its exit is part of what is checked.
+func (w *World) Close() error {
+	var err error
+	if w.gateway != nil && w.gateway.Process != nil {
+		_ = w.gateway.Process.Signal(syscall.SIGTERM)
+		kill := time.AfterFunc(8*time.Second, func() { _ = w.gateway.Process.Kill() })
+		if err = w.gateway.Wait(); err != nil {
+			err = fmt.Errorf("the gateway ended with %w: %s", err, w.Log())
+		}
+		kill.Stop()
+	}
+	for _, e := range w.engines {
+		e.Close()
+	}
+	if w.names != nil {
+		w.names.Close()
+	}
+	if w.dir != "" {
+		os.RemoveAll(w.dir)
+	}
+	return err
+}
