--- a/cmd/foxlane/main_test.go
+++ b/cmd/foxlane/main_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"os"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"strings"
@@ -33,6 +35,29 @@
 	}
 }
 
+// The operator's file that is shipped holds, and what is wrong with another is named with its place.
+func TestCheckSite(t *testing.T) {
+	out, err := run("check", "--site", "../../deploy/foxlane.hcl")
+	if err != nil || !strings.Contains(out, "ahead      = 4") {
+		t.Errorf("got %q, %v", out, err)
+	}
+	out, err = run("check", "../../example/config.json", "--site", "../../deploy/foxlane.hcl")
+	if err != nil || !strings.Contains(out, "n0 listens") || !strings.Contains(out, "bytes for the door") {
+		t.Errorf("got %q, %v", out, err)
+	}
+	path := filepath.Join(t.TempDir(), "bad.hcl")
+	if err := os.WriteFile(path, []byte("fair {\n  ahed = 4\n}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := run("check", "--site", path); err == nil || !strings.Contains(err.Error(), `bad.hcl:2:3`) || !strings.Contains(err.Error(), `"ahead"`) {
+		t.Errorf("got %v", err)
+	}
+	t.Setenv("LB_CONFIG", "../../example/config.json")
+	if _, err := run("serve", "--site", path); err == nil || !strings.Contains(err.Error(), "bad.hcl:2:3") {
+		t.Errorf("serve: %v", err)
+	}
+}
+
 func TestVersion(t *testing.T) {
 	if out, err := run("version"); err != nil || !strings.HasPrefix(out, "foxlane dev go") {
 		t.Errorf("got %q, %v", out, err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -137,6 +137,48 @@
 	}
 }
 
+// The operator's own file is read with the configuration, whole or not at all.
+func TestReloadOfTheSite(t *testing.T) {
+	dir := t.TempDir()
+	path, own := filepath.Join(dir, "config.json"), filepath.Join(dir, "foxlane.hcl")
+	write := func(path, text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(path, sample)
+	write(own, "fair {\n state = \"2MB\"\n}\n")
+	t.Setenv(EnvConfig, path)
+	first, err := Load()
+	if err == nil {
+		first, err = first.WithSite(own)
+	}
+	if err != nil || first.Site.Fair == nil || first.Limits.DoorState != 2<<20 {
+		t.Fatalf("%v, %+v", err, first.Site)
+	}
+	write(own, "fair {\n state = \"2MB\"\n ahead = 7\n}\n")
+	write(path, strings.Replace(sample, "10.2.0.1:5300", "10.2.0.9:5300", 1))
+	next, err := first.Reload()
+	if err != nil || next.Site.Fair.Door.Ahead != 7 || next.DNS.String() != "10.2.0.9:5300" {
+		t.Errorf("%v, %+v", err, next.Site)
+	}
+	for name, text := range map[string]string{
+		"malformed":    "fair {",
+		"unknown name": "fair {\n ahed = 7\n}",
+		"gone":         "",
+		"other state":  "fair {\n state = \"3MB\"\n}",
+		"all memory":   "fair {\n state = \"500MB\"\n}",
+	} {
+		write(own, text)
+		write(path, sample)
+		kept, err := next.Reload()
+		if err == nil || kept.Site != next.Site || kept.DNS != next.DNS {
+			t.Errorf("%s: %v, name service %v", name, err, kept.DNS)
+		}
+	}
+}
+
 // From the least machine to the largest, all sizes follow from what it has.
 func TestLimitsFollowTheMachine(t *testing.T) {
 	for _, m := range []struct{ memory, sockets string }{{"32", "256"}, {"48", "256"}, {"64", "384"}, {"192", "1024"}} {
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -1,9 +1,11 @@
 package door
 
 import (
+	"flag"
 	"fmt"
 	"math"
 	"net/netip"
+	"os"
 	"testing"
 
 	"go4.org/netipx"
@@ -14,6 +16,17 @@
 
 const ms = rules.Millisecond
 
+// The random days are the same in each run, unless a seed is given: one verdict for one program.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // bench is a door with a module that sends at once while one of so many slots
 // of engines is free, on a clock of its own.
 type bench struct {
@@ -34,6 +47,7 @@
 	refusal func(a *benchAsk, after rules.Time, why Why)
 	ended   func(a *benchAsk)
 	finals  map[string]int
+	stuck   func(a *benchAsk) bool // it fits nowhere: never sent
 }
 
 type run struct {
@@ -83,10 +97,15 @@
 				if a.passed {
 					b.t.Fatalf("%s passes twice", a.id)
 				}
+				if f.After < 0 {
+					b.t.Fatalf("%s was held for %d us", a.id, f.After)
+				}
 				a.passed = true
 				b.passed = append(b.passed, a.id)
 				b.waits[a.tenant] = append(b.waits[a.tenant], b.now-a.at)
-				b.waiting = append(b.waiting, f.Slot)
+				if b.stuck == nil || !b.stuck(a) {
+					b.waiting = append(b.waiting, f.Slot)
+				}
 			case Refuse:
 				a := b.asks[f.Slot]
 				b.end(f.Slot)
@@ -580,6 +599,7 @@
 		b.tell(Event{Kind: Input, Conn: c, Bytes: 3000})
 		flood = append(flood, c)
 	}
+	b.tell(Event{Kind: Input, Conn: small, Bytes: 4600}) // it is over the limit again, by the small one
 	if b.conns[small] == nil || len(b.breach) == 0 {
 		t.Errorf("the small client is there: %v, %d connections were ended", b.conns[small] != nil, len(b.breach))
 	}
@@ -750,6 +770,61 @@
 	})
 }
 
+// Nobody starves: beside greedy tenants of any weights and runs, whoever asks passes within the time in which
+// every tenant gets one run, and the work that it owes for what it had.
+func TestNobodyStarves(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		set := Defaults()
+		n := rapid.IntRange(1, 6).Draw(rt, "tenants")
+		least, longest, weights := 1.0, rules.Time(0), 0.0
+		var runs []rules.Time
+		for i := range n {
+			w := float64(rapid.IntRange(1, 8).Draw(rt, "weight"))
+			set.Tenants = append(set.Tenants, Tenant{Name: fmt.Sprint("g", i), Weight: w})
+			weights += w
+			run := rules.Time(rapid.IntRange(5, 200).Draw(rt, "run")) * ms
+			runs, longest = append(runs, run), max(longest, run)
+		}
+		set.Tenants = append(set.Tenants, Tenant{Name: "small", Weight: least})
+		b := newBench(t, set, testSizes(), oneClass())
+		b.slots = rapid.IntRange(1, 6).Draw(rt, "slots")
+		k := 0
+		b.ended = func(a *benchAsk) {
+			if a.tenant != "small" {
+				k++
+				b.ask(a.conn, fmt.Sprint("again", k), a.tenant, a.took, func(q *Ask) { q.Due = b.now + 1000*rules.Second })
+			}
+		}
+		for i := range n {
+			for j := range 8 {
+				c := b.connect(fmt.Sprintf("10.0.%d.%d", i, j))
+				b.ask(c, fmt.Sprint("first", i, j), fmt.Sprint("g", i), runs[i], func(q *Ask) { q.Due = b.now + 1000*rules.Second })
+			}
+		}
+		b.advance(5 * rules.Second)
+		c := b.connect("10.0.9.9")
+		for i := range 5 {
+			run := rules.Time(rapid.IntRange(5, 50).Draw(rt, "small run")) * ms
+			b.ask(c, fmt.Sprint("small", i), "small", run, func(q *Ask) { q.Due = b.now + 1000*rules.Second })
+			b.advance(longest + run) // it owes no more than this one once it asks again
+			for b.finals[fmt.Sprint("small", i)] == 0 && b.now < 60*rules.Second {
+				b.advance(longest)
+			}
+		}
+		// The tenants' runs that are on their way, one of each, and for what it owes of its own last run as much
+		// work of each as that has weight.
+		bound := longest*rules.Time(set.Ahead+b.slots+n) + 2*50*ms*rules.Time(weights)/rules.Time(b.slots)
+		for _, w := range b.waits["small"] {
+			if w > bound {
+				rt.Fatalf("waited %d ms, %d at most", w/ms, bound/ms)
+			}
+		}
+		if len(b.waits["small"]) != 5 {
+			rt.Fatalf("only %d of 5 passed", len(b.waits["small"]))
+		}
+	})
+}
+
 func idleConn(rt *rapid.T, b *bench) int {
 	var idle []int
 	for i, c := range b.conns {
--- a/internal/door/settings.go
+++ b/internal/door/settings.go
@@ -46,7 +46,7 @@
 // for the module's draw and is short enough that one run bounds the wait;
 // Burst is about one short query.
 func Defaults() Settings {
-	return Settings{Unlisted: 1, Ahead: 2, Burst: 100 * rules.Millisecond, Longest: 30 * rules.Second, Ignored: 8}
+	return Settings{Unlisted: 1, Ahead: 4, Burst: 100 * rules.Millisecond, Longest: 30 * rules.Second, Ignored: 8}
 }
 
 const (
