--- a/internal/lab/cost.go
+++ b/internal/lab/cost.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return r, err
 	}
-	low, _, _, err := play("4 connections, 20 a second", run, length/2, Group{Name: "calm", Clients: 4, Every: 200 * time.Millisecond,
+	low, _, _, err := play("4 connections, 20 a second", run, length/2, Group{Name: "calm", Clients: 4, Every: 200 * time.Millisecond, AsSent: true,
 		Timeout: 2500 * time.Millisecond, From: from})
 	if err != nil {
 		return r, err
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -24,6 +24,7 @@
 	Every   time.Duration              // open loop: each client asks at this interval on average; 0: as soon as it is answered
 	Obey    bool                       // stays away as long as it is told
 	Timeout time.Duration
+	AsSent  bool          // waits count from when a request was sent: the lab's own timers are late by up to a millisecond
 	Warm    time.Duration // what is meant to be sent before this has passed is not counted
 }
 
@@ -156,6 +157,9 @@
 		switch {
 		case err == nil:
 			t.Served.Add(1)
+			if p.g.AsSent {
+				meant = sent
+			}
 			t.wait(time.Since(meant))
 			if told {
 				t.Kept.Add(1)
