Keep results in segments on a disk: decisions, format, recovery, offline commands

Growers on weak lines read large results slowly, and who leaves loses the result. The spool keeps results apart from engine and client.

internal/spool decides, purely: reservations from learned sizes, quotas, leases, what is written and what gives way, who may read by a handle of 128 random bits. internal/spool/segment is the format, each record bound to its place by seeded sums. internal/spool/disk carries it out on a goroutine of its own: group commit, recovery, sweeping, compaction, a lock on the folder. foxlane spool ls, show, verify and gc look into a folder offline.

--- a/cmd/foxlane/main.go
+++ b/cmd/foxlane/main.go
@@ -43,7 +43,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(serveCommand(), checkCommand(), versionCommand())
+	cmd.AddCommand(serveCommand(), checkCommand(), spoolCommand(), versionCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/foxlane/spool_test.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"foxlane/internal/spool"
+	"foxlane/internal/spool/disk"
+	"foxlane/internal/spool/segment"
+)
+
+// spoolFolder is a folder with results whose leases end at these times.
+func spoolFolder(t *testing.T, leases ...time.Time) string {
+	dir := t.TempDir()
+	folder, err := disk.OpenFolder(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, _, err := disk.Open(folder, disk.Options{Segment: 4000, Salt: 5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, lease := range leases {
+		id := spool.ID{byte(k + 1)}
+		rows := strings.Repeat("a\tb\tc\n", 100)
+		for _, d := range s.Commit([]spool.Effect{
+			{ID: id, Record: segment.Open, Data: segment.AppendMeta(nil, segment.Meta{Tenant: 7, Created: 1, Lease: lease.UnixMicro()})},
+			{ID: id, Record: segment.Page, Data: []byte(rows)},
+			{ID: id, Record: segment.Seal, N: 1, Data: segment.AppendSum(nil, segment.Sum{Pages: 1, Bytes: uint64(len(rows))})},
+		}) {
+			if d.Err != nil {
+				t.Fatal(d.Err)
+			}
+		}
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	folder.Close()
+	return dir
+}
+
+func contents(t *testing.T, dir string) (out string) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.seg"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		raw, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out += fmt.Sprintf("%s %x\n", f, raw)
+	}
+	return out
+}
+
+func TestSpoolCommands(t *testing.T) {
+	now := time.Now()
+	dir := spoolFolder(t, now.Add(-time.Hour), now.Add(time.Hour), now.Add(-time.Minute))
+	before := contents(t, dir)
+	out, err := run("spool", "ls", dir)
+	if err != nil || !strings.Contains(out, "3 whole, 0 damaged") || strings.Count(out, "over") != 2 {
+		t.Errorf("ls: %v\n%s", err, out)
+	}
+	if out, err := run("spool", "show", dir, "02000000000000000000000000000000"); err != nil || !strings.Contains(out, "chunk 0: segment 1") {
+		t.Errorf("show: %v\n%s", err, out)
+	}
+	for _, id := range []string{"02", "zz000000000000000000000000000000", "09000000000000000000000000000000"} {
+		if _, err := run("spool", "show", dir, id); err == nil {
+			t.Errorf("show %s passed", id)
+		}
+	}
+	if out, err := run("spool", "verify", dir); err != nil || !strings.Contains(out, "3 results are whole") {
+		t.Errorf("verify: %v\n%s", err, out)
+	}
+	if out, err := run("spool", "gc", dir); err != nil || !strings.Contains(out, "2 of 3 results are over") {
+		t.Errorf("gc: %v\n%s", err, out)
+	}
+	if contents(t, dir) != before {
+		t.Error("a command that was not told to has written to the folder")
+	}
+	if out, err := run("spool", "gc", dir, "--yes"); err != nil || !strings.Contains(out, "2 results dropped") {
+		t.Errorf("gc --yes: %v\n%s", err, out)
+	}
+	if out, err := run("spool", "ls", dir); err != nil || !strings.Contains(out, "1 whole, 0 damaged") {
+		t.Errorf("ls after gc: %v\n%s", err, out)
+	}
+}
+
+// A torn tail and damage are told and left as they are.
+func TestSpoolVerifyTellsDamage(t *testing.T) {
+	now := time.Now()
+	dir := spoolFolder(t, now.Add(time.Hour), now.Add(time.Hour))
+	path := filepath.Join(dir, "00000001.seg")
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw[300] ^= 1 // within the first result's rows
+	raw = raw[:len(raw)-3]
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	before := contents(t, dir)
+	out, err := run("spool", "verify", dir)
+	if err == nil || !strings.Contains(out, "are damaged, of result 0100") || !strings.Contains(out, "1 damaged, 1 never finished") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	if contents(t, dir) != before {
+		t.Error("verify has changed the folder")
+	}
+	if _, err := run("spool", "ls", filepath.Join(dir, "nowhere")); err == nil {
+		t.Error("a folder that is not there passed")
+	}
+	if _, err := os.Stat(filepath.Join(dir, "nowhere")); err == nil {
+		t.Error("ls made a folder")
+	}
+}
--- /dev/null
+++ b/internal/spool/disk/disk_test.go
@@ -0,0 +1,533 @@
+package disk
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"foxlane/internal/spool"
+	"foxlane/internal/spool/segment"
+)
+
+// The random days are the same in each run, unless a seed is given: one verdict for one program.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var errFault = errors.New("fault")
+
+// memory is a folder that fails as it is told to, and forgets in a crash what was not synced.
+type memory struct {
+	files     map[string]*memFile
+	failWrite int // the write so many from now on fails, having written a half; 0: none does
+	failSync  bool
+	room      int64 // bytes that it takes; 0: any
+}
+
+type memFile struct {
+	fs     *memory
+	data   []byte
+	synced []byte
+}
+
+func newMemory() *memory { return &memory{files: map[string]*memFile{}} }
+
+func (m *memory) List() (names []string, err error) {
+	for name := range m.files {
+		names = append(names, name)
+	}
+	return names, nil
+}
+
+func (m *memory) Open(name string, create bool) (File, error) {
+	f := m.files[name]
+	if (f == nil) != create {
+		return nil, fmt.Errorf("%s: create %v", name, create)
+	}
+	if create {
+		f = &memFile{fs: m}
+		m.files[name] = f
+	}
+	return f, nil
+}
+
+func (m *memory) Remove(name string) error { delete(m.files, name); return nil }
+func (m *memory) Sync() error              { return nil }
+
+func (m *memory) size() (n int64) {
+	for _, f := range m.files {
+		n += int64(len(f.data))
+	}
+	return n
+}
+
+// crash is the folder after the machine has lost its power: of what was not synced a part is there.
+func (m *memory) crash(part func(n int) int) *memory {
+	out := newMemory()
+	names, _ := m.List()
+	slices.Sort(names)
+	for _, name := range names {
+		f := m.files[name]
+		kept := f.synced
+		if len(f.data) > len(f.synced) && bytes.HasPrefix(f.data, f.synced) {
+			kept = f.data[:len(f.synced)+part(len(f.data)-len(f.synced))]
+		}
+		out.files[name] = &memFile{fs: out, data: bytes.Clone(kept), synced: bytes.Clone(kept)}
+	}
+	return out
+}
+
+func (f *memFile) ReadAt(p []byte, off int64) (int, error) {
+	if off >= int64(len(f.data)) {
+		return 0, io.EOF
+	}
+	n := copy(p, f.data[off:])
+	if n < len(p) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+func (f *memFile) WriteAt(p []byte, off int64) (int, error) {
+	n, err := len(p), error(nil)
+	if f.fs.failWrite > 0 {
+		if f.fs.failWrite--; f.fs.failWrite == 0 {
+			n, err = len(p)/2, errFault
+		}
+	}
+	if grown := off + int64(n) - int64(len(f.data)); f.fs.room > 0 && f.fs.size()+grown > f.fs.room {
+		n, err = max(0, n-int(f.fs.size()+grown-f.fs.room)), errFault
+	}
+	if need := off + int64(n); need > int64(len(f.data)) {
+		f.data = append(f.data, make([]byte, need-int64(len(f.data)))...)
+	}
+	copy(f.data[off:], p[:n])
+	return n, err
+}
+
+func (f *memFile) Sync() error {
+	if f.fs.failSync {
+		return errFault
+	}
+	f.synced = bytes.Clone(f.data)
+	return nil
+}
+
+func (f *memFile) Truncate(n int64) error { f.data = f.data[:n]; return nil }
+func (f *memFile) Size() (int64, error)   { return int64(len(f.data)), nil }
+func (f *memFile) Close() error           { return nil }
+
+var options = Options{Segment: 1500, Salt: 77}
+
+func id(n int) spool.ID { return spool.ID{byte(n), byte(n >> 8), 3} }
+
+// rows are chunk n of result k.
+func rows(k, n int) []byte { return bytes.Repeat([]byte{byte(k), byte(n), '\n'}, 20+10*(n%4)) }
+
+// writes are what the spool asks for a result with so many chunks.
+func writes(k, chunks int) (out []spool.Effect) {
+	meta := segment.AppendMeta(nil, segment.Meta{Tenant: uint64(k), Secret: [32]byte{byte(k)}, Class: 1, Created: 5, Lease: 100})
+	out = append(out, spool.Effect{Kind: spool.Write, ID: id(k), Record: segment.Open, Data: meta})
+	sum := uint64(0)
+	for n := range chunks {
+		sum += uint64(len(rows(k, n)))
+		out = append(out, spool.Effect{Kind: spool.Write, ID: id(k), Record: segment.Page, N: n, Data: rows(k, n)})
+	}
+	return append(out, spool.Effect{Kind: spool.Write, ID: id(k), Record: segment.Seal, N: chunks,
+		Data: segment.AppendSum(nil, segment.Sum{Pages: uint32(chunks), Bytes: sum})})
+}
+
+func drop(k int) []spool.Effect {
+	return []spool.Effect{{Kind: spool.Write, ID: id(k), Record: segment.Drop}}
+}
+
+// synced are the results that a commit acknowledged, and those that it said are not.
+func synced(done []Done) (good, bad []spool.ID) {
+	for _, d := range done {
+		if d.Event.Kind == spool.Synced {
+			if d.Event.Err {
+				bad = append(bad, d.Event.ID)
+			} else {
+				good = append(good, d.Event.ID)
+			}
+		}
+	}
+	return good, bad
+}
+
+func open(t interface{ Fatal(...any) }, fs FS) (*Store, *Recovery) {
+	s, rec, err := Open(fs, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, rec
+}
+
+// check reads a result that was found and compares every byte.
+func check(s *Store, f Found, k, chunks int) error {
+	if f.ID != id(k) || len(f.Places) != chunks || f.Meta.Tenant != uint64(k) {
+		return fmt.Errorf("found %v with %d chunks", f.ID, len(f.Places))
+	}
+	for n, p := range f.Places {
+		if got, err := s.Read(f.ID, n, p); err != nil || !bytes.Equal(got, rows(k, n)) {
+			return fmt.Errorf("chunk %d of result %d: %d bytes, %v", n, k, len(got), err)
+		}
+	}
+	return nil
+}
+
+func find(rec *Recovery, k int) (Found, bool) {
+	for _, f := range rec.Found {
+		if f.ID == id(k) {
+			return f, true
+		}
+	}
+	return Found{}, false
+}
+
+// logOf is a folder with results written one after the other, across segments, and for each how much of the
+// folder was there when it was acknowledged.
+func logOf(t testing.TB, results, chunks int) (fs *memory, acked map[int]int64) {
+	fs, acked = newMemory(), map[int]int64{}
+	s, _ := open(t, fs)
+	for k := range results {
+		good, _ := synced(s.Commit(writes(k, chunks)))
+		if len(good) != 1 {
+			t.Fatalf("result %d is not acknowledged", k)
+		}
+		acked[k] = fs.size()
+	}
+	return fs, acked
+}
+
+// cutAt is the folder as it was after so many of its bytes were written.
+func cutAt(fs *memory, at int64) *memory {
+	out := newMemory()
+	names, _ := fs.List()
+	slices.Sort(names)
+	for _, name := range names {
+		data := fs.files[name].data
+		if at <= 0 {
+			break
+		}
+		data = data[:min(at, int64(len(data)))]
+		at -= int64(len(data))
+		out.files[name] = &memFile{fs: out, data: bytes.Clone(data), synced: bytes.Clone(data)}
+	}
+	return out
+}
+
+// Killed outright at any byte: after the start what was acknowledged is whole, and of all else nothing is left.
+func TestEveryCutOfALog(t *testing.T) {
+	fs, acked := logOf(t, 5, 7)
+	if len(fs.files) < 3 {
+		t.Fatalf("only %d segments: the test has lost its subject", len(fs.files))
+	}
+	for at := int64(0); at <= fs.size(); at++ {
+		cut := cutAt(fs, at)
+		s, rec := open(t, cut)
+		if len(rec.Damage) > 0 || len(rec.Lost) > 0 {
+			t.Fatalf("cut at %d: a torn tail is told as damage: %+v, %v", at, rec.Damage, rec.Lost)
+		}
+		for k, end := range acked {
+			f, ok := find(rec, k)
+			if ok != (end <= at) {
+				t.Fatalf("cut at %d: result %d, acknowledged at %d, found %v", at, k, end, ok)
+			}
+			if ok {
+				if err := check(s, f, k, 7); err != nil {
+					t.Fatalf("cut at %d: %v", at, err)
+				}
+			}
+		}
+		// The folder goes on being written to, and is whole the next time.
+		if at%37 == 0 {
+			if good, _ := synced(s.Commit(writes(50, 4))); len(good) != 1 {
+				t.Fatalf("cut at %d: nothing can be written any more", at)
+			}
+			s2, rec := open(t, cut)
+			f, ok := find(rec, 50)
+			if !ok || check(s2, f, 50, 4) != nil {
+				t.Fatalf("cut at %d: what was written afterwards is not found", at)
+			}
+		}
+	}
+}
+
+// Any byte that changes costs the results that it lies in alone, and is told.
+func TestEveryDamageOfALog(t *testing.T) {
+	fs, _ := logOf(t, 4, 5)
+	names, _ := fs.List()
+	slices.Sort(names)
+	for i, name := range names {
+		for at := range fs.files[name].data {
+			bad := cutAt(fs, 1<<40)
+			bad.files[name].data[at] ^= 0x5a
+			s, rec := open(t, bad)
+			if at < segment.HeaderSize {
+				if i == len(names)-1 && len(rec.Damage) == 0 {
+					t.Fatalf("%s: a damaged head is not told", name)
+				}
+				continue
+			}
+			if len(rec.Found) < 3 || len(rec.Damage) == 0 && rec.Torn == 0 {
+				t.Fatalf("%s byte %d: %d of 4 found, damage %v, torn %d", name, at, len(rec.Found), rec.Damage, rec.Torn)
+			}
+			for _, f := range rec.Found {
+				if err := check(s, f, int(f.ID[0]), 5); err != nil {
+					t.Fatalf("%s byte %d: %v", name, at, err)
+				}
+			}
+		}
+	}
+}
+
+func TestFailedWrites(t *testing.T) {
+	for n := 1; n <= 30; n++ {
+		fs, _ := logOf(t, 2, 5)
+		s, _ := open(t, fs)
+		fs.failWrite = n
+		failed := false
+		for _, d := range s.Commit(writes(9, 8)) {
+			if d.Event.Kind == spool.Written && d.Event.Err {
+				failed = true
+			}
+		}
+		fs.failWrite = 0
+		if good, _ := synced(s.Commit(writes(10, 3))); len(good) != 1 {
+			t.Fatalf("after write %d failed nothing more can be written", n)
+		}
+		s2, rec := open(t, fs)
+		for _, k := range []int{0, 1, 10} {
+			f, ok := find(rec, k)
+			if !ok {
+				t.Fatalf("after write %d failed result %d is gone", n, k)
+			}
+			if err := check(s2, f, k, len(f.Places)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if f, ok := find(rec, 9); ok && (failed || check(s2, f, 9, 8) != nil) {
+			t.Fatalf("after write %d failed a result is offered that is not whole", n)
+		}
+	}
+}
+
+func TestFullDisk(t *testing.T) {
+	fs := newMemory()
+	fs.room = 4000
+	s, _ := open(t, fs)
+	kept := 0
+	for k := range 20 {
+		if good, _ := synced(s.Commit(writes(k, 5))); len(good) == 1 {
+			kept++
+		}
+	}
+	if kept == 0 || kept == 20 {
+		t.Fatalf("%d of 20 fit: the test has lost its subject", kept)
+	}
+	_, rec := open(t, fs)
+	if len(rec.Found) != kept {
+		t.Errorf("%d were acknowledged, %d are found", kept, len(rec.Found))
+	}
+}
+
+// What a failed sync leaves is unknown: it is not served, not then and not after a restart.
+func TestFailedSync(t *testing.T) {
+	fs, _ := logOf(t, 2, 5)
+	s, _ := open(t, fs)
+	fs.failSync = true
+	done := s.Commit(writes(9, 3))
+	good, bad := synced(done)
+	told := false
+	for _, d := range done {
+		told = told || d.Event.Kind == spool.SegmentBad
+	}
+	if len(good) != 0 || len(bad) != 1 || !told {
+		t.Fatalf("acknowledged %v, refused %v, told %v", good, bad, told)
+	}
+	fs.failSync = false
+	if good, _ := synced(s.Commit(writes(10, 3))); len(good) != 1 {
+		t.Error("nothing can be written after a failed sync")
+	}
+	for _, after := range []*memory{fs, fs.crash(func(n int) int { return n })} {
+		_, rec := open(t, after)
+		if _, ok := find(rec, 9); ok || len(rec.Found) != 3 {
+			t.Errorf("%d found, the one whose sync failed: %v", len(rec.Found), ok)
+		}
+	}
+}
+
+func TestOtherBytesThanWereWritten(t *testing.T) {
+	fs, _ := logOf(t, 2, 5)
+	s, rec := open(t, fs)
+	f, _ := find(rec, 0)
+	g := fs.files[segName(f.Places[2].Segment)]
+	g.data[f.Places[2].Offset+50] ^= 1
+	if _, err := s.Read(f.ID, 2, f.Places[2]); !errors.Is(err, ErrChanged) {
+		t.Errorf("changed bytes: %v", err)
+	}
+	if _, err := s.Read(f.ID, 1, f.Places[3]); !errors.Is(err, ErrChanged) {
+		t.Errorf("another chunk: %v", err)
+	}
+	if _, err := s.Read(id(1), 3, f.Places[3]); !errors.Is(err, ErrChanged) {
+		t.Errorf("another result's chunk: %v", err)
+	}
+	if _, err := s.Read(f.ID, 0, spool.Place{Segment: 99, Size: 60}); err == nil {
+		t.Error("a segment that is not there")
+	}
+}
+
+// Dropped results stay dropped, and their room comes back.
+func TestSweepAndCompact(t *testing.T) {
+	fs, _ := logOf(t, 12, 5)
+	s, _ := open(t, fs)
+	segments := len(fs.files)
+	for _, k := range []int{0, 1, 2, 4, 5, 7, 8, 9, 10} { // 3, 6 and 11 stay
+		s.Commit(drop(k))
+	}
+	for range segments {
+		done, err := s.Compact()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range done {
+			if d.Event.Kind == spool.Moved {
+				if got, err := s.Read(d.Event.ID, d.Event.N, d.Event.Place); err != nil || !bytes.Equal(got, rows(int(d.Event.ID[0]), d.Event.N)) {
+					t.Fatalf("moved chunk: %v", err)
+				}
+			}
+		}
+		s2, rec := open(t, cutAt(fs, 1<<40)) // at each step a restart finds the three and no other
+		if len(rec.Found) != 3 {
+			t.Fatalf("%d found", len(rec.Found))
+		}
+		for _, f := range rec.Found {
+			if err := check(s2, f, int(f.ID[0]), 5); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if s.Bytes() > 8*1500 {
+		t.Errorf("%d bytes are taken by three results", s.Bytes())
+	}
+	for _, k := range []int{3, 6, 11} {
+		s.Commit(drop(k))
+	}
+	if _, err := s.Sweep(); err != nil || len(s.segs) > 1 {
+		t.Errorf("%v, %d segments of nothing", err, len(s.segs))
+	}
+}
+
+func TestTwoProcessesOnOneFolder(t *testing.T) {
+	dir := t.TempDir()
+	first, err := OpenFolder(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := OpenFolder(dir); !errors.Is(err, ErrLocked) {
+		t.Errorf("the second got %v", err)
+	}
+	s, _ := open(t, first)
+	for k := range 3 {
+		if good, _ := synced(s.Commit(writes(k, 30))); len(good) != 1 {
+			t.Fatal("not acknowledged")
+		}
+	}
+	if err := errors.Join(s.Close(), first.Close()); err != nil {
+		t.Fatal(err)
+	}
+	again, err := OpenFolder(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	s, rec := open(t, again)
+	defer s.Close()
+	for k := range 3 {
+		f, ok := find(rec, k)
+		if !ok || check(s, f, k, 30) != nil {
+			t.Errorf("result %d after a restart: %v", k, ok)
+		}
+	}
+}
+
+// Random results, drops, compactions, faults and crashes against a plain map: what was acknowledged and not
+// dropped is whole after every start, and nothing else is offered that is not whole.
+func TestStoreHolds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fs := newMemory()
+		s, _ := open(rt, fs)
+		kept, maybe := map[int]int{}, map[int]int{} // chunks; maybe: neither acknowledged nor known to be gone
+		k := 0
+		for range rapid.IntRange(5, 60).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 7).Draw(rt, "op") {
+			case 0, 1, 2:
+				k++
+				chunks := rapid.IntRange(1, 12).Draw(rt, "chunks")
+				all := writes(k, chunks)
+				if rapid.IntRange(0, 5).Draw(rt, "unfinished") == 0 {
+					all = all[:rapid.IntRange(1, len(all)-1).Draw(rt, "records")]
+				}
+				if good, _ := synced(s.Commit(all)); len(good) == 1 {
+					kept[k] = chunks
+				} else {
+					maybe[k] = chunks
+				}
+			case 3:
+				if k > 0 {
+					d := rapid.IntRange(1, k).Draw(rt, "dropped")
+					for _, done := range s.Commit(drop(d)) {
+						if n, ok := kept[d]; ok && done.Event.Kind == spool.Written {
+							maybe[d] = n // a Drop is not synced by itself
+							delete(kept, d)
+						}
+					}
+				}
+			case 4:
+				if _, err := s.Compact(); err != nil && !errors.Is(err, errFault) {
+					rt.Fatal(err)
+				}
+			case 5:
+				fs.failWrite = rapid.IntRange(0, 6).Draw(rt, "write")
+			case 6:
+				fs.failSync = rapid.IntRange(0, 3).Draw(rt, "sync") == 0
+			case 7:
+				fs = fs.crash(func(n int) int { return rapid.IntRange(0, n).Draw(rt, "kept") })
+				var rec *Recovery
+				s, rec = open(rt, fs)
+				if len(rec.Damage) > 0 {
+					rt.Fatalf("damage after a crash: %+v", rec.Damage)
+				}
+				for k, chunks := range kept {
+					if f, ok := find(rec, k); !ok || check(s, f, k, chunks) != nil {
+						rt.Fatalf("result %d was acknowledged and is not whole (found %v)", k, ok)
+					}
+				}
+				for _, f := range rec.Found {
+					k := int(f.ID[0])
+					chunks, ok := maybe[k]
+					if _, known := kept[k]; known {
+						continue
+					}
+					if !ok || check(s, f, k, chunks) != nil {
+						rt.Fatalf("result %d is offered", k)
+					}
+				}
+			}
+		}
+	})
+}
