Pass results through the spool where it is set, and let clients read on by handle

With the block spool an engine's pages go to the spool as fast as it gives them and as the disk takes them; with the last one the engine is free, however slowly the client reads. A result is reserved before its query runs, so a full spool is a refusal; nothing is offered before it is whole. spool=1 asks for a handle, resume=HANDLE,page=N reads on with another connection or after a restart, release=HANDLE ends it; whatever is wrong with a handle, the words are the same. Slow clients get a chunk when they have taken the last one.

Off without the block.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,6 +34,7 @@
 	Limits   Limits
 	SitePath string     // of the operator's own file; empty: none
 	Site     *site.Site // nil: none
+	Entropy  [32]byte   // of the system, for what nobody may guess; set by who starts the gateway
 }
 
 // Known is the list of engines at the start.
@@ -135,6 +136,14 @@
 	return c, nil
 }
 
+// spooling answers whether results are kept, and where.
+func (c Config) spooling() (on bool, folder string) {
+	if c.Site == nil || c.Site.Spool == nil {
+		return false, ""
+	}
+	return true, c.Site.Spool.Folder
+}
+
 // fair answers whether the door is on.
 func (c Config) fair() bool { return c.Site != nil && c.Site.Fair != nil }
 
@@ -154,6 +163,10 @@
 	if c.fair() != next.fair() {
 		return c, errors.New("the block fair can't come or go while the gateway serves")
 	}
+	on, folder := c.spooling()
+	if nextOn, nextFolder := next.spooling(); on != nextOn || folder != nextFolder {
+		return c, errors.New("the block spool can't come or go, nor its folder change, while the gateway serves")
+	}
 	for _, fixed := range []struct {
 		name     string
 		old, new any
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -37,6 +37,7 @@
 	faults  int        // commands that could not be used
 	fresh   *list.Element
 	idle    *list.Element
+	reading *reading // a result is on its way to it
 }
 
 func (g *Gateway) accept(id ConnID, from netip.Addr) {
@@ -115,6 +116,7 @@
 	delete(g.sessions, c.session)
 	g.unlist(c)
 	g.abandon(c.request)
+	g.leaveShelf(c)
 	g.leaveGate(c)
 }
 
@@ -126,7 +128,7 @@
 // clientIdle notes that a session has no request, and closes the longest idle
 // ones where there are too many.
 func (g *Gateway) clientIdle(c *client) {
-	if c.ended || c.killed {
+	if c.ended || c.killed || c.reading != nil {
 		return
 	}
 	c.seen = g.now
@@ -240,7 +242,7 @@
 		code = known.Code
 	}
 	g.log(Warn, "client: broken protocol", Attr{"session", c.session}, Attr{"error", err.Error()})
-	if c.request == nil && !c.killed {
+	if c.request == nil && !c.killed && c.reading == nil {
 		c.out = mysql.AppendErr(c.out, seq, code, err.Error())
 	}
 	g.closeClient(c)
@@ -268,7 +270,7 @@
 
 func (g *Gateway) command(c *client, payload []byte, seq byte) {
 	switch {
-	case c.request != nil || c.killed:
+	case c.request != nil || c.killed || c.reading != nil:
 		g.breach(c, 1, &mysql.Error{Code: mysql.CodeOutOfOrder, Text: "a command while a query is open"})
 		return
 	case seq != 0:
@@ -297,7 +299,7 @@
 		g.log(Info, "client: unknown command", Attr{"session", c.session}, Attr{"command", int(com)})
 		g.unusable(c, mysql.CodeUnknownCom, "unknown command")
 	}
-	if c.request == nil {
+	if c.request == nil && c.reading == nil {
 		g.clientIdle(c)
 	}
 }
@@ -311,6 +313,14 @@
 // libraries say of their own accord.
 func (g *Gateway) statement(c *client, text []byte) {
 	if mysql.HasFields(text) {
+		if q, ok, err := mysql.ParseResume(text); ok {
+			if err != nil {
+				g.unusable(c, mysql.CodeParse, err.Error())
+				return
+			}
+			g.resume(c, &q)
+			return
+		}
 		q, err := mysql.ParseQuery(text)
 		if err != nil {
 			g.log(Info, "client: unusable query", Attr{"session", c.session}, Attr{"error", err.Error()})
@@ -358,5 +368,8 @@
 	} else if r := target.request; r != nil {
 		target.killed, target.seen = true, g.now
 		g.abandon(r)
+	} else if target.reading != nil { // nothing more of the answer
+		target.out = nil
+		g.closeClient(target)
 	}
 }
--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -189,7 +189,10 @@
 func (g *Gateway) nextWake() (rules.Time, bool) {
 	at, ok := g.timers.next()
 	if a := g.gate; a != nil && a.wake != 0 && (!ok || a.wake < at) {
-		return max(a.wake, g.now+1), true
+		at, ok = max(a.wake, g.now+1), true
+	}
+	if h := g.shelf; h != nil && h.wake != 0 && (!ok || h.wake < at) {
+		at, ok = max(h.wake, g.now+1), true
 	}
 	return at, ok
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"foxlane/internal/config"
 	"foxlane/internal/dns"
 	"foxlane/internal/door"
+	"foxlane/internal/spool"
 	"foxlane/rules"
 )
 
@@ -38,6 +39,8 @@
 	Wake                            // the time asked for has come
 	Terminate                       // the process is asked to end
 	Reload                          // the configuration was read again
+	Shelved                         // the spool's disk has done what it was asked for
+	Drained                         // a connection that was watched has taken all that was written to it
 )
 
 // Event is something that happened outside. Data is valid during the call only.
@@ -50,6 +53,7 @@
 	Ours bool       // with DialFailed: for want of something here, such as descriptors
 
 	Config *config.Config // with Reload: what holds from now on
+	Spool  []spool.Event  // with Shelved
 }
 
 // EffectKind is what an Effect asks for.
@@ -65,6 +69,8 @@
 	Arm                         // wake the reducer at At, and at no earlier time
 	Log                         // note Text
 	Exit                        // all is answered: end the process
+	Disk                        // carry Spool out on the spool's disk; its data stays as it is until it is answered
+	Watch                       // tell Drained once all that was written on a connection is taken
 )
 
 // Level is the weight of a log line.
@@ -94,6 +100,7 @@
 	Level Level
 	Text  string
 	Attrs []Attr
+	Spool spool.Effect
 }
 
 // Gateway is the reducer.
@@ -136,7 +143,8 @@
 	asked    [64]uint16 // ids of the latest queries
 	askedNum int
 
-	gate *gate // nil: the door is off, all requests go to the module at once
+	shelf *shelf // nil: no spool is set, results are passed on at once
+	gate  *gate  // nil: the door is off, all requests go to the module at once
 
 	stats    stats
 	stopping bool
@@ -179,7 +187,7 @@
 	for i, name := range cfg.Settings.ClassNames {
 		g.classes[name] = i
 	}
-	g.gate = newGate(&g.cfg)
+	g.gate, g.shelf = newGate(&g.cfg), newShelf(&g.cfg)
 	g.applyList(cfg.Known.Engines, rules.ListSaved)
 	g.poll()
 	g.timers.add(timer{at: now + g.lim.Sweep, kind: timerSweep})
@@ -222,6 +230,12 @@
 		g.stop()
 	case Reload:
 		g.reload(e.Config)
+	case Shelved:
+		g.shelved(e.Spool)
+	case Drained:
+		if c := g.clients[e.Conn]; c != nil {
+			g.drained(c)
+		}
 	}
 }
 
@@ -311,6 +325,7 @@
 	timerStop
 	timerStats
 	timerWhole
+	timerKept
 )
 
 type timer struct {
@@ -320,6 +335,7 @@
 	attempt *attempt
 	probe   *probe
 	link    *link
+	request *request
 }
 
 // timers is a heap by time. Timers are not taken back: one that has lost its
@@ -369,6 +385,7 @@
 func (g *Gateway) ring() {
 	g.armed = 0
 	g.ringGate()
+	g.ringShelf()
 	for {
 		at, ok := g.timers.next()
 		if !ok || at > g.now {
@@ -393,6 +410,8 @@
 			g.lingered = true
 		case timerStats:
 			g.logStats()
+		case timerKept: // whole at the engine, and not yet on the disk
+			g.fail(t.request)
 		case timerWhole:
 			g.checkWhole(t.link)
 		}
@@ -459,6 +478,7 @@
 	g.stopping = true
 	g.log(Info, "stopping", Attr{"open", g.unanswered})
 	g.timers.add(timer{at: g.now + g.lim.StopLinger, kind: timerStop})
+	g.hurryKept()
 	g.atGate(door.Event{Kind: door.Stopping, By: g.now + g.lim.StopWithin})
 	g.tell(rules.Stopping{By: g.now + g.lim.StopWithin})
 }
@@ -480,6 +500,10 @@
 	g.log(Info, "configuration read again", Attr{"dns", cfg.DNS.String()}, Attr{"seq", cfg.Known.Seq})
 	g.cfg = *cfg
 	g.retuneGate()
+	if g.shelf != nil {
+		budget := cfg.Site.Spool.Budget
+		g.atShelf(spool.Event{Kind: spool.Retune, Budget: &budget})
+	}
 	g.do(Effect{Kind: Names, Addr: cfg.DNS})
 	if cfg.Known.Seq > g.serial {
 		g.serial = cfg.Known.Seq
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -9,6 +9,7 @@
 	"foxlane/internal/door"
 	"foxlane/internal/engine"
 	"foxlane/internal/mysql"
+	"foxlane/internal/spool"
 	"foxlane/rules"
 )
 
@@ -22,7 +23,11 @@
 	slot      int     // at the door
 	passed    bool    // the module knows of it
 	served    bool
-	arrival   *rules.Request // while it is held at the door
+	arrival   *rules.Request // while it is held at the door or waits for room for its result
+	held      rules.Time     // at the door
+	owner     uint64         // of its result
+	shape     uint64         // of its statement
+	keep      keeping
 	class     int
 	stats     *classStats
 	at        rules.Time
@@ -51,6 +56,8 @@
 	asked   bool // the other pages are asked for
 	took    rules.Time
 	pages   [][]byte
+	total   int    // where results are kept: pages
+	first   []byte // and page 0, until its turn comes
 	missing int
 	bytes   int // of the pages
 	work    float64
@@ -106,19 +113,35 @@
 		ID: id, Class: class, Tenant: tenant, OrderKey: q.Fields.Key, Due: due, Work: work, HasWork: work > 0,
 		MemoryMB: q.Fields.MemoryMB, DataSet: q.Group, Repeat: q.Fields.Repeat, Write: q.Write,
 	}
+	if g.gate == nil && g.shelf == nil {
+		r.passed = true
+		g.tell(rules.Arrival{Request: arrival})
+		return
+	}
+	r.arrival = &arrival
+	if g.shelf != nil {
+		r.owner, r.shape, r.keep.lasting = ownerOf(q.Fields.Tenant), 0, q.Fields.Spool
+	}
 	if g.gate != nil {
-		r.arrival = &arrival
 		g.askGate(r, q.Fields.Tenant)
 		return
 	}
-	r.passed = true
-	g.tell(rules.Arrival{Request: arrival})
+	g.pass(r, 0)
 }
 
 // pass hands a request to the module, after it was held for a while.
 func (g *Gateway) pass(r *request, held rules.Time) {
+	r.held = held
+	if g.shelf != nil { // room for its result comes first: without it nothing runs
+		g.shelve(r)
+		return
+	}
+	g.toModule(r)
+}
+
+func (g *Gateway) toModule(r *request) {
 	q := r.arrival
-	q.Held = held
+	q.Held = r.held
 	r.passed, r.arrival = true, nil
 	g.tell(rules.Arrival{Request: *q})
 }
@@ -127,6 +150,7 @@
 func (g *Gateway) settle(r *request) {
 	r.answered = true
 	g.unanswered--
+	g.unshelve(r)
 	r.stats.open--
 	g.inputHeld -= len(r.statement)
 	r.statement = nil
@@ -281,7 +305,7 @@
 	if a.sent {
 		g.atGate(door.Event{Kind: door.Spent, Slot: r.slot, Took: a.took})
 	}
-	o := rules.Outcome{ID: r.id, Attempt: a.index, Engine: 0, Verdict: v, Latency: a.took, Closed: r.answered, Spoilt: a.spoilt}
+	o := rules.Outcome{ID: r.id, Attempt: a.index, Engine: 0, Verdict: v, Latency: a.took, Closed: r.answered || r.keep.closed, Spoilt: a.spoilt}
 	if a.engine != nil {
 		o.Engine = a.engine.id
 	}
@@ -293,6 +317,10 @@
 		o.Load = engine.ParseReport(a.report)
 	}
 	g.forget(r)
+	if r.keep.feeding == a {
+		r.keep.feeding = nil
+		g.atShelf(spool.Event{Kind: spool.Broke, ID: r.keep.handle.ID})
+	}
 	g.tell(o)
 }
 
@@ -331,7 +359,11 @@
 		a.engine.good = g.now
 		g.firstPage(a, m)
 	case engine.Rows:
-		g.page(a, m.Index, m.Body)
+		if g.shelf != nil {
+			g.keepPage(a, m.Index, m.Body)
+		} else {
+			g.page(a, m.Index, m.Body)
+		}
 	default:
 		g.badAnswer(a, "health for a request")
 	}
@@ -347,6 +379,13 @@
 
 func (g *Gateway) firstPage(a *attempt, m *engine.Answer) {
 	total := max(m.Total, 1)
+	if g.shelf != nil {
+		if a.served { // a second copy
+			return
+		}
+		g.serve(a, m, total)
+		return
+	}
 	if a.served && total == len(a.pages) {
 		g.page(a, 0, m.Body) // a second copy, unless its rows are others
 		return
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -12,6 +12,8 @@
 	"testing"
 
 	"foxlane/internal/config"
+	"foxlane/internal/spool"
+	"foxlane/internal/spool/segment"
 	"foxlane/internal/standin"
 	"foxlane/rules"
 )
@@ -48,6 +50,7 @@
 	spoilt  int                  // answers that were
 	from    func() netip.Addr    // of the next client; nil: unknown
 	retune  func(*config.Config) // what changes at a reload; nil: nothing
+	records [][]byte             // on the spool's disk
 }
 
 type happening struct {
@@ -266,12 +269,39 @@
 			w.names(f.Data)
 		case Arm:
 			w.wake = f.At
+		case Disk:
+			w.disk(f.Spool)
+		case Watch:
+			id := f.Conn
+			w.after(w.latency(), func() { w.step(Event{Kind: Drained, Conn: id}) })
 		case Exit:
 			w.exited = true
 		}
 	}
 }
 
+// disk does what the spool asks for, after a while, and at times fails.
+func (w *world) disk(f spool.Effect) {
+	fails := w.chance(0.02)
+	w.after(w.latency(), func() {
+		var events []spool.Event
+		switch f.Kind {
+		case spool.Write:
+			place := spool.Place{Segment: 1, Offset: int64(len(w.records)), Size: int32(segment.Size(len(f.Data)))}
+			w.records = append(w.records, bytes.Clone(f.Data))
+			events = append(events, spool.Event{Kind: spool.Written, ID: f.ID, Record: f.Record, N: f.N, Place: place, Err: fails})
+			if f.Record == segment.Seal && !fails {
+				events = append(events, spool.Event{Kind: spool.Synced, ID: f.ID})
+			}
+		case spool.Load:
+			events = append(events, spool.Event{Kind: spool.Read, ID: f.ID, Reader: f.Reader, N: f.N, Data: w.records[f.Place.Offset], Err: fails})
+		default:
+			return
+		}
+		w.step(Event{Kind: Shelved, Spool: events})
+	})
+}
+
 func (w *world) chance(p float64) bool { return w.rng.Float64() < p*w.rough }
 
 func (w *world) latency() rules.Time { return rules.Time(100 + w.rng.IntN(1500)) }
--- a/internal/mysql/sql.go
+++ b/internal/mysql/sql.go
@@ -29,6 +29,7 @@
 	Repeat    bool
 	Tenant    string // empty: none
 	Key       string // of a class that keeps its order; empty: none
+	Spool     bool   // a handle to the result is asked for
 }
 
 const (
@@ -108,6 +109,8 @@
 		f.Tenant, ok = value, true
 	case "subject":
 		f.Key, ok = value, true
+	case "spool":
+		f.Spool, ok = value == "1", value == "0" || value == "1"
 	case "resent":
 		f.Repeat, ok = value != "0", true
 	default:
@@ -116,6 +119,53 @@
 	return ok
 }
 
+// Resume is a client's wish to read a spooled result again.
+type Resume struct {
+	Handle string
+	Page   int    // from here on; 0: all
+	Done   bool   // it is done with the result
+	Tenant string // empty: none
+}
+
+// mostPage is more than any result has.
+const mostPage = 1 << 30
+
+// ParseResume reads a comment that opens with resume=HANDLE or release=HANDLE; what stands behind the comment
+// is let pass. It answers false if the comment is of another sort.
+func ParseResume(text []byte) (r Resume, ok bool, err error) {
+	text = bytes.TrimLeft(text, " \t\r\n")
+	comment, _, closed := bytes.Cut(bytes.TrimPrefix(text, []byte("/*")), []byte("*/"))
+	fields := strings.Split(strings.TrimSpace(string(comment)), ",")
+	name, _, _ := strings.Cut(fields[0], "=")
+	if !closed || name != "resume" && name != "release" {
+		return r, false, nil
+	}
+	seen := map[string]bool{}
+	for _, field := range fields {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seen[name] {
+			return r, true, &Error{CodeParse, fmt.Sprintf("field %.40q comes twice", name)}
+		}
+		seen[name] = true
+		switch name {
+		case "resume", "release":
+			if r.Handle != "" {
+				return r, true, &Error{CodeParse, "resume and release in one"}
+			}
+			r.Handle, r.Done = value, name == "release"
+		case "page":
+			n, err := strconv.ParseUint(value, 10, 31)
+			if err != nil || n > mostPage {
+				return r, true, &Error{CodeParse, fmt.Sprintf("field page has the unusable value %.40q", value)}
+			}
+			r.Page = int(n)
+		case "owner":
+			r.Tenant = value
+		}
+	}
+	return r, true, nil
+}
+
 func isID(s string) bool {
 	if len(s) != idDigits {
 		return false
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -5,6 +5,7 @@
 package net
 
 import (
+	"crypto/rand"
 	"errors"
 	stdnet "net"
 	"net/netip"
@@ -99,6 +100,7 @@
 	pending atomic.Int64 // bytes written and not yet taken by the system
 	most    int64        // bytes that may be pending
 	closing atomic.Bool  // to be closed once they are
+	watched atomic.Bool  // the reducer is to be told once they are
 	client  bool         // accepted, not dialled
 }
 
@@ -123,6 +125,7 @@
 	dials    sync.WaitGroup
 	ending   atomic.Bool
 	readers  sync.WaitGroup // of UDP
+	shelf    *shelf         // nil: no spool is on a disk
 }
 
 // Run serves until the process is asked to end by a signal, and all is answered.
@@ -132,6 +135,13 @@
 		byNB: map[*nbio.Conn]*conn{}, start: time.Now()}
 	e.unix = e.start.UnixMicro()
 	e.fewer.L = &e.mu
+	if _, err := rand.Read(e.cfg.Entropy[:]); err != nil {
+		return err
+	}
+	if err := e.openShelf(); err != nil {
+		return err
+	}
+	defer e.closeShelf()
 	if err := e.open(); err != nil {
 		return err
 	}
@@ -166,8 +176,11 @@
 	e.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
 		if c := e.of(nb); c != nil {
 			c.pending.Add(-int64(n))
-			if c.closing.Load() && c.pending.Load() <= 0 {
-				go nb.Close() // this runs under the connection's lock
+			if c.pending.Load() <= 0 {
+				if c.closing.Load() {
+					go nb.Close() // this runs under the connection's lock
+				}
+				e.tellDrained(c)
 			}
 		}
 	})
@@ -328,6 +341,10 @@
 	g := gateway.New(e.cfg, e.now())
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
+	if e.shelf != nil {
+		g.Step(e.now(), gateway.Event{Kind: gateway.Shelved, Spool: e.shelf.found})
+		e.shelf.found = nil
+	}
 	var events []gateway.Event
 	var arena []byte
 	armed, turns := rules.Time(0), pace{least: e.cfg.Limits.Turn}
@@ -377,7 +394,7 @@
 		e.log.Warn("configuration kept as it was", zap.Error(err))
 		return ev, false
 	}
-	e.cfg = cfg
+	e.cfg = cfg // Reload has kept the entropy
 	return gateway.Event{Kind: gateway.Reload, Config: &cfg}, true
 }
 
@@ -412,6 +429,15 @@
 		if err := e.openUDP(f.Addr); err != nil {
 			e.log.Warn("name service: not reached at its new address", zap.Error(err))
 		}
+	case gateway.Disk:
+		e.toShelf(f)
+	case gateway.Watch:
+		if c := e.get(f.Conn); c != nil {
+			c.watched.Store(true)
+			if c.pending.Load() <= 0 {
+				e.tellDrained(c)
+			}
+		}
 	case gateway.Log:
 		e.write(f)
 	}
--- /dev/null
+++ b/internal/net/shelf.go
@@ -0,0 +1,101 @@
+package net
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"foxlane/internal/gateway"
+	"foxlane/internal/spool"
+	"foxlane/internal/spool/disk"
+	"foxlane/rules"
+)
+
+// shelf is the folder in which results are kept, and the goroutine that writes to it.
+type shelf struct {
+	folder *disk.Folder
+	runner *disk.Runner
+	found  []spool.Event // at the start, until the reducer has them
+}
+
+const (
+	segmentBytes = 32 << 20
+	diskWaiting  = 4096 // effects that wait for the disk
+	wasteParts   = 8    // a part of the room that may be waste before segments are compacted, as a divisor
+)
+
+// openShelf opens the operator's folder before anything else: another process that uses it ends this one.
+func (e *Edge) openShelf() error {
+	if e.cfg.Site == nil || e.cfg.Site.Spool == nil || e.cfg.Site.Spool.Folder == "" {
+		return nil
+	}
+	set := e.cfg.Site.Spool
+	folder, err := disk.OpenFolder(set.Folder)
+	if err != nil {
+		return err
+	}
+	var salt [8]byte
+	if _, err := rand.Read(salt[:]); err != nil {
+		folder.Close()
+		return err
+	}
+	start := e.now()
+	store, rec, err := disk.Open(folder, disk.Options{Segment: segmentBytes, Salt: binary.LittleEndian.Uint64(salt[:])})
+	if err != nil {
+		folder.Close()
+		return err
+	}
+	e.shelf = &shelf{folder: folder}
+	for _, f := range rec.Found {
+		e.shelf.found = append(e.shelf.found, spool.Event{Kind: spool.Recovered, ID: f.ID, Secret: f.Meta.Secret, Tenant: f.Meta.Tenant,
+			Class: int(f.Meta.Class), Created: rules.Time(f.Meta.Created), Lease: rules.Time(f.Meta.Lease), Places: f.Places})
+	}
+	e.log.Info("spool opened", zap.String("folder", set.Folder), zap.Int("results", len(rec.Found)), zap.Int("damaged", len(rec.Lost)),
+		zap.Int("unfinished", rec.Partial), zap.Int64("torn_bytes", rec.Torn), zap.Int64("took_ms", int64((e.now()-start)/rules.Millisecond)))
+	for _, d := range rec.Damage {
+		e.log.Warn("spool: damaged", zap.Uint32("segment", d.Segment), zap.Int64("at", d.From), zap.Int64("bytes", d.Size),
+			zap.String("result", fmt.Sprintf("%x", d.ID[:])))
+	}
+	e.shelf.runner = disk.NewRunner(store, diskWaiting, set.Budget.Disk/wasteParts,
+		func(events []spool.Event) { e.box.put(gateway.Event{Kind: gateway.Shelved, Spool: events}) },
+		func(err error) { e.log.Warn("spool: the disk fails", zap.Error(err)) })
+	return nil
+}
+
+// closeShelf writes what is still to be written and lets the folder go.
+func (e *Edge) closeShelf() {
+	if e.shelf == nil {
+		return
+	}
+	if err := e.shelf.runner.Close(); err != nil {
+		e.log.Warn("spool: not closed in order", zap.Error(err))
+	}
+	e.shelf.folder.Close()
+}
+
+// toShelf hands an effect to the disk. What it can't take is answered as failed, for the reducer to see.
+func (e *Edge) toShelf(f *gateway.Effect) {
+	s := &f.Spool
+	if e.shelf != nil && e.shelf.runner.Submit(*s) == nil {
+		return
+	}
+	ev := spool.Event{ID: s.ID, N: s.N, Err: true}
+	switch s.Kind {
+	case spool.Write:
+		ev.Kind, ev.Record = spool.Written, s.Record
+	case spool.Load:
+		ev.Kind, ev.Reader = spool.Read, s.Reader
+	default:
+		return
+	}
+	e.box.put(gateway.Event{Kind: gateway.Shelved, Spool: []spool.Event{ev}})
+}
+
+// tellDrained tells the reducer once that a connection has taken all that was written to it.
+func (e *Edge) tellDrained(c *conn) {
+	if c.watched.Swap(false) {
+		e.box.put(gateway.Event{Kind: gateway.Drained, Conn: c.id})
+	}
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -22,7 +22,8 @@
 
 // Site is what the operator has set. A subsystem without a block is nil and off.
 type Site struct {
-	Fair *Fair
+	Fair  *Fair
+	Spool *Spool
 }
 
 // Fair are the settings of the door.
@@ -32,7 +33,8 @@
 }
 
 type document struct {
-	Fair *fairBlock `hcl:"fair,block"`
+	Fair  *fairBlock  `hcl:"fair,block"`
+	Spool *spoolBlock `hcl:"spool,block"`
 }
 
 // LoadFile reads the operator's file.
@@ -69,6 +71,13 @@
 		}
 		s.Fair = fair
 	}
+	if d.Spool != nil {
+		sp, diags := d.Spool.decode()
+		if diags.HasErrors() {
+			return nil, problem(diags)
+		}
+		s.Spool = sp
+	}
 	return s, nil
 }
 
@@ -108,5 +117,10 @@
 	} else {
 		s.Fair.write(&b)
 	}
+	if s == nil || s.Spool == nil {
+		b.WriteString("# spool: off\n")
+	} else {
+		s.Spool.write(&b)
+	}
 	return b.String()
 }
--- a/internal/site/values.go
+++ b/internal/site/values.go
@@ -134,6 +134,16 @@
 	}
 }
 
+// text reads a string without what HCL would expand.
+func (r *reader) text(a *hcl.Attribute, to *string) {
+	if v, ok := r.value(a, cty.String); ok {
+		*to = v.AsString()
+		if strings.ContainsAny(*to, "\"\\$%\n") {
+			r.diags = append(r.diags, wrong(a.Expr.Range(), "%s holds quotes, backslashes, $ or %%", a.Name))
+		}
+	}
+}
+
 // words reads a list of strings, each with its place.
 func (r *reader) words(a *hcl.Attribute) (out []word) {
 	if a == nil {
