--- a/internal/spool/disk/disk.go
+++ b/internal/spool/disk/disk.go
@@ -60,6 +60,7 @@
 	sum    segment.Sum
 	seal   spool.Place // Size 0: none
 	broken bool
+	copy   *entry // while a scan reads one that a compaction made: it counts once it is whole
 }
 
 type seg struct {
@@ -205,7 +206,7 @@
 	r, place := item.Record, spool.Place{Segment: g.number, Offset: item.Offset, Size: int32(item.Size)}
 	if item.Damaged {
 		rec.Damage = append(rec.Damage, Damage{g.number, item.Offset, item.Size, r.ID, item.Known})
-		if e := s.entries[r.ID]; item.Known && e != nil && r.Kind != segment.Lease {
+		if e := s.entries[r.ID].latest(); item.Known && e != nil && r.Kind != segment.Lease {
 			e.broken = true
 		}
 		return
@@ -217,20 +218,24 @@
 		if !ok {
 			return
 		}
-		if e == nil || e.seal.Size == 0 { // a second one is a copy that was made before the first was removed
-			e = &entry{pages: map[int]spool.Place{}}
-			s.entries[r.ID] = e
+		fresh := &entry{meta: meta, open: place, pages: map[int]spool.Place{}}
+		if e != nil && e.seal.Size > 0 { // a copy, which may have been left half way: the first one stays until it is whole
+			fresh.meta.Lease = max(meta.Lease, e.meta.Lease)
+			e.copy = fresh
+		} else {
+			s.entries[r.ID] = fresh
 		}
-		lease := e.meta.Lease
-		e.meta, e.open = meta, place
-		e.meta.Lease = max(e.meta.Lease, lease)
 	case segment.Page:
-		if e != nil {
+		if e = e.latest(); e != nil {
 			e.pages[int(r.Page)] = place
 		}
 	case segment.Seal:
-		if sum, ok := segment.ParseSum(r.Payload); ok && e != nil {
-			e.sum, e.seal = sum, place
+		sum, ok := segment.ParseSum(r.Payload)
+		if last := e.latest(); ok && last != nil {
+			last.sum, last.seal = sum, place
+			if last != e && last.whole() {
+				s.entries[r.ID] = last
+			}
 		}
 	case segment.Lease:
 		if t, ok := segment.ParseTime(r.Payload); ok && e != nil {
@@ -241,6 +246,14 @@
 	}
 }
 
+// latest is the copy that is being read, if there is one.
+func (e *entry) latest() *entry {
+	if e != nil && e.copy != nil {
+		return e.copy
+	}
+	return e
+}
+
 // whole answers whether all that a result's seal names is there.
 func (e *entry) whole() bool {
 	if e.seal.Size == 0 || e.broken || len(e.pages) != int(e.sum.Pages) {
--- a/internal/spool/disk/disk_test.go
+++ b/internal/spool/disk/disk_test.go
@@ -432,6 +432,35 @@
 	}
 }
 
+// A compaction that fails half way leaves a part of a copy: the first one counts, also after restarts and
+// further compactions.
+func TestCompactionThatFailsHalfWay(t *testing.T) {
+	for n := 1; n <= 12; n++ {
+		fs, _ := logOf(t, 3, 7)
+		s, _ := open(t, fs)
+		s.Commit(drop(0))
+		fs.failWrite = n
+		if _, err := s.Compact(); err == nil {
+			continue
+		}
+		fs.failWrite = 0
+		for range 6 {
+			var rec *Recovery
+			s, rec = open(t, cutAt(fs, 1<<40))
+			for _, k := range []int{1, 2} {
+				if f, ok := find(rec, k); !ok || check(s, f, k, 7) != nil {
+					t.Fatalf("after write %d of a compaction failed result %d is lost", n, k)
+				}
+			}
+			s, _ = open(t, fs)
+			s.Commit(writes(40, 1))
+			if _, err := s.Compact(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
 func TestTwoProcessesOnOneFolder(t *testing.T) {
 	dir := t.TempDir()
 	first, err := OpenFolder(dir)
