--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -36,6 +36,7 @@
 	Site     string // text of the operator's file; empty: none
 	HoldOff  bool   // times of return are allowed
 	GiveUp   time.Duration
+	Pages    []string // of every result; nil: one row
 }
 
 // World is a gateway with what it talks to.
@@ -44,6 +45,7 @@
 	Addr    string
 	slots   []*standin.Slots
 	engines []*standin.Engine
+	hosts   []standin.Host
 	names   *standin.Names
 	gateway *exec.Cmd
 	log     bytes.Buffer
@@ -78,7 +80,11 @@
 	for i := range s.Engines {
 		slots := standin.NewSlots(s.Slots)
 		e, err := standin.NewEngine("127.0.0.1:0", func(standin.Ask) standin.Reply {
-			return standin.Reply{After: slots.Use(s.Run), Work: s.Run, Word: "served", Pages: []string{"a\tb\tc\n"}}
+			pages := s.Pages
+			if pages == nil {
+				pages = []string{"a\tb\tc\n"}
+			}
+			return standin.Reply{After: slots.Use(s.Run), Work: s.Run, Word: "served", Pages: pages}
 		})
 		if err != nil {
 			return w, err
@@ -88,9 +94,25 @@
 			Weight: 4, Kind: "std"})
 	}
 	w.names.Set(2, hosts)
+	w.hosts = hosts
 	return w, w.startGateway(hosts)
 }
 
+// Asks is how many requests the engines have seen.
+func (w *World) Asks() (n int) {
+	for _, e := range w.engines {
+		n += len(e.Asks())
+	}
+	return n
+}
+
+// Kill ends the gateway outright and starts it again on the same files.
+func (w *World) Kill() error {
+	_ = w.gateway.Process.Kill()
+	_ = w.gateway.Wait()
+	return w.startGateway(w.hosts)
+}
+
 // Slow makes all engines run at a part of their speed from now on.
 func (w *World) Slow(part float64) {
 	for _, s := range w.slots {
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -122,23 +122,30 @@
 
 // Query sends a statement and reads its whole result, row by row.
 func (c *Client) Query(text string, within time.Duration) (rows int, err error) {
+	err = c.Rows(text, within, func([]byte) { rows++ })
+	return rows, err
+}
+
+// Rows sends a statement and hands over each row as it comes: its columns, each with its length ahead. The
+// row is valid during the call only.
+func (c *Client) Rows(text string, within time.Duration, row func([]byte)) error {
 	_ = c.conn.SetDeadline(time.Now().Add(within))
 	if err := c.write(0, append([]byte{3}, text...)); err != nil {
-		return 0, err
+		return err
 	}
 	for ends := 0; ends < 2; {
 		p, err := c.read()
 		if err != nil {
-			return rows, err
+			return err
 		}
 		switch {
 		case len(p) == 5 && p[0] == 0xfe:
 			ends++
 		case ends == 0 && len(p) > 0 && p[0] == 0:
-			return 0, nil // OK, without rows
+			return nil // OK, without rows
 		case ends == 1:
-			rows++
+			row(p)
 		}
 	}
-	return rows, nil
+	return nil
 }
