--- a/cmd/foxlab/main.go
+++ b/cmd/foxlab/main.go
@@ -77,6 +77,7 @@
 		func(ctx context.Context, gateway string, seconds int, progress io.Writer) (*lab.Report, error) {
 			return lab.MeasureCost(ctx, gateway, "", seconds, progress)
 		}},
+	{"spool", "kept results: how long an engine is held by a slow client over a fast one, reads after kills", 4, lab.MeasureSpool},
 	{"cost-fair", "the same with the door on", 12,
 		func(ctx context.Context, gateway string, seconds int, progress io.Writer) (*lab.Report, error) {
 			return lab.MeasureCost(ctx, gateway, "fair {\n}\n", seconds, progress)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -41,6 +41,8 @@
 	conns   map[net.Conn]struct{}
 	asks    []Ask
 	quits   []string
+	begun   map[string]time.Time
+	held    map[string]time.Duration
 	stopped bool
 }
 
@@ -50,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Engine{ln: ln, answer: answer, conns: map[net.Conn]struct{}{}}
+	e := &Engine{ln: ln, answer: answer, conns: map[net.Conn]struct{}{}, begun: map[string]time.Time{}, held: map[string]time.Duration{}}
 	e.wg.Add(1)
 	go e.accept()
 	return e, nil
@@ -73,6 +75,13 @@
 	return append([]string(nil), e.quits...)
 }
 
+// Held is how long a request held the engine: until it was freed. It is 0 while it is not.
+func (e *Engine) Held(id string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held[id]
+}
+
 // Close ends the engine as a process that dies does: its connections are reset.
 func (e *Engine) Close() {
 	e.mu.Lock()
@@ -157,6 +166,12 @@
 		delete(s.running, id)
 		delete(s.results, id)
 		s.mu.Unlock()
+		s.engine.mu.Lock()
+		if from, ok := s.engine.begun[id]; ok {
+			s.engine.held[id] = time.Since(from)
+			delete(s.engine.begun, id)
+		}
+		s.engine.mu.Unlock()
 		if words[0] == "QUIT" {
 			s.engine.mu.Lock()
 			s.engine.quits = append(s.engine.quits, id)
@@ -203,6 +218,7 @@
 	}
 	s.engine.mu.Lock()
 	s.engine.asks = append(s.engine.asks, a)
+	s.engine.begun[id] = time.Now()
 	s.engine.mu.Unlock()
 	r := s.engine.answer(a)
 	s.mu.Lock()
