Keep short queries in their own zone's homes, where crossing costs a fee

The fee counts by query; queries of a high priority are four in five of all, and a twelfth of the work, and their engine runs them ahead of the rest, so the load of their zone gives no reason to leave it.

near (rules/rules.go) offers them the first homes of their data set in their own zone; where none of these takes them they are drawn as before.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -465,8 +465,10 @@
 	if e := m.drawnCold(r); e != nil {
 		return e
 	}
-	if m.listAble(r, m.homes(r)); len(m.able) < 2 {
-		m.listAble(r, m.engines)
+	if m.listAble(r, m.near(r)); len(m.able) == 0 {
+		if m.listAble(r, m.homes(r)); len(m.able) < 2 {
+			m.listAble(r, m.engines)
+		}
 	}
 	m.able = without(m.able, r.triedOn)
 	n := len(m.able)
@@ -518,6 +520,22 @@
 	return set.order[:min(n, len(set.order))]
 }
 
+// near are the homes of a data set in our own zone, for queries of a high priority where crossing costs a
+// fee: it counts by query, and these are most of all queries and little of all work, so that the zone's
+// load gives no reason to leave it.
+func (m *Module) near(r *request) []*engine {
+	if m.s.Fees.CrossZone <= 0 || m.band(r) == 0 {
+		return nil
+	}
+	near := make([]*engine, 0, homesLeast)
+	for _, e := range m.set(r.DataSet).order {
+		if e.Zone == m.s.Zone && e.State == EngineServing && len(near) < homesLeast {
+			near = append(near, e)
+		}
+	}
+	return near
+}
+
 // ---- notes among gateways
 
 // tellsOf answers whether peers hear of an attempt: where notes are allowed, of all that is twice as
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -796,6 +796,50 @@
 	}
 }
 
+// Short queries pay as much for crossing zones as long ones, and are no load: they stay in their zone's
+// homes while one of these takes them, and cross when none does.
+func TestShortQueriesStayInTheirZone(t *testing.T) {
+	heavy := quick
+	heavy.Aim, heavy.Worth = 5*Second, 2
+	s := plain(quick, heavy)
+	s.TakesPriority, s.Fees.CrossZone, s.Zone, s.Siblings = true, 0.05, 1, 50
+	f := newReferee(t, s, 1, 1000*Second)
+	f.usual[0], f.usual[1] = float64(100*Millisecond), float64(Second)
+	fleet := fleetOf(12)
+	for i := range fleet {
+		fleet[i].Zone = i % 3
+	}
+	f.tell(FleetChange{Mode: ListSaved, Engines: fleet})
+	crossed := func(class int) (n int) {
+		for set := range 40 {
+			id := f.ask(class, func(r *Request) { r.DataSet = set })
+			for _, o := range f.pending() {
+				f.resolve(o, VerdictOK)
+			}
+			if as := f.requests[id].attempts; len(as) > 0 && as[0].engine.Zone != s.Zone {
+				n++
+			}
+			f.advance(20 * Millisecond)
+		}
+		return n
+	}
+	if n := crossed(0); n > 0 {
+		t.Errorf("%d of 40 short queries crossed zones", n)
+	}
+	if n := crossed(1); n < 15 {
+		t.Errorf("%d of 40 long queries crossed zones: they are the load, and go where there is least", n)
+	}
+	for i := range fleet {
+		if fleet[i].Zone == s.Zone {
+			fleet[i].State = EngineDraining
+		}
+	}
+	f.tell(FleetChange{Mode: ListDelta, Engines: fleet})
+	if n := crossed(0); n != 40 {
+		t.Errorf("%d of 40 short queries crossed zones when their own was gone", n)
+	}
+}
+
 // How slow an engine is to long queries is not told by short ones that overtake them there.
 func TestDragByPriority(t *testing.T) {
 	heavy := quick
