Size a cold engine's lots by their scatter, and make what is late wait in a crowd

drawnPart asks for so much that the budget lies 5.5 deviations of chance above it: a third when 30 queries fill it, half when 67 do. fleetBound takes the margin of chance from late queries by the cube of the share, from others in its proportion.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,7 +31,7 @@
 	usedPart       = 0.7              // part of our share in use from which it counts as used up
 	shareMost      = 2.0              // most of an engine's bound that we ever take for ours
 	coldSafety     = 0.6              // part of our share of a cold engine's budget that we use
-	coldDrawn      = 0.33             // part of the budget for which all together ask by lot
+	coldChance     = 5.5              // deviations by which what all together ask for by lot must not pass it
 	homesLeast     = 3                // engines that keep even the least read data set warm
 	homeSpread     = 1.5              // and this times its part of the requests, of all engines
 	homeDoubt      = 20               // requests that a part must outweigh to be believed
@@ -347,8 +347,15 @@
 	work := max(r.class.usual.mean(math.Inf(1)), m.predict(r))
 	spent := e.sentSince(m.now - d.TipAfter - m.s.Tick)
 	part := m.coldPart(e)
-	return m.evenRoom(r, e) || work <= (coldSafety-coldDrawn)*part*float64(m.s.Siblings) &&
-		spent+m.lot(e, d.TipAfter)*work <= coldDrawn*part*min(1, age/float64(d.TipAfter))
+	asked := part * drawnPart(part*float64(m.s.Siblings)/work)
+	return m.evenRoom(r, e) || spent+m.lot(e, d.TipAfter)*work <= asked*min(1, age/float64(d.TipAfter))
+}
+
+// drawnPart is the part of a budget for which all together may ask by lot, where it holds n queries: so
+// many that it lies coldChance deviations of chance over what they ask for.
+func drawnPart(n float64) float64 {
+	root := math.Sqrt(n+coldChance*coldChance/4) - coldChance/2
+	return min(root*root/n, coldSafety)
 }
 
 // coldPart is our even part of what a cold engine bears in a tip window.
@@ -380,11 +387,12 @@
 	if m.s.TakesPriority {
 		all = &m.high // at least what has a high priority could go
 	}
-	if all.out > 0 && all.threads >= m.fleetBound() {
+	if all.out > 0 && all.threads >= m.fleetBound(false) {
 		return false
 	}
 	for _, e := range m.engines {
-		if e.State == EngineServing && (e.out == 0 || m.s.TakesPriority || e.threads < m.bound(m.kind(e).Cores)) {
+		open := e.out == 0 || m.s.TakesPriority || e.threads < m.bound(m.kind(e).Cores)
+		if open && e.State == EngineServing {
 			return true
 		}
 	}
@@ -524,7 +532,7 @@
 // fee: it counts by query, and these are most of all queries and little of all work, so that the zone's
 // load gives no reason to leave it.
 func (m *Module) near(r *request) []*engine {
-	if m.s.Fees.CrossZone <= 0 || m.band(r) == 0 {
+	if m.s.Fees.CrossZone <= 0 || m.band(r) == 0 || len(r.attempts) > 0 {
 		return nil
 	}
 	near := make([]*engine, 0, homesLeast)
@@ -553,10 +561,15 @@
 
 func (m *Module) bound(cores float64) float64 { return threadsPerCore * cores * m.part() }
 
-// fleetBound adds a margin of chance: what single gateways draw scatters, their sum hardly does.
-func (m *Module) fleetBound() float64 {
-	b := m.bound(m.size.Cores)
-	return b + chance*min(m.share, 1)*math.Sqrt(b*m.widest)
+// fleetBound adds a margin of chance: what single gateways draw scatters, their sum hardly does. Slow
+// attempts that go on at an even part take away from it, more of it from what is late already: that can
+// wait until a crowd has gone, and must not take the place of what can still be in time.
+func (m *Module) fleetBound(late bool) float64 {
+	b, spare := m.bound(m.size.Cores), min(m.share, 1)
+	if late {
+		spare *= spare * spare
+	}
+	return b + chance*spare*math.Sqrt(b*m.widest)
 }
 
 // within is the memory gate and the thread bound, for one engine or for all together.
@@ -574,7 +587,7 @@
 	e.others.forget(m.now - m.patience)
 	wide := fitPart * float64(max(1, r.class.Threads))
 	return (e.others.threads <= 0 || e.threads+e.others.threads+wide <= threadsPerCore*kind.Cores) &&
-		m.within(r, m.ahead(r, &m.all, &m.high), m.fleetBound(), m.size, grant) &&
+		m.within(r, m.ahead(r, &m.all, &m.high), m.fleetBound(r.late), m.size, grant) &&
 		m.within(r, m.ahead(r, &e.load, &e.high), m.bound(kind.Cores), kind, grant)
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -840,6 +840,59 @@
 	}
 }
 
+// A short query that failed in its own zone is tried elsewhere: a lost zone would use up all of its attempts.
+func TestFurtherAttemptLeavesTheZone(t *testing.T) {
+	heavy := quick
+	heavy.Worth = 2
+	s := plain(quick, heavy)
+	s.TakesPriority, s.Fees.CrossZone, s.Siblings = true, 0.05, 50
+	away := 0
+	for seed := range uint64(20) {
+		f := newReferee(t, s, seed, 1000*Second)
+		f.usual[0], f.usual[1] = float64(100*Millisecond), float64(Second)
+		fleet := fleetOf(30)
+		for i := range fleet {
+			fleet[i].Zone = i % 5
+		}
+		f.tell(FleetChange{Mode: ListSaved, Engines: fleet})
+		id := f.ask(0, nil)
+		f.resolve(f.pending()[0], VerdictConnectFailed)
+		if as := f.requests[id].attempts; as[0].engine.Zone != s.Zone || len(as) != 2 {
+			t.Fatalf("%d attempts, the first in zone %d", len(as), as[0].engine.Zone)
+		} else if as[1].engine.Zone != s.Zone {
+			away++
+		}
+	}
+	if away < 10 {
+		t.Errorf("%d of 20 further attempts left the zone, of five that are alike", away)
+	}
+}
+
+// What is late already has no margin of chance: while the share is cut, it waits.
+func TestLateWaitsWhileTheShareIsCut(t *testing.T) {
+	heavy := quick
+	heavy.Threads, heavy.LateValue = 2, 0.4
+	s := plain(heavy)
+	s.Siblings = 50
+	for _, late := range []bool{false, true} {
+		f := site(t, s, 10)
+		f.usual[0] = float64(Second)
+		f.setShare(0.5 / 50)
+		sent := 0
+		for range 3 {
+			id := f.ask(0, func(r *Request) {
+				if r.Due = f.now + 20*Second; late {
+					r.Held = 5 * Second
+				}
+			})
+			sent += f.sent(id)
+		}
+		if late && sent != 1 || !late && sent < 2 {
+			t.Errorf("late %v: %d of 3 sent", late, sent)
+		}
+	}
+}
+
 // How slow an engine is to long queries is not told by short ones that overtake them there.
 func TestDragByPriority(t *testing.T) {
 	heavy := quick
