Plan for the loss of a zone: states, damping, tiers, paced return, drains, foxlane plan

Need: losing a hall brings its load and its clients to the others; every gateway sees it alone and all see it at once. The pick drew over all zones, and nothing paced a return but the cold budget.

internal/zones decides, pure: states with hysteresis, flap damping as of routes, a ramp with jitter, priority levels with an overprovisioning factor and a panic threshold, a limit of spill by lot, a ladder of shedding. The block sites sets it, SIGHUP drains and takes back, foxlane plan plays a loss and a return with the same code. internal/gateway/sites.go shows it what module and sockets hold and hands the parts to the module; lost zones are found again by a probe a second. Off without the block; the limit of spill and the ladder are in the plan only so far (docs/sites.md, Open).

--- a/cmd/foxlab/main.go
+++ b/cmd/foxlab/main.go
@@ -78,6 +78,10 @@
 			return lab.MeasureCost(ctx, gateway, "", seconds, progress)
 		}},
 	{"spool", "kept results: how long an engine is held by a slow client over a fast one, reads after kills", 4, lab.MeasureSpool},
+	{"sites", "the loss of a zone: 300 gateways in virtual time, with and without the plan, paired by seed", 1,
+		func(ctx context.Context, _ string, _ int, progress io.Writer) (*lab.Report, error) {
+			return lab.MeasureSites(ctx, progress)
+		}},
 	{"cost-fair", "the same with the door on", 12,
 		func(ctx context.Context, gateway string, seconds int, progress io.Writer) (*lab.Report, error) {
 			return lab.MeasureCost(ctx, gateway, "fair {\n}\n", seconds, progress)
--- a/internal/emu/books.go
+++ b/internal/emu/books.go
@@ -18,6 +18,8 @@
 	Again      int // of these, further attempts
 	Cross      int // of these, to another zone
 	Dials      int // connections that attempts had to make
+	Probes     int
+	Moves      int // states that zones have entered, over all gateways
 	Lost       [rules.VerdictMoot + 1]int
 	Seconds    []Second
 
--- a/internal/emu/faults.go
+++ b/internal/emu/faults.go
@@ -36,6 +36,64 @@
 	}}
 }
 
+// LoseZone takes a zone away, engines and gateways, without a word: connections stay silent. Its engines leave the
+// list after unlisted, and all come back, cold, after away; 0 is never.
+func LoseZone(at rules.Time, zone int, unlisted, away rules.Time) Fault {
+	return Fault{at, func(f *Fleet) {
+		var lost []*engine
+		for _, e := range f.engines {
+			if e.zone == zone && e.state == rules.EngineServing {
+				lost = append(lost, e)
+				e.silent = true
+				e.drop(rules.VerdictReset) // nobody hears of it
+			}
+		}
+		var gone []*gateway
+		for _, g := range f.gateways {
+			if g.zone == zone && g.up {
+				gone = append(gone, g)
+				g.die()
+			}
+		}
+		f.after(unlisted, func() {
+			for _, e := range lost {
+				e.state = rules.EngineGone
+			}
+			f.news(lost...)
+		})
+		if away > 0 {
+			f.after(away, func() {
+				for _, e := range lost {
+					e.silent, e.state, e.started = false, rules.EngineServing, f.now
+				}
+				f.news(lost...)
+				for _, g := range gone {
+					f.after(rules.Time(f.rng.Int64N(int64(rules.Second))), g.begin)
+				}
+			})
+		}
+	}}
+}
+
+// Flap has a zone's engines fall silent and come back, warm, so many times: silent for a while, then well for as long.
+func Flap(at rules.Time, zone, times int, every rules.Time) Fault {
+	return Fault{at, func(f *Fleet) {
+		set := func(on bool) func() {
+			return func() {
+				for _, e := range f.engines {
+					if e.zone == zone {
+						e.silent = on
+					}
+				}
+			}
+		}
+		for i := range rules.Time(times) {
+			f.after(2*i*every, set(true))
+			f.after((2*i+1)*every, set(false))
+		}
+	}}
+}
+
 // Kill ends a part of the gateways at once; each starts again after away.
 func Kill(at rules.Time, part float64, away rules.Time) Fault {
 	return Fault{at, func(f *Fleet) {
--- a/internal/emu/fleet.go
+++ b/internal/emu/fleet.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 
+	"foxlane/internal/zones"
 	"foxlane/rules"
 )
 
@@ -52,6 +53,7 @@
 	Length   rules.Time
 	Seed     uint64
 	Faults   []Fault
+	Sites    *zones.Settings // what gateways do when a zone is lost; nil: nothing of its own
 }
 
 // Fleet is one run.
@@ -85,6 +87,8 @@
 	requests map[rules.RequestID]*request
 	order    []*request                    // in the order of arrival, some of them over
 	links    map[rules.EngineID]rules.Time // when a connection was last used
+	sites    *sites
+	seen     map[rules.EngineID]*seen
 	stopping bool
 }
 
@@ -296,6 +300,8 @@
 	g.module = rules.New(s, g.f.rng.Uint64())
 	g.requests, g.links, g.order = map[rules.RequestID]*request{}, map[rules.EngineID]rules.Time{}, nil
 	g.inbox, g.telling = nil, false
+	g.seen = map[rules.EngineID]*seen{}
+	g.beginSites()
 	g.tell(rules.FleetChange{Mode: rules.ListSaved, Engines: g.f.listed()})
 }
 
@@ -436,6 +442,7 @@
 	a := &attempt{request: r, index: len(r.attempts), engine: f.engine(id), at: f.now}
 	r.attempts = append(r.attempts, a)
 	f.Books.sent(g, a)
+	g.of(id).asked = f.now
 	at, open := g.links[id]
 	dials := !open || f.now-at > linkIdle
 	if dials {
@@ -497,6 +504,12 @@
 	}
 	a.done = true
 	f, r := g.f, a.request
+	if v != rules.VerdictOK && v != rules.VerdictMoot {
+		g.of(a.engine.id).fault = f.now
+	}
+	if a.ended {
+		g.of(a.engine.id).heard = f.now
+	}
 	if v == rules.VerdictTimeout && a.job != nil {
 		a.engine.quit(a.job)
 	}
--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"testing"
 
+	"foxlane/internal/zones"
 	"foxlane/rules"
 )
 
@@ -52,6 +53,46 @@
 	}
 }
 
+// A zone is lost for 8 s, engines and gateways, and comes back cold; another flaps. With a plan gateways lose less, cross
+// zones seldom, move each zone a few times only, and push no cold engine over.
+func TestFleetLosesAZone(t *testing.T) {
+	for _, sc := range []struct {
+		name  string
+		fault Fault
+		from  int
+		least float64
+		cross float64
+		moves int // states entered, a gateway
+	}{
+		{"lost and back", LoseZone(8*second, 0, 3*second, 8*second), 8, 0.975, 0.15, 4},
+		{"flaps every 2 s", Flap(8*second, 0, 4, 2*second), 8, 0.975, 0.35, 2},
+	} {
+		t.Run(sc.name, func(t *testing.T) {
+			t.Parallel()
+			set := zones.Defaults()
+			var worth [2]float64
+			for i, sites := range []*zones.Settings{nil, &set} {
+				s := Warehouse(60, 15, 0.55, 3)
+				s.Zones, s.Sites, s.Faults = 3, sites, []Fault{sc.fault}
+				s.Settings.Fees.CrossZone = 0.05
+				b := New(s).Run()
+				worth[i] = b.Share(sc.from, 27)
+				cross := float64(b.Cross) / float64(b.Sends)
+				t.Logf("plan %v: share %.3f, %.2f across zones, %d moves\n%v", sites != nil, worth[i], cross, b.Moves, b)
+				if b.Fallen > 0 || b.Unanswered > 0 {
+					t.Errorf("plan %v: %d cold engines pushed over, %d requests without an answer", sites != nil, b.Fallen, b.Unanswered)
+				}
+				if sites != nil && (cross > sc.cross || b.Moves > sc.moves*s.Gateways || b.Moves == 0) {
+					t.Errorf("%.2f of the sends across zones, %d moves of %d gateways", cross, b.Moves, s.Gateways)
+				}
+			}
+			if worth[1] < sc.least || worth[1] <= worth[0] {
+				t.Errorf("share %.3f with a plan, %.3f without; %.3f wanted", worth[1], worth[0], sc.least)
+			}
+		})
+	}
+}
+
 // The same seed gives the same run.
 func TestSameSeedSameRun(t *testing.T) {
 	s := Warehouse(20, 6, 0.8, 5)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -23,7 +23,9 @@
 	state rules.EngineState
 	links []*link
 	heard rules.Time // when something was last read from it
+	asked rules.Time // when a request was last sent to it, or would have been had it let us connect
 	good  rules.Time // when it last served something
+	fault rules.Time // when an attempt there last ended otherwise, and was not moot
 	erred rules.Time // when it last answered an error
 	broke rules.Time // when a connection with requests last broke
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,6 +145,7 @@
 
 	shelf *shelf // nil: no spool is set, results are passed on at once
 	gate  *gate  // nil: the door is off, all requests go to the module at once
+	sites *sites // nil: no plan for the loss of a zone is set
 
 	stats    stats
 	stopping bool
@@ -188,6 +189,7 @@
 		g.classes[name] = i
 	}
 	g.gate, g.shelf = newGate(&g.cfg), newShelf(&g.cfg)
+	g.sites = newSites(&g.cfg, g.rng, now)
 	g.applyList(cfg.Known.Engines, rules.ListSaved)
 	g.poll()
 	g.timers.add(timer{at: now + g.lim.Sweep, kind: timerSweep})
@@ -403,6 +405,7 @@
 		case timerSweep:
 			g.sweepClients()
 			g.sweepLinks()
+			g.sweepSites()
 			g.timers.add(timer{at: g.now + g.lim.Sweep, kind: timerSweep})
 		case timerPoll:
 			g.poll()
@@ -500,6 +503,7 @@
 	g.log(Info, "configuration read again", Attr{"dns", cfg.DNS.String()}, Attr{"seq", cfg.Known.Seq})
 	g.cfg = *cfg
 	g.retuneGate()
+	g.retuneSites()
 	if g.shelf != nil {
 		budget := cfg.Site.Spool.Budget
 		g.atShelf(spool.Event{Kind: spool.Retune, Budget: &budget})
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -106,6 +106,7 @@
 		g.conclude(a, rules.VerdictConnectFailed)
 		return
 	}
+	a.engine.asked = g.now
 	a.link = g.linkFor(a.engine, a.request)
 	switch {
 	case a.link == nil:
@@ -346,6 +347,7 @@
 		return
 	}
 	p.done = true
+	g.looked(p.engine, v == rules.VerdictOK)
 	if p.link != nil {
 		delete(p.link.probes, p.tag)
 		g.maybeShut(p.link)
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -305,6 +305,9 @@
 	if a.sent {
 		g.atGate(door.Event{Kind: door.Spent, Slot: r.slot, Took: a.took})
 	}
+	if a.engine != nil && v != rules.VerdictOK && v != rules.VerdictMoot {
+		a.engine.fault = g.now
+	}
 	o := rules.Outcome{ID: r.id, Attempt: a.index, Engine: 0, Verdict: v, Latency: a.took, Closed: r.answered || r.keep.closed, Spoilt: a.spoilt}
 	if a.engine != nil {
 		o.Engine = a.engine.id
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -58,5 +58,6 @@
 		Attr{"open", len(g.requests)}, Attr{"result_bytes", g.resultHeld}, Attr{"input_bytes", g.inputHeld})
 	g.logGate()
 	g.logShelf()
+	g.logSites()
 	g.logBeliefs()
 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -24,6 +24,7 @@
 type Site struct {
 	Fair  *Fair
 	Spool *Spool
+	Sites *Sites
 }
 
 // Fair are the settings of the door.
@@ -35,6 +36,7 @@
 type document struct {
 	Fair  *fairBlock  `hcl:"fair,block"`
 	Spool *spoolBlock `hcl:"spool,block"`
+	Sites *sitesBlock `hcl:"sites,block"`
 }
 
 // LoadFile reads the operator's file.
@@ -78,6 +80,13 @@
 		}
 		s.Spool = sp
 	}
+	if d.Sites != nil {
+		sites, diags := d.Sites.decode()
+		if diags.HasErrors() {
+			return nil, problem(diags)
+		}
+		s.Sites = sites
+	}
 	return s, nil
 }
 
@@ -122,5 +131,10 @@
 	} else {
 		s.Spool.write(&b)
 	}
+	if s == nil || s.Sites == nil {
+		b.WriteString("# sites: off\n")
+	} else {
+		s.Sites.write(&b)
+	}
 	return b.String()
 }
--- /dev/null
+++ b/internal/site/sites.go
@@ -0,0 +1,233 @@
+package site
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/hashicorp/hcl/v2"
+
+	"foxlane/internal/zones"
+	"foxlane/rules"
+)
+
+// This file owns the block `sites`: what becomes of the load of a zone that is lost, comes back or is drained.
+
+// Sites are the settings of the zones, by name.
+type Sites struct {
+	Zones   zones.Settings // but for its tiers, which Resolve fills in
+	Named   []SiteZone
+	Classes []SiteClass
+}
+
+// SiteZone is a zone that the file names.
+type SiteZone struct {
+	Name    string
+	Prefers [][]string // tiers beyond itself, nearest first
+	Drain   bool
+}
+
+// SiteClass is what a plan takes a class for. At run time both figures are learned.
+type SiteClass struct {
+	Name     string
+	Requests float64    // part of all requests, in any unit
+	Work     rules.Time // mean of one, all threads together
+}
+
+type sitesBlock struct {
+	Range         hcl.Range        `hcl:",def_range"`
+	Overprovision *hcl.Attribute   `hcl:"overprovision,optional"`
+	Panic         *hcl.Attribute   `hcl:"panic,optional"`
+	Spill         *hcl.Attribute   `hcl:"spill,optional"`
+	LostBelow     *hcl.Attribute   `hcl:"lost_below,optional"`
+	BackOver      *hcl.Attribute   `hcl:"back_over,optional"`
+	Settle        *hcl.Attribute   `hcl:"settle,optional"`
+	Ramp          *hcl.Attribute   `hcl:"ramp,optional"`
+	Jitter        *hcl.Attribute   `hcl:"jitter,optional"`
+	DrainOver     *hcl.Attribute   `hcl:"drain_over,optional"`
+	Damping       *dampingBlock    `hcl:"damping,block"`
+	Shedding      *sheddingBlock   `hcl:"shedding,block"`
+	Zones         []zoneBlock      `hcl:"zone,block"`
+	Classes       []siteClassBlock `hcl:"class,block"`
+}
+
+type dampingBlock struct {
+	Penalty  *hcl.Attribute `hcl:"penalty,optional"`
+	HalfLife *hcl.Attribute `hcl:"half_life,optional"`
+	Suppress *hcl.Attribute `hcl:"suppress,optional"`
+	Reuse    *hcl.Attribute `hcl:"reuse,optional"`
+	Longest  *hcl.Attribute `hcl:"longest,optional"`
+}
+
+type sheddingBlock struct {
+	Up     *hcl.Attribute `hcl:"up,optional"`
+	Step   *hcl.Attribute `hcl:"step,optional"`
+	Slack  *hcl.Attribute `hcl:"slack,optional"`
+	Settle *hcl.Attribute `hcl:"settle,optional"`
+}
+
+type zoneBlock struct {
+	Name    string         `hcl:"name,label"`
+	Range   hcl.Range      `hcl:",def_range"`
+	Prefers *hcl.Attribute `hcl:"prefers,optional"`
+	Drain   *hcl.Attribute `hcl:"drain,optional"`
+}
+
+type siteClassBlock struct {
+	Name     string         `hcl:"name,label"`
+	Range    hcl.Range      `hcl:",def_range"`
+	Requests *hcl.Attribute `hcl:"requests,optional"`
+	Work     *hcl.Attribute `hcl:"work,optional"`
+}
+
+// mostPenalty bounds figures of damping and shedding: more is a slip of the pen.
+const mostPenalty = 1000
+
+func (b *sitesBlock) decode() (*Sites, hcl.Diagnostics) {
+	s := &Sites{Zones: zones.Defaults()}
+	z := &s.Zones
+	var r reader
+	r.number(b.Overprovision, 1, 10, &z.Overprovision)
+	r.number(b.Panic, 0, 1, &z.Panic)
+	r.number(b.Spill, 0, 1, &z.Spill)
+	r.number(b.LostBelow, 0, 1, &z.LostBelow)
+	r.number(b.BackOver, 0, 1, &z.BackOver)
+	r.duration(b.Settle, &z.Settle)
+	r.duration(b.Ramp, &z.Ramp)
+	r.number(b.Jitter, 0, 1, &z.Jitter)
+	r.duration(b.DrainOver, &z.Drain)
+	if d := b.Damping; d != nil {
+		r.number(d.Penalty, 0, mostPenalty, &z.Damping.Penalty)
+		r.duration(d.HalfLife, &z.Damping.HalfLife)
+		r.number(d.Suppress, 0, mostPenalty, &z.Damping.Suppress)
+		r.number(d.Reuse, 0, mostPenalty, &z.Damping.Reuse)
+		r.duration(d.Longest, &z.Damping.Longest)
+	}
+	if l := b.Shedding; l != nil {
+		r.number(l.Up, 0, mostPenalty, &z.Ladder.Up)
+		r.number(l.Step, 0, mostPenalty, &z.Ladder.Step)
+		r.number(l.Slack, 0, mostPenalty, &z.Ladder.Slack)
+		r.duration(l.Settle, &z.Ladder.Settle)
+	}
+	for _, zb := range b.Zones {
+		s.Named = append(s.Named, zb.decode(&r, s.Named))
+	}
+	for _, c := range b.Classes {
+		out := SiteClass{Name: c.Name}
+		r.name(c.Name, "class", c.Range)
+		if c.Requests == nil || c.Work == nil {
+			r.diags = append(r.diags, wrong(c.Range, "class %q needs both requests and work", c.Name))
+		}
+		r.number(c.Requests, 0, 1e9, &out.Requests)
+		if r.duration(c.Work, &out.Work); c.Work != nil && out.Work <= 0 && !r.diags.HasErrors() {
+			r.diags = append(r.diags, wrong(c.Work.Range, "class %q: work must be over 0", c.Name))
+		}
+		if slices.ContainsFunc(s.Classes, func(o SiteClass) bool { return o.Name == c.Name }) {
+			r.diags = append(r.diags, wrong(c.Range, "class %q comes twice", c.Name))
+		}
+		s.Classes = append(s.Classes, out)
+	}
+	if !r.diags.HasErrors() {
+		if err := z.Validate(); err != nil {
+			r.diags = append(r.diags, wrong(b.Range, "sites: %v", err))
+		}
+	}
+	return s, r.diags
+}
+
+func (b *zoneBlock) decode(r *reader, before []SiteZone) SiteZone {
+	z := SiteZone{Name: b.Name}
+	r.name(b.Name, "zone", b.Range)
+	if slices.ContainsFunc(before, func(o SiteZone) bool { return o.Name == b.Name }) {
+		r.diags = append(r.diags, wrong(b.Range, "zone %q comes twice", b.Name))
+	}
+	r.flag(b.Drain, &z.Drain)
+	seen := []string{b.Name}
+	for _, tier := range r.lists(b.Prefers) {
+		var names []string
+		for _, w := range tier {
+			if slices.Contains(seen, w.text) {
+				r.diags = append(r.diags, wrong(w.at, "zone %q: %q comes twice, or is the zone itself", b.Name, w.text))
+			}
+			seen = append(seen, w.text)
+			names = append(names, w.text)
+		}
+		z.Prefers = append(z.Prefers, names)
+	}
+	return z
+}
+
+// lists reads a list of lists of strings.
+func (r *reader) lists(a *hcl.Attribute) (out [][]word) {
+	if a == nil {
+		return nil
+	}
+	outer, diags := hcl.ExprList(a.Expr)
+	if diags.HasErrors() {
+		r.diags = append(r.diags, wrong(a.Expr.Range(), "%s must be a list of lists, a tier each: [[\"near\"], [\"far\", \"farther\"]]", a.Name))
+		return nil
+	}
+	for _, e := range outer {
+		out = append(out, r.words(&hcl.Attribute{Name: a.Name + ": each tier", Expr: e, Range: e.Range()}))
+	}
+	return out
+}
+
+// Resolve returns the settings for a gateway that knows the zones by these names, and which of them are drained.
+// A zone of the file that no list names is let pass: it may come later, under another configuration.
+func (s *Sites) Resolve(names []string) (set zones.Settings, drained []int) {
+	set = s.Zones
+	set.Tiers = map[int][][]int{}
+	for _, z := range s.Named {
+		from := slices.Index(names, z.Name)
+		if from < 0 {
+			continue
+		}
+		if z.Drain {
+			drained = append(drained, from)
+		}
+		for _, tier := range z.Prefers {
+			var level []int
+			for _, name := range tier {
+				if i := slices.Index(names, name); i >= 0 {
+					level = append(level, i)
+				}
+			}
+			if len(level) > 0 {
+				set.Tiers[from] = append(set.Tiers[from], level)
+			}
+		}
+	}
+	return set, drained
+}
+
+func (s *Sites) write(b *bytes.Buffer) {
+	z := s.Zones
+	fmt.Fprintf(b, "sites {\n  overprovision = %v\n  panic         = %v\n  spill         = %v\n  lost_below    = %v\n  back_over     = %v\n"+
+		"  settle        = %q\n  ramp          = %q\n  jitter        = %v\n  drain_over    = %q\n",
+		z.Overprovision, z.Panic, z.Spill, z.LostBelow, z.BackOver, timeText(z.Settle), timeText(z.Ramp), z.Jitter, timeText(z.Drain))
+	d, l := z.Damping, z.Ladder
+	fmt.Fprintf(b, "\n  damping {\n    penalty   = %v\n    half_life = %q\n    suppress  = %v\n    reuse     = %v\n    longest   = %q\n  }\n",
+		d.Penalty, timeText(d.HalfLife), d.Suppress, d.Reuse, timeText(d.Longest))
+	fmt.Fprintf(b, "\n  shedding {\n    up     = %v\n    step   = %v\n    slack  = %v\n    settle = %q\n  }\n", l.Up, l.Step, l.Slack, timeText(l.Settle))
+	for _, n := range s.Named {
+		fmt.Fprintf(b, "\n  zone %q {\n    drain   = %v\n", n.Name, n.Drain)
+		if n.Prefers != nil {
+			var tiers []string
+			for _, t := range n.Prefers {
+				var names []string
+				for _, name := range t {
+					names = append(names, fmt.Sprintf("%q", name))
+				}
+				tiers = append(tiers, "["+strings.Join(names, ", ")+"]")
+			}
+			fmt.Fprintf(b, "    prefers = [%s]\n", strings.Join(tiers, ", "))
+		}
+		b.WriteString("  }\n")
+	}
+	for _, c := range s.Classes {
+		fmt.Fprintf(b, "\n  class %q {\n    requests = %v\n    work     = %q\n  }\n", c.Name, c.Requests, timeText(c.Work))
+	}
+	b.WriteString("}\n")
+}
--- /dev/null
+++ b/internal/site/sites_test.go
@@ -0,0 +1,79 @@
+package site
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"foxlane/internal/zones"
+	"foxlane/rules"
+)
+
+const sitesSample = `
+sites {
+  overprovision = 1.2
+  spill         = 0.25
+  ramp          = "20s"
+  damping {
+    half_life = "30s"
+  }
+  shedding {
+    up = 1.2
+  }
+  zone "hall-a" {
+    prefers = [["hall-b"], ["hall-c", "hall-x"]]
+  }
+  zone "hall-c" {
+    drain = true
+  }
+  class "report" {
+    requests = 2.4
+    work     = "2s"
+  }
+}
+`
+
+func TestSites(t *testing.T) {
+	s, err := Parse([]byte(sitesSample), "site.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, drained := s.Sites.Resolve([]string{"hall-a", "hall-b", "hall-c"})
+	if set.Overprovision != 1.2 || set.Spill != 0.25 || set.Ramp != 20*rules.Second || set.Damping.HalfLife != 30*rules.Second ||
+		set.Damping.Suppress != zones.Defaults().Damping.Suppress || set.Ladder.Up != 1.2 || set.Panic != zones.Defaults().Panic {
+		t.Errorf("got %+v", set)
+	}
+	if !reflect.DeepEqual(set.Tiers, map[int][][]int{0: {{1}, {2}}}) || !reflect.DeepEqual(drained, []int{2}) {
+		t.Errorf("tiers %v, drained %v; a zone that no list names is let pass", set.Tiers, drained)
+	}
+	if c := s.Sites.Classes; len(c) != 1 || c[0] != (SiteClass{"report", 2.4, 2 * rules.Second}) {
+		t.Errorf("classes %+v", c)
+	}
+	again, err := Parse([]byte(s.String()), "again.hcl")
+	if err != nil || again.String() != s.String() {
+		t.Errorf("%v\n%s", err, s)
+	}
+}
+
+// What is wrong is told with its place.
+func TestSitesThatAreNone(t *testing.T) {
+	for text, want := range map[string]string{
+		"sites {\n  spill = 2\n}":                                               "2:11: spill: 2 is not within 0 and 1",
+		"sites {\n  lost_below = 0.8\n}":                                        "lost_below is 0.8 and back_over 0.7",
+		"sites {\n  ramp = \"0s\"\n}":                                           "ramp and drain must be over 0",
+		"sites {\n  damping {\n    reuse = 9\n  }\n}":                           "reuse is 9 and suppress 2.5",
+		"sites {\n  zone \"a\" {\n    prefers = [\"b\"]\n  }\n}":                "3:16: prefers: each tier must be a list of strings",
+		"sites {\n  zone \"a\" {\n    prefers = \"b\"\n  }\n}":                  "prefers must be a list of lists",
+		"sites {\n  zone \"a\" {\n    prefers = [[\"b\"], [\"a\"]]\n  }\n}":     "\"a\" comes twice, or is the zone itself",
+		"sites {\n  zone \"a\" {}\n  zone \"a\" {}\n}":                          "3:3: zone \"a\" comes twice",
+		"sites {\n  class \"c\" {\n    requests = 1\n    work = \"0s\"\n  }\n}": "work must be over 0",
+		"sites {\n  class \"c\" {\n    requests = 1\n  }\n}":                    "needs both requests and work",
+		"sites {\n  shedding {\n    slack = 2\n  }\n}":                          "slack under up",
+		"sites {\n  spil = 1\n}":                                                "2:3: Unsupported argument",
+		"sites {}\nsites {}":                                                    "Duplicate sites block",
+	} {
+		if _, err := Parse([]byte(text), "x.hcl"); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s\ngot %v, want %q", text, err, want)
+		}
+	}
+}
