--- a/cmd/foxlab/main.go
+++ b/cmd/foxlab/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -15,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"foxlane/internal/lab"
+	"foxlane/internal/rig"
 )
 
 func main() {
@@ -34,7 +36,7 @@
 		SilenceErrors: true,
 	}
 	cmd.PersistentFlags().String("gateway", "", "the gateway's program; built from this repository if not given")
-	cmd.AddCommand(demoCommand(), measureCommand())
+	cmd.AddCommand(demoCommand(), measureCommand(), rigCommand())
 	return cmd
 }
 
@@ -66,6 +68,52 @@
 	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
 
+// rigCommand plays a script with processes.
+func rigCommand() *cobra.Command {
+	var asJSON bool
+	var logs string
+	cmd := &cobra.Command{
+		Use:   "rig FILE",
+		Short: "Several gateways in several sites, relays between all parties, and faults from one script",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			script, err := rig.LoadScript(args[0])
+			if err != nil {
+				return err
+			}
+			gateway, _ := cmd.Flags().GetString("gateway")
+			if gateway == "" {
+				dir, err := os.MkdirTemp("", "foxlab")
+				if err != nil {
+					return err
+				}
+				defer os.RemoveAll(dir)
+				if gateway, err = lab.Build(cmd.Context(), dir); err != nil {
+					return err
+				}
+			}
+			books, err := rig.Run(cmd.Context(), gateway, *script, logs)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				e := json.NewEncoder(cmd.OutOrStdout())
+				e.SetIndent("", "  ")
+				err = e.Encode(books)
+			} else {
+				_, err = fmt.Fprint(cmd.OutOrStdout(), books)
+			}
+			if n := len(books.Breaches); err == nil && n > 0 {
+				err = fmt.Errorf("%d rules broken", n)
+			}
+			return err
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	cmd.Flags().StringVar(&logs, "logs", "", "an existing folder in which the gateways' logs are kept")
+	return cmd
+}
+
 // measurements are what can be measured, each within three minutes.
 var measurements = []struct {
 	name, short string
@@ -79,8 +127,8 @@
 		}},
 	{"spool", "kept results: how long an engine is held by a slow client over a fast one, reads after kills", 4, lab.MeasureSpool},
 	{"sites", "the loss of a zone: 300 gateways in virtual time, with and without the plan, paired by seed", 1,
-		func(ctx context.Context, _ string, _ int, progress io.Writer) (*lab.Report, error) {
-			return lab.MeasureSites(ctx, progress)
+		func(ctx context.Context, gateway string, _ int, progress io.Writer) (*lab.Report, error) {
+			return lab.MeasureSites(ctx, gateway, progress)
 		}},
 	{"cost-fair", "the same with the door on", 12,
 		func(ctx context.Context, gateway string, seconds int, progress io.Writer) (*lab.Report, error) {
--- a/cmd/foxlane/plan.go
+++ b/cmd/foxlane/plan.go
@@ -110,7 +110,6 @@
 type zoneSecond struct {
 	State                           string
 	Share, Room, Own, Foreign, Held float64
-	Rungs                           int
 	Refused                         []string `json:",omitempty"`
 	Shed                            float64
 }
@@ -172,7 +171,7 @@
 	for _, m := range zones.Play(set, sc) {
 		s := second{At: float64(m.At/rules.Millisecond) / 1000, Asked: m.Asked, Left: m.Left}
 		for _, z := range m.Zones {
-			s.Zones = append(s.Zones, zoneSecond{z.State.String(), z.Share, z.Room, z.Own, z.Foreign, z.Held, z.Rungs, z.Refused, z.Shed})
+			s.Zones = append(s.Zones, zoneSecond{z.State.String(), z.Share, z.Room, z.Own, z.Foreign, z.Held, z.Refused, z.Shed})
 		}
 		p.Seconds = append(p.Seconds, s)
 	}
@@ -184,7 +183,7 @@
 // classSpecs are the classes by their part of the work, and by what they earn for it.
 func classSpecs(cfg config.Config, sites *site.Sites) []zones.ClassSpec {
 	n := len(cfg.Settings.ClassNames)
-	out, earns := make([]zones.ClassSpec, n), make([]float64, n)
+	out := make([]zones.ClassSpec, n)
 	total := 0.0
 	for i, name := range cfg.Settings.ClassNames {
 		c := cfg.Settings.Rules.Classes[i]
@@ -194,24 +193,18 @@
 				part, work = k.Requests*float64(k.Work), float64(k.Work)
 			}
 		}
-		out[i] = zones.ClassSpec{Name: name, Part: part}
-		earns[i] = c.Worth / max(work, 1)
+		out[i] = zones.ClassSpec{Name: name, Part: part, Earns: c.Worth * float64(rules.Second) / max(work, 1)}
 		total += part
 	}
 	for i := range out {
 		out[i].Part /= max(total, 1e-9)
-		for j := range earns {
-			if earns[j] < earns[i] || earns[j] == earns[i] && j < i {
-				out[i].Rank++
-			}
-		}
 	}
 	return out
 }
 
 func classOrder(classes []zones.ClassSpec) (out []string) {
 	byRank := slices.Clone(classes)
-	slices.SortFunc(byRank, func(a, b zones.ClassSpec) int { return cmp.Compare(a.Rank, b.Rank) })
+	slices.SortStableFunc(byRank, func(a, b zones.ClassSpec) int { return cmp.Compare(a.Earns, b.Earns) })
 	for _, c := range byRank[:max(len(byRank)-1, 0)] {
 		out = append(out, c.Name)
 	}
--- a/internal/emu/books.go
+++ b/internal/emu/books.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"foxlane/internal/zones"
 	"foxlane/rules"
 )
 
@@ -20,16 +21,29 @@
 	Dials      int // connections that attempts had to make
 	Probes     int
 	Moves      int // states that zones have entered, over all gateways
+	MovedAt    []Move
+	Shed       int // of the refused, for the sake of what earns more
 	Lost       [rules.VerdictMoot + 1]int
 	Seconds    []Second
 
 	start   rules.Time
+	zones   int
 	classes []ClassBooks
 }
 
 // Second is what clients asked for in one second, and what came of it.
 type Second struct {
 	Offered, Worth, Late float64 // worth; Late is part of Worth
+
+	Tried, Refused []int     // first tries, by what they earn for their told work (zones.WorthRung)
+	Foreign        []float64 // work that began in a zone for gateways of others, by zone, in core seconds
+	Could          []float64 // and what the zone's engines could do in it
+}
+
+// Move is a state that a zone has entered at a gateway.
+type Move struct {
+	At rules.Time // since the start
+	zones.Change
 }
 
 // ClassBooks are those of one class.
@@ -40,7 +54,8 @@
 func (b *Books) at(t rules.Time) *Second {
 	i := int((t - b.start) / rules.Second)
 	for len(b.Seconds) <= i {
-		b.Seconds = append(b.Seconds, Second{})
+		b.Seconds = append(b.Seconds, Second{Tried: make([]int, worthRungs), Refused: make([]int, worthRungs),
+			Foreign: make([]float64, b.zones), Could: make([]float64, b.zones)})
 	}
 	return &b.Seconds[i]
 }
@@ -57,9 +72,30 @@
 	}
 	if g.zone != a.engine.zone {
 		b.Cross++
+		b.at(g.f.now).Foreign[a.engine.zone] += a.request.work / float64(rules.Second)
 	}
 }
 
+const worthRungs = 64 // more than zones.WorthRung tells
+
+// first notes a first try that came at some time, and that it was refused.
+func (b *Books) first(at rules.Time, worth float64, a *ask, refused bool) {
+	if a.tries != 1 {
+		return
+	}
+	s, rung := b.at(at), zones.WorthRung(worth, a.told)
+	if refused {
+		s.Refused[rung]++
+	} else {
+		s.Tried[rung]++
+	}
+}
+
+func (b *Books) move(now rules.Time, c zones.Change) {
+	b.Moves++
+	b.MovedAt = append(b.MovedAt, Move{now - b.start, c})
+}
+
 func (b *Books) served(r *request) {
 	a := r.ask
 	if a.done {
--- a/internal/emu/faults.go
+++ b/internal/emu/faults.go
@@ -75,6 +75,82 @@
 	}}
 }
 
+// CutWay has nothing come through from one zone to another for a while: one way only, the other stays open.
+func CutWay(at, length rules.Time, from, to int) Fault {
+	return Fault{at, func(f *Fleet) {
+		f.cuts[[2]int{from, to}] = true
+		f.after(length, func() { delete(f.cuts, [2]int{from, to}) })
+	}}
+}
+
+// SilenceIn has a part of a zone's engines, the first of them, say nothing for a while.
+func SilenceIn(at, length rules.Time, zone int, part float64) Fault {
+	return Fault{at, func(f *Fleet) {
+		var there []*engine
+		for _, e := range f.engines {
+			if e.zone == zone && e.state == rules.EngineServing {
+				there = append(there, e)
+			}
+		}
+		for _, e := range there[:int(part*float64(len(there)))] {
+			e.silent = true
+			f.after(length, func() { e.silent = false })
+		}
+	}}
+}
+
+// ReplaceZone takes a zone's engines away without a word, and brings as many new ones, cold, after away.
+func ReplaceZone(at rules.Time, zone int, unlisted, away rules.Time) Fault {
+	return Fault{at, func(f *Fleet) {
+		var lost []*engine
+		for _, e := range f.engines {
+			if e.zone == zone && e.state == rules.EngineServing {
+				lost = append(lost, e)
+				e.silent = true
+				e.drop(rules.VerdictReset)
+			}
+		}
+		f.after(unlisted, func() {
+			for _, e := range lost {
+				e.state, e.gone = rules.EngineGone, true
+			}
+			f.news(lost...)
+		})
+		f.after(away, func() {
+			var fresh []*engine
+			for range lost {
+				e := f.addEngine(f.now)
+				e.zone = zone
+				fresh = append(fresh, e)
+			}
+			f.news(fresh...)
+		})
+	}}
+}
+
+// DrainZone has all gateways drain a zone on purpose for a while.
+func DrainZone(at, length rules.Time, zone int) Fault {
+	set := func(f *Fleet, on bool) {
+		for _, g := range f.gateways {
+			if g.up && g.zones != nil {
+				g.zones.DrainZone(f.now, zone, on)
+			}
+		}
+	}
+	return Fault{at, func(f *Fleet) {
+		set(f, true)
+		f.after(length, func() { set(f, false) })
+	}}
+}
+
+// Late has news of the list take so many times as long for a while.
+func Late(at, length rules.Time, times float64) Fault {
+	return Fault{at, func(f *Fleet) {
+		f.late = times
+		f.after(length, func() { f.late = 1 })
+	}}
+}
+
 // Flap has a zone's engines fall silent and come back, warm, so many times: silent for a while, then well for as long.
 func Flap(at rules.Time, zone, times int, every rules.Time) Fault {
 	return Fault{at, func(f *Fleet) {
--- a/internal/emu/fleet.go
+++ b/internal/emu/fleet.go
@@ -53,7 +53,17 @@
 	Length   rules.Time
 	Seed     uint64
 	Faults   []Fault
+	Spread   []int           // zones of engines and gateways, in turn; nil: evenly over Zones
 	Sites    *zones.Settings // what gateways do when a zone is lost; nil: nothing of its own
+	Static   *float64        // instead: the part of each gateway's load that stays in its zone, whatever happens; a baseline
+}
+
+// home is the zone of the i-th engine or gateway.
+func (s *Scene) home(i int) int {
+	if len(s.Spread) > 0 {
+		return s.Spread[i%len(s.Spread)]
+	}
+	return i % max(1, s.Zones)
 }
 
 // Fleet is one run.
@@ -68,9 +78,10 @@
 	engines  []*engine // all that ever were
 	nextID   rules.EngineID
 	nextReq  int
-	listDark bool    // gateways hear nothing of the list
-	late     float64 // times that news of the list take
-	rate     float64 // requests a microsecond, all gateways together
+	cuts     map[[2]int]bool // ways from zone to zone on which nothing comes through
+	listDark bool            // gateways hear nothing of the list
+	late     float64         // times that news of the list take
+	rate     float64         // requests a microsecond, all gateways together
 	weights  []float64
 }
 
@@ -87,8 +98,9 @@
 	requests map[rules.RequestID]*request
 	order    []*request                    // in the order of arrival, some of them over
 	links    map[rules.EngineID]rules.Time // when a connection was last used
-	sites    *sites
+	zones    *zones.Zones
 	seen     map[rules.EngineID]*seen
+	listed   map[rules.EngineID]bool // serve, by the list as the gateway has it
 	stopping bool
 }
 
@@ -100,6 +112,7 @@
 	class    *rules.Class
 	work     float64
 	priority int
+	at       rules.Time
 	due      rules.Time
 	attempts []*attempt
 	over     bool
@@ -129,8 +142,8 @@
 
 // New returns a run that has not begun.
 func New(s Scene) *Fleet {
-	f := &Fleet{scene: s, rng: rand.New(rand.NewPCG(s.Seed, 0x5bd1e995)), now: s.Start, late: 1}
-	f.Books.start = s.Start
+	f := &Fleet{scene: s, rng: rand.New(rand.NewPCG(s.Seed, 0x5bd1e995)), now: s.Start, late: 1, cuts: map[[2]int]bool{}}
+	f.Books.start, f.Books.zones = s.Start, max(1, s.Zones)
 	f.Books.classes = make([]ClassBooks, len(s.Classes))
 	for range s.Engines {
 		f.addEngine(0)
@@ -142,12 +155,13 @@
 	}
 	f.rate = s.Load * s.Engine.Cores * float64(s.Engines) / (work / total)
 	for i := range s.Gateways {
-		g := &gateway{f: f, index: i, zone: i % max(1, s.Zones)}
+		g := &gateway{f: f, index: i, zone: s.home(i)}
 		f.gateways = append(f.gateways, g)
 		f.weights = append(f.weights, math.Exp(f.rng.NormFloat64()*s.Clients.Skew))
 		g.begin()
 	}
 	f.after(f.gap(), f.arrive)
+	f.after(capacityEvery, f.couldDo)
 	for _, x := range s.Faults {
 		f.agenda.add(s.Start+x.At, func() { x.Do(f) })
 	}
@@ -174,11 +188,24 @@
 
 func (f *Fleet) after(d rules.Time, do func()) { f.agenda.add(f.now+d, do) }
 
+const capacityEvery = 100 * rules.Millisecond
+
+// couldDo books what each zone's engines could do.
+func (f *Fleet) couldDo() {
+	s := f.Books.at(f.now)
+	for _, e := range f.engines {
+		if !e.gone && !e.fallen && !e.silent && e.state == rules.EngineServing {
+			s.Could[e.zone] += f.scene.Engine.Cores * e.warmth() / e.slow * float64(capacityEvery) / float64(rules.Second)
+		}
+	}
+	f.after(capacityEvery, f.couldDo)
+}
+
 // ---- engines and their list
 
 func (f *Fleet) addEngine(started rules.Time) *engine {
 	f.nextID++
-	e := &engine{f: f, id: f.nextID * 2654435761, zone: len(f.engines) % max(1, f.scene.Zones), started: started,
+	e := &engine{f: f, id: f.nextID * 2654435761, zone: f.scene.home(len(f.engines)), started: started,
 		slow: 1, at: f.now}
 	f.engines = append(f.engines, e)
 	return e
@@ -210,7 +237,7 @@
 		life := g.life
 		f.after(rules.Time(f.late*float64(wait)), func() {
 			if g.up && g.life == life && !f.listDark {
-				g.tell(rules.FleetChange{Mode: rules.ListDelta, Engines: list})
+				g.hear(rules.ListDelta, list)
 			}
 		})
 	}
@@ -300,9 +327,17 @@
 	g.module = rules.New(s, g.f.rng.Uint64())
 	g.requests, g.links, g.order = map[rules.RequestID]*request{}, map[rules.EngineID]rules.Time{}, nil
 	g.inbox, g.telling = nil, false
-	g.seen = map[rules.EngineID]*seen{}
+	g.seen, g.listed = map[rules.EngineID]*seen{}, map[rules.EngineID]bool{}
 	g.beginSites()
-	g.tell(rules.FleetChange{Mode: rules.ListSaved, Engines: g.f.listed()})
+	g.hear(rules.ListSaved, g.f.listed())
+}
+
+// hear takes news of the list.
+func (g *gateway) hear(mode rules.ListMode, list []rules.Engine) {
+	for _, e := range list {
+		g.listed[e.ID] = e.State == rules.EngineServing
+	}
+	g.tell(rules.FleetChange{Mode: mode, Engines: list})
 }
 
 // die ends a gateway at once: engines give up what it has with them, and its clients come elsewhere.
@@ -333,12 +368,16 @@
 	}
 	f.nextReq++
 	r := &request{ask: a, id: rules.RequestID(fmt.Sprintf("%016x", f.nextReq)), gateway: g, life: g.life,
-		class: &f.scene.Settings.Classes[a.class], work: a.work, due: a.due - f.scene.Ways.Client}
+		class: &f.scene.Settings.Classes[a.class], work: a.work, at: f.now, due: a.due - f.scene.Ways.Client}
 	g.requests[r.id] = r
 	g.order = append(g.order, r)
 	if len(g.order) > 64 && g.order[0].over {
 		g.compact()
 	}
+	f.Books.first(f.now, r.class.Worth, a, false)
+	if !g.admits(r, a) {
+		return
+	}
 	g.tell(rules.Arrival{Request: rules.Request{ID: r.id, Class: a.class, Due: r.due, Work: rules.Time(a.told),
 		HasWork: true, DataSet: a.set, Repeat: a.tries > 1}})
 	f.after(r.due+f.scene.Settings.Duties.AnswerSlack+1-f.now, func() {
@@ -389,9 +428,11 @@
 		}
 	case rules.Refuse:
 		if r := g.requests[a.ID]; r != nil && !r.over {
-			f.Books.Refused++
-			g.end(r)
-			f.after(f.scene.Ways.Client, func() { f.again(r.ask, a.RetryAfter) })
+			after := a.RetryAfter
+			if g.zones != nil && !g.stopping {
+				after = max(after, min(g.zones.Return(f.now), f.scene.Settings.Limits.MaxRetryAfter))
+			}
+			g.refuse(r, after)
 		}
 	case rules.Fail:
 		if r := g.requests[a.ID]; r != nil && !r.over {
@@ -411,6 +452,14 @@
 	}
 }
 
+func (g *gateway) refuse(r *request, after rules.Time) {
+	f := g.f
+	f.Books.Refused++
+	f.Books.first(r.at, r.class.Worth, r.ask, true)
+	g.end(r)
+	f.after(f.scene.Ways.Client, func() { f.again(r.ask, min(after, f.scene.Settings.Limits.MaxRetryAfter)) })
+}
+
 func (g *gateway) end(r *request) {
 	r.over = true
 	for _, a := range r.attempts {
@@ -428,6 +477,9 @@
 	return f.scene.Ways.Cross
 }
 
+// cut answers whether nothing comes through from zone to zone.
+func (f *Fleet) cut(from, to int) bool { return f.cuts[[2]int{from, to}] }
+
 func (f *Fleet) engine(id rules.EngineID) *engine {
 	for _, e := range f.engines {
 		if e.id == id {
@@ -450,7 +502,7 @@
 	}
 	g.links[id] = f.now
 	switch {
-	case dials && a.engine.silent:
+	case dials && (a.engine.silent || f.cut(g.zone, a.engine.zone) || f.cut(a.engine.zone, g.zone)):
 		delete(g.links, id)
 		f.after(f.scene.Settings.Limits.ConnectTimeout, func() {
 			if g.up && g.life == r.life {
@@ -459,7 +511,7 @@
 		})
 	default:
 		f.after(f.way(g, a.engine), func() {
-			if !a.done {
+			if !a.done && !f.cut(g.zone, a.engine.zone) {
 				a.engine.take(a)
 			}
 		})
@@ -476,10 +528,10 @@
 // answer has an engine's answer reach its gateway.
 func (f *Fleet) answer(a *attempt, v rules.Verdict) {
 	a.ended = true
-	if a.engine.silent {
+	g, life := a.request.gateway, a.request.life
+	if a.engine.silent || f.cut(a.engine.zone, g.zone) {
 		return
 	}
-	g, life := a.request.gateway, a.request.life
 	f.after(f.way(g, a.engine), func() {
 		if g.up && g.life == life {
 			g.conclude(a, v)
--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -1,7 +1,7 @@
 package emu
 
 import (
-	"slices"
+	"reflect"
 	"testing"
 
 	"foxlane/internal/zones"
@@ -98,7 +98,7 @@
 	s := Warehouse(20, 6, 0.8, 5)
 	s.Faults = []Fault{Replace(5*second, 0.5, 5*second, 2*second), Kill(8*second, 0.5, second)}
 	a, b := New(s).Run(), New(s).Run()
-	if a.String() != b.String() || !slices.Equal(a.Seconds, b.Seconds) {
+	if a.String() != b.String() || !reflect.DeepEqual(a.Seconds, b.Seconds) {
 		t.Errorf("two runs of one seed differ:\n%v\n%v", a, b)
 	}
 	s.Seed++
--- a/internal/emu/sites.go
+++ b/internal/emu/sites.go
@@ -1,33 +1,17 @@
 package emu
 
 import (
-	"math"
-
 	"foxlane/internal/zones"
 	"foxlane/rules"
 )
 
-// This file joins the zones to modelled gateways, as internal/gateway joins them to real ones.
+// This file joins the zones to modelled gateways, as internal/gateway joins them to real ones: the same code decides.
 
 // seen is what a gateway remembers of an engine beside what its module does.
 type seen struct {
 	asked, heard, fault rules.Time
 }
 
-type sites struct {
-	zones *zones.Zones
-	parts []float64
-	lost  []probes
-}
-
-// probes are the latest of a zone that is lost.
-type probes struct {
-	next int
-	said [4]bool
-	at   rules.Time
-	on   bool
-}
-
 const sitesEvery = 200 * rules.Millisecond
 
 func (g *gateway) of(id rules.EngineID) *seen {
@@ -40,11 +24,17 @@
 }
 
 func (g *gateway) beginSites() {
-	if g.f.scene.Sites == nil {
+	s := &g.f.scene
+	switch {
+	case s.Static != nil:
+		g.tell(rules.Planned{Zones: newStatic(g.zone, s.Zones, *s.Static)})
+		return
+	case s.Sites == nil:
 		return
 	}
-	n := max(1, g.f.scene.Zones)
-	g.sites = &sites{zones: zones.New(*g.f.scene.Sites, n, g.zone, g.f.rng.Float64(), g.f.now), lost: make([]probes, n)}
+	g.zones = zones.New(*s.Sites, zones.Fleet{Zones: max(1, s.Zones), Own: g.zone, Gateways: s.Gateways, Jitter: g.f.rng.Float64(),
+		Classes: s.Settings.Classes}, g.f.now)
+	g.tell(rules.Planned{Zones: g.zones})
 	life := g.life
 	var look func()
 	look = func() {
@@ -56,84 +46,59 @@
 	g.f.after(rules.Time(g.f.rng.Int64N(int64(sitesEvery))), look)
 }
 
-// look shows the zones what is held of their engines, and tells the module the parts.
+// look shows the zones what is held of their engines.
 func (g *gateway) look() {
-	f, s := g.f, g.sites
-	states := s.zones.Status(f.now)
+	f := g.f
 	var list []zones.EngineSight
 	for _, b := range g.module.Beliefs() {
 		e := f.engine(b.Engine)
-		if e.state != rules.EngineServing {
+		if !g.listed[e.id] {
 			continue
 		}
 		k := g.of(b.Engine)
-		left := b.LeftOut && !(states[e.zone].State == zones.Returning && k.fault < states[e.zone].Since)
-		list = append(list, zones.EngineSight{Zone: e.zone, Cores: f.scene.Engine.Cores, Warm: b.Warm, Slow: b.Slow, LeftOut: left,
-			Asked: f.now-k.asked < 4*rules.Second, Silent: k.heard < k.asked})
+		list = append(list, zones.EngineSight{Engine: b.Engine, Zone: e.zone, Cores: f.scene.Engine.Cores, Warm: b.Warm, Slow: b.Slow,
+			LeftOut: b.LeftOut, Late: b.Late > 0, Asked: k.asked, Heard: k.heard, Fault: k.fault})
 	}
-	sights := zones.Sights(len(states), list)
-	for i := range sights {
-		if p := &s.lost[i]; p.on {
-			good := 0
-			for _, ok := range p.said {
-				if ok {
-					good++
-				}
-			}
-			sights[i].Well = sights[i].Listed * float64(good) / float64(len(p.said))
-			sights[i].Warm, sights[i].Silent = sights[i].Well, 0
-		}
-	}
-	for _, c := range s.zones.See(f.now, sights) {
+	looked := g.zones.Look(f.now, list, g.module.Standing(), f.scene.Settings.Limits.Probes)
+	for _, c := range looked.Changes {
 		if c.From != c.To {
-			s.lost[c.Zone] = probes{}
-			f.Books.Moves++
-		}
-	}
-	for i, st := range s.zones.Status(f.now) {
-		if st.State == zones.Lost || st.State == zones.Returning {
-			g.probe(i, st.State == zones.Lost)
+			f.Books.move(f.now, c)
 		}
 	}
-	to := s.zones.Split(f.now).To
-	for i := range to {
-		if len(s.parts) != len(to) || math.Abs(s.parts[i]-to[i]) >= 0.01 || (s.parts[i] == 0) != (to[i] == 0) {
-			s.parts = to
-			g.tell(rules.ZoneParts{To: to})
-			return
-		}
+	for _, id := range looked.Ask {
+		g.probe(f.engine(id))
 	}
 }
 
-func (g *gateway) probe(zone int, lost bool) {
-	f, p := g.f, &g.sites.lost[zone]
-	every := rules.Second
-	if !lost {
-		every /= 4
-	}
-	if p.on = lost; f.now-p.at < every {
-		return
+// admits asks the zones whether a request is let in.
+func (g *gateway) admits(r *request, a *ask) bool {
+	if g.zones == nil {
+		return true
 	}
-	var there []*engine
-	for _, b := range g.module.Beliefs() {
-		if e := f.engine(b.Engine); e.zone == zone && e.state == rules.EngineServing && (lost || b.LeftOut) {
-			there = append(there, e)
-		}
+	refuse, after := g.zones.Arrive(g.f.now, zones.Ask{Class: a.class, Work: a.told, Repeat: a.tries > 1})
+	if refuse {
+		g.f.Books.Shed++
+		g.refuse(r, after)
 	}
-	if len(there) == 0 {
-		return
-	}
-	p.at = f.now
-	p.next++
-	e, life := there[p.next%len(there)], g.life
+	return !refuse
+}
+
+func (g *gateway) probe(e *engine) {
+	f, life := g.f, g.life
 	f.Books.Probes++
-	f.after(f.way(g, e)*2, func() {
+	ok := !e.silent && !e.gone && !e.fallen && !f.cut(g.zone, e.zone) && !f.cut(e.zone, g.zone)
+	took := f.way(g, e) * 2
+	if !ok {
+		took = f.scene.Settings.Limits.ConnectTimeout
+	}
+	f.after(took, func() {
 		if !g.up || g.life != life {
 			return
 		}
-		ok := !e.silent && !e.gone && !e.fallen
-		copy(p.said[:], p.said[1:])
-		p.said[len(p.said)-1] = ok
+		if ok {
+			g.of(e.id).heard = f.now
+		}
+		g.zones.Answered(e.zone, ok)
 		v := rules.VerdictTimeout
 		if ok {
 			v = rules.VerdictOK
@@ -141,3 +106,42 @@
 		g.tell(rules.ProbeResult{Engine: e.id, Verdict: v})
 	})
 }
+
+// static is a split that never changes: a part stays at home, the rest is spread evenly. It is a baseline.
+type static struct {
+	own   int
+	parts []float64
+}
+
+func newStatic(own, n int, home float64) *static {
+	s := &static{own: own, parts: make([]float64, max(1, n))}
+	for i := range s.parts {
+		if s.parts[i] = 1; i == own && n > 1 {
+			s.parts[i] = home
+		} else if n > 1 {
+			s.parts[i] = (1 - home) / float64(n-1)
+		}
+	}
+	return s
+}
+
+func (s *static) Draw(_ rules.Time, drawn, _ float64, tried []int) (int, bool) {
+	left := append([]float64(nil), s.parts...)
+	total := 0.0
+	for _, z := range tried {
+		left[z] = 0
+	}
+	for _, p := range left {
+		total += p
+	}
+	drawn *= total
+	for i, p := range left {
+		if drawn -= p; p > 0 && drawn < 0 {
+			return i, true
+		}
+	}
+	return -1, true
+}
+
+func (s *static) Open(rules.Time, int, float64, bool) bool { return true }
+func (s *static) Sent(rules.Time, int, float64, bool)      {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -190,6 +190,9 @@
 	}
 	g.gate, g.shelf = newGate(&g.cfg), newShelf(&g.cfg)
 	g.sites = newSites(&g.cfg, g.rng, now)
+	if g.sites != nil {
+		g.planZones()
+	}
 	g.applyList(cfg.Known.Engines, rules.ListSaved)
 	g.poll()
 	g.timers.add(timer{at: now + g.lim.Sweep, kind: timerSweep})
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -113,7 +113,7 @@
 		ID: id, Class: class, Tenant: tenant, OrderKey: q.Fields.Key, Due: due, Work: work, HasWork: work > 0,
 		MemoryMB: q.Fields.MemoryMB, DataSet: q.Group, Repeat: q.Fields.Repeat, Write: q.Write,
 	}
-	if g.gate == nil && g.shelf == nil {
+	if g.gate == nil && g.shelf == nil && g.sites == nil {
 		r.passed = true
 		g.tell(rules.Arrival{Request: arrival})
 		return
@@ -132,6 +132,9 @@
 // pass hands a request to the module, after it was held for a while.
 func (g *Gateway) pass(r *request, held rules.Time) {
 	r.held = held
+	if !g.admits(r) {
+		return
+	}
 	if g.shelf != nil { // room for its result comes first: without it nothing runs
 		g.shelve(r)
 		return
@@ -190,7 +193,7 @@
 		g.atGate(door.Event{Kind: door.TurnDown, Slot: r.slot})
 		return
 	}
-	g.turnAway(r, holdOff)
+	g.turnAway(r, g.stayAway(holdOff))
 }
 
 // turnAway gives the answer that promises that a retry is harmless.
--- a/internal/lab/fair.go
+++ b/internal/lab/fair.go
@@ -235,6 +235,69 @@
 	return float64(good) / float64(good+bad), ratios[len(ratios)/2]
 }
 
+// strangers has the clients of a lost site come to a door where others are at home: 40 who ask for half of the engines, then as many
+// again who are unknown and ask for nine tenths, so that not all can be served. It answers the part served of those at home before
+// and after, of the strangers, and how many connections of either gave way.
+func strangers() (before, after, theirs float64, evicted int) {
+	const run, each = 100 * rules.Millisecond, 40
+	m := newModel(trusting(), modelSizes(), 32)
+	type tally struct{ asked, served float64 }
+	var books [3]tally
+	group, busy := map[*modelConn]int{}, map[*modelConn]bool{} // a connection has one request at a time
+	late := false
+	m.served = func(c *modelConn, _ *modelAsk) {
+		busy[c] = false
+		switch {
+		case group[c] == 1:
+			books[2].served++
+		case late:
+			books[1].served++
+		default:
+			books[0].served++
+		}
+	}
+	m.refused = func(c *modelConn, _ rules.Time) { busy[c] = false }
+	var begin func(c *modelConn, every rules.Time)
+	begin = func(c *modelConn, every rules.Time) {
+		if c.open {
+			switch {
+			case group[c] == 1:
+				books[2].asked++
+			case late:
+				books[1].asked++
+			default:
+				books[0].asked++
+			}
+			if !busy[c] {
+				busy[c] = true
+				m.ask(c)
+			}
+			m.after(every, func() { begin(c, every) })
+		}
+	}
+	var all []*modelConn
+	come := func(g int, every rules.Time) {
+		for i := range each {
+			c := m.connect(tenantName(100*g+i), run, host(20+g, i))
+			group[c] = g
+			all = append(all, c)
+			m.after(rules.Time(i)*every/each, func() { begin(c, every) })
+		}
+	}
+	come(0, 250*rules.Millisecond) // 160 a second of 320
+	m.play(20 * rules.Second)
+	late = true
+	come(1, 139*rules.Millisecond) // and 288 more
+	m.play(20 * rules.Second)
+	for _, c := range all {
+		if !c.open {
+			evicted++
+		}
+	}
+	part := func(t tally) float64 { return t.served / max(t.asked, 1) }
+	return part(books[0]), part(books[1]), part(books[2]), evicted
+}
+
 // stateOf is the door's state after so many tenants asked for one query each, and its bound.
 func stateOf(tenants int) (bytes, bound int) {
 	m := newModel(trusting(), modelSizes(), 32)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -29,6 +29,16 @@
 	}
 }
 
+// The clients of a lost site are no flood: they get what those at home leave, nobody's connection gives way, and those at home, who ask
+// for less than an even share, hardly notice.
+func TestStrangersAtTheDoor(t *testing.T) {
+	before, after, theirs, evicted := strangers()
+	t.Logf("at home %.3f, then %.3f; strangers %.3f; %d connections gave way", before, after, theirs, evicted)
+	if before < 0.99 || after < 0.97 || theirs < 0.5 || evicted > 0 {
+		t.Errorf("at home %.3f, then %.3f; strangers %.3f; %d connections gave way", before, after, theirs, evicted)
+	}
+}
+
 // A flooding client and quiet ones on loopback: the quiet ones are served.
 func TestQuietClientsBesideAFlood(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/lab/sites.go
+++ b/internal/lab/sites.go
@@ -5,19 +5,24 @@
 	"fmt"
 	"io"
 	"math"
+	"os"
 	"runtime"
 	"slices"
 	"sync"
+	"time"
 
 	"foxlane/internal/emu"
+	"foxlane/internal/rig"
 	"foxlane/internal/zones"
 	"foxlane/rules"
 )
 
-// This file measures the plan for the loss of a zone on the modelled fleet: the same seeds with the plan and without.
+// This file measures the plan for the loss of a zone: on the modelled fleet, the same seeds with the plan, without and with
+// splits that never change; and with processes, held against what the plan says.
 
 const (
 	siteSeeds    = 10
+	hardSeeds    = 3 // of the hard cases, which have no figure of their own but that they go no worse than without
 	siteGateways = 300
 	siteEngines  = 36
 	siteZones    = 3
@@ -25,113 +30,345 @@
 	lostFor      = 8 * rules.Second
 	flapEvery    = 2 * rules.Second
 	flaps        = 6
+	flapsFree    = 3 // after which a flap must hardly move anything
 )
 
 type siteScene struct {
 	name   string
+	seeds  int
 	load   float64
 	faults []emu.Fault
+	spread []int
+	set    func(*zones.Settings)
 	from   int // seconds that count
 	to     int
 }
 
+func lostZone() emu.Fault { return emu.LoseZone(lostAt, 0, 3*rules.Second, lostFor) }
+
+// Scenes that have figures of their own, by place in siteScenes.
+const (
+	sceneCalm = iota
+	sceneLost
+	sceneFlap
+	sceneShed
+	sceneBurst
+)
+
 var siteScenes = []siteScene{
-	{"calm", 0.8, nil, 4, 25},
-	{"a zone is lost and returns cold", 0.55, []emu.Fault{emu.LoseZone(lostAt, 0, 3*rules.Second, lostFor)}, 8, 27},
-	{"a zone flaps every 2 s", 0.55, []emu.Fault{emu.Flap(lostAt, 0, flaps, flapEvery)}, 8, 27},
+	{name: "calm", seeds: siteSeeds, load: 0.8, from: 4, to: 25},
+	{name: "a zone is lost and returns cold", seeds: siteSeeds, load: 0.55, faults: []emu.Fault{lostZone()}, from: 8, to: 27},
+	{name: "a zone flaps every 2 s", seeds: siteSeeds, load: 0.55, faults: []emu.Fault{emu.Flap(lostAt, 0, flaps, flapEvery)}, from: 8, to: 29},
+	{name: "lost at a load of 0.9, with the ladder", seeds: siteSeeds, load: 0.9, faults: []emu.Fault{lostZone()}, from: 8, to: 27,
+		set: func(s *zones.Settings) { s.Shed = true }},
+	{name: "a burst of half as much again, with the ladder", seeds: siteSeeds, load: 0.9,
+		faults: []emu.Fault{emu.Burst(lostAt, lostFor, 1.5)}, from: 8, to: 27, set: func(s *zones.Settings) { s.Shed = true }},
+	{name: "a zone's engines are lost, its gateways not; spill 0.25", seeds: siteSeeds, load: 0.55,
+		faults: []emu.Fault{emu.SilenceIn(lostAt, lostFor, 0, 1)}, from: 8, to: 27,
+		set: func(s *zones.Settings) { s.Spill, s.Retries = 0.25, 0.2 }},
+	{name: "the same without a limit", seeds: hardSeeds, load: 0.55, faults: []emu.Fault{emu.SilenceIn(lostAt, lostFor, 0, 1)}, from: 8, to: 27},
+	{name: "all zones lost", seeds: hardSeeds, load: 0.3, faults: []emu.Fault{emu.LoseZone(lostAt, 0, 3*rules.Second, lostFor),
+		emu.LoseZone(lostAt, 1, 3*rules.Second, lostFor), emu.LoseZone(lostAt, 2, 3*rules.Second, lostFor)}, from: 8, to: 29},
+	{name: "half of a zone is lost", seeds: hardSeeds, load: 0.6, faults: []emu.Fault{emu.SilenceIn(lostAt, lostFor, 0, 0.5)}, from: 8, to: 27},
+	{name: "lost while another drains", seeds: hardSeeds, load: 0.3,
+		faults: []emu.Fault{emu.DrainZone(4*rules.Second, 18*rules.Second, 1), lostZone()}, from: 8, to: 29},
+	{name: "lost while the list is dark", seeds: hardSeeds, load: 0.55, faults: []emu.Fault{emu.Dark(6*rules.Second, 14*rules.Second), lostZone()}, from: 8, to: 29},
+	{name: "lost, lists four times as late", seeds: hardSeeds, load: 0.55, faults: []emu.Fault{emu.Late(0, 30*rules.Second, 4), lostZone()}, from: 8, to: 29},
+	{name: "two of three lost", seeds: hardSeeds, load: 0.3,
+		faults: []emu.Fault{lostZone(), emu.LoseZone(lostAt+rules.Second, 1, 3*rules.Second, lostFor)}, from: 8, to: 29},
+	{name: "the smaller of 1:3 takes over", seeds: hardSeeds, load: 0.5, spread: []int{0, 0, 0, 1}, faults: []emu.Fault{lostZone()}, from: 8, to: 29},
+	{name: "back under new ids", seeds: hardSeeds, load: 0.55, faults: []emu.Fault{emu.ReplaceZone(lostAt, 0, 3*rules.Second, lostFor)}, from: 8, to: 29},
+	{name: "answers cut off one way", seeds: hardSeeds, load: 0.55,
+		faults: []emu.Fault{emu.CutWay(lostAt, lostFor, 0, 1), emu.CutWay(lostAt, lostFor, 0, 2)}, from: 8, to: 27},
+	{name: "a site cut off, its clients not", seeds: hardSeeds, load: 0.55,
+		faults: []emu.Fault{emu.CutWay(lostAt, lostFor, 0, 1), emu.CutWay(lostAt, lostFor, 0, 2), emu.CutWay(lostAt, lostFor, 1, 0),
+			emu.CutWay(lostAt, lostFor, 2, 0)}, from: 8, to: 27},
+	{name: "gateways start in the middle of a loss", seeds: hardSeeds, load: 0.55,
+		faults: []emu.Fault{lostZone(), emu.Kill(lostAt+3*rules.Second, 0.2, rules.Second)}, from: 8, to: 27},
+	{name: "flaps every 10 s", seeds: hardSeeds, load: 0.55, faults: []emu.Fault{emu.Flap(5*rules.Second, 0, 2, 6*rules.Second)}, from: 5, to: 29},
 }
 
-// siteRun is one run with the plan, or without.
+// siteRun is one run: without a plan, with it, or with a split that never changes.
 type siteRun struct {
-	share, cross float64
-	fallen       int
-	moves        float64 // states that the zone entered, at each of its own gateways: others hardly send there
-	recovered    float64 // seconds from a return until 0.95 of the former worth is served again
+	share, cross, amplified float64
+	fallen                  int
+	moves                   float64 // states that the zone entered, at each of its own gateways: others hardly send there
+	movesLate               float64 // of these, after the third flap
+	recovered               float64 // seconds from a return until 0.95 of the former worth is served again
+	wrong                   int     // seconds in which a larger part was refused of what earns more for its work
+	over                    int     // seconds in which foreign load was over the limit of spill, by zone
+	shed                    int
+	probes                  float64 // a gateway and second
 }
 
-// MeasureSites plays the loss of a zone to 300 gateways in virtual time, ten seeds a scene, with the plan and without.
-func MeasureSites(ctx context.Context, progress io.Writer) (*Report, error) {
-	r := newReport("sites", "scene", "plan", "share of worth, median", "least", "across zones", "states entered a gateway of the zone", "cold engines pushed over")
-	runs := make([][2][siteSeeds]siteRun, len(siteScenes))
+// statics are the parts that stay at home in splits that never change.
+var statics = []float64{1, 0.8, 0.6, 1.0 / 3}
+
+// MeasureSites plays the loss of a zone to 300 gateways in virtual time, with the plan and without, and to processes.
+func MeasureSites(ctx context.Context, gateway string, progress io.Writer) (*Report, error) {
+	r := newReport("sites", "scene", "plan", "share of worth, median", "least", "across zones", "attempts a request", "probes a gateway and s", "states entered a gateway of the zone",
+		"cold engines pushed over")
+	runs := make([][2][]siteRun, len(siteScenes))
+	fixed := make([][]siteRun, len(statics))
 	var wait sync.WaitGroup
 	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	play := func(to *siteRun, do func() siteRun) {
+		wait.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			if ctx.Err() == nil {
+				*to = do()
+				fmt.Fprint(progress, ".")
+			}
+		})
+	}
 	for i, sc := range siteScenes {
 		for plan := range 2 {
-			for seed := range siteSeeds {
-				wait.Go(func() {
-					slots <- struct{}{}
-					defer func() { <-slots }()
-					if ctx.Err() == nil {
-						runs[i][plan][seed] = sc.play(plan == 1, uint64(seed)+1)
-						fmt.Fprint(progress, ".")
-					}
-				})
+			runs[i][plan] = make([]siteRun, sc.seeds)
+			for seed := range sc.seeds {
+				play(&runs[i][plan][seed], func() siteRun { return sc.play(plan == 1, nil, uint64(seed)+1) })
 			}
 		}
 	}
+	for i := range statics {
+		fixed[i] = make([]siteRun, siteSeeds)
+		for seed := range siteSeeds {
+			play(&fixed[i][seed], func() siteRun { return siteScenes[sceneLost].play(false, &statics[i], uint64(seed)+1) })
+		}
+	}
 	wait.Wait()
 	fmt.Fprintln(progress)
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	fallen := 0
+	row := func(name, plan string, runs []siteRun) {
+		fell := 0
+		for _, run := range runs {
+			fell += run.fallen
+		}
+		if plan == "on" {
+			fallen += fell
+		}
+		shares := pick(runs, siteRun.worth)
+		r.row(name, plan, fmt.Sprintf("%.3f", median(shares)), fmt.Sprintf("%.3f", slices.Min(shares)),
+			fmt.Sprintf("%.2f", median(pick(runs, func(s siteRun) float64 { return s.cross }))),
+			fmt.Sprintf("%.2f", median(pick(runs, func(s siteRun) float64 { return s.amplified }))),
+			fmt.Sprintf("%.3f", median(pick(runs, func(s siteRun) float64 { return s.probes }))),
+			fmt.Sprintf("%.1f", median(pick(runs, func(s siteRun) float64 { return s.moves }))), fell)
+	}
 	for i, sc := range siteScenes {
-		for plan, seeds := range runs[i] {
-			fell := 0
-			for _, run := range seeds {
-				fell += run.fallen
-			}
-			if plan == 1 {
-				fallen += fell
-			}
-			shares := pick(seeds, func(s siteRun) float64 { return s.share })
-			r.row(sc.name, []string{"off", "on"}[plan], fmt.Sprintf("%.3f", median(shares)), fmt.Sprintf("%.3f", slices.Min(shares)),
-				fmt.Sprintf("%.2f", median(pick(seeds, func(s siteRun) float64 { return s.cross }))),
-				fmt.Sprintf("%.1f", median(pick(seeds, func(s siteRun) float64 { return s.moves }))), fell)
+		row(sc.name, "off", runs[i][0])
+		row(sc.name, "on", runs[i][1])
+	}
+	best := make([]float64, siteSeeds)
+	for i, part := range statics {
+		row(siteScenes[sceneLost].name, fmt.Sprintf("static, %.2f at home", part), fixed[i])
+		for seed, run := range fixed[i] {
+			best[seed] = max(best[seed], run.share)
 		}
 	}
 	ratio := func(scene int, of func(siteRun) float64) float64 {
-		ratios := make([]float64, siteSeeds)
-		for seed := range siteSeeds {
+		ratios := make([]float64, siteScenes[scene].seeds)
+		for seed := range ratios {
 			ratios[seed] = of(runs[scene][1][seed]) / max(of(runs[scene][0][seed]), 1e-9)
 		}
 		return median(ratios)
 	}
-	share := func(s siteRun) float64 { return s.share }
-	r.set("worth_calm", ratio(0, share), "0.99 or more of without the plan")
-	r.set("cross_share", ratio(0, func(s siteRun) float64 { return s.cross }), "0.5 or less of without the plan")
-	r.set("worth_lost_over_off", ratio(1, share), "")
-	r.set("worth_lost_site", median(pick(runs[1][1], share)), "")
-	r.set("recover_ratio", median(pick(runs[1][1], func(s siteRun) float64 { return s.recovered }))/coldSeconds(), "1.5 or less")
-	r.set("worth_flap_over_off", ratio(2, share), "")
-	r.set("flap_states", median(pick(runs[2][1], func(s siteRun) float64 { return s.moves }))/flaps, "of each of the zone's gateways, a flap")
+	over := make([]float64, siteSeeds)
+	for seed, run := range runs[sceneLost][1] {
+		over[seed] = run.share / best[seed]
+	}
+	sum := func(of func(siteRun) int) (n float64) {
+		for i := range runs {
+			for _, run := range runs[i][1] {
+				n += float64(of(run))
+			}
+		}
+		return n
+	}
+	worse := 0.0
+	for i := range siteScenes {
+		worse = max(worse, 1-ratio(i, siteRun.worth))
+	}
+	r.set("worth_calm", ratio(sceneCalm, siteRun.worth), "0.99 or more of without the plan")
+	r.set("cross_share", ratio(sceneCalm, func(s siteRun) float64 { return s.cross }), "0.5 or less of without the plan")
+	r.set("worth_lost_over_off", ratio(sceneLost, siteRun.worth), "")
+	r.set("worth_lost_site", median(over), "0.9 or more of the best static split")
+	r.set("recover_ratio", median(pick(runs[sceneLost][1], func(s siteRun) float64 { return s.recovered }))/coldSeconds(), "1.5 or less")
+	r.set("retry_amplification", median(pick(runs[sceneLost][1], func(s siteRun) float64 { return s.amplified })), "1.2 or less")
+	r.set("worth_flap_over_off", ratio(sceneFlap, siteRun.worth), "")
+	r.set("flap_moves", median(pick(runs[sceneFlap][1], func(s siteRun) float64 { return s.movesLate }))/(flaps-flapsFree), "under 0.1 a flap after the third")
+	r.set("worth_ladder_lost_over_off", ratio(sceneShed, siteRun.worth), "")
+	r.set("worth_ladder_burst_over_off", ratio(sceneBurst, siteRun.worth), "")
 	r.set("cold_overload", float64(fallen), "0")
-	return r, nil
+	r.set("shed", sum(func(s siteRun) int { return s.shed }), "")
+	r.set("shed_order_wrong", sum(func(s siteRun) int { return s.wrong }), "0 seconds")
+	r.set("spill_over_limit_s", sum(func(s siteRun) int { return s.over }), "0")
+	r.set("worst_loss_of_a_scene", worse, "")
+	return r, conduct(ctx, gateway, r, progress)
 }
 
+func (s siteRun) worth() float64 { return s.share }
+
 func coldSeconds() float64 {
 	return float64(emu.Warehouse(1, 1, 1, 1).Settings.Duties.ColdFor) / float64(rules.Second)
 }
 
-func (sc siteScene) play(plan bool, seed uint64) siteRun {
+func (sc siteScene) play(plan bool, static *float64, seed uint64) siteRun {
 	s := emu.Warehouse(siteGateways, siteEngines, sc.load, seed)
-	s.Zones, s.Faults = siteZones, sc.faults
+	s.Zones, s.Spread, s.Faults, s.Static = siteZones, sc.spread, sc.faults, static
+	if sc.spread != nil {
+		s.Zones = slices.Max(sc.spread) + 1
+	}
 	s.Settings.Fees.CrossZone = 0.05
+	set := zones.Defaults()
+	if sc.set != nil {
+		sc.set(&set)
+	}
 	if plan {
-		set := zones.Defaults()
 		s.Sites = &set
 	}
 	b := emu.New(s).Run()
+	asked := 0
+	for i := range s.Classes {
+		asked += b.Class(i).Asked
+	}
 	run := siteRun{share: b.Share(sc.from, sc.to), cross: float64(b.Cross) / float64(max(1, b.Sends)), fallen: b.Fallen,
-		moves: float64(b.Moves) * siteZones / siteGateways}
+		amplified: float64(b.Sends) / float64(max(1, asked)), shed: b.Shed,
+		probes: float64(b.Probes) / siteGateways / (float64(s.Length) / float64(rules.Second))}
+	own := float64(siteGateways) / float64(s.Zones)
+	third := lostAt + 2*flapEvery*flapsFree
+	for _, m := range b.MovedAt {
+		if m.Zone == 0 {
+			run.moves += 1 / own
+			if m.At >= third && m.At < third+2*flapEvery*(flaps-flapsFree) {
+				run.movesLate += 1 / own
+			}
+		}
+	}
 	former, back := b.Share(4, int(lostAt/rules.Second)), int((lostAt+lostFor)/rules.Second)
 	for back+int(run.recovered) < sc.to && b.Share(back+int(run.recovered), back+int(run.recovered)+1) < 0.95*former {
 		run.recovered++
 	}
+	if plan {
+		run.over, run.wrong = overLimit(b, set), wrongOrder(b, set)
+	}
 	return run
 }
 
-func pick(runs [siteSeeds]siteRun, of func(siteRun) float64) []float64 {
+// overLimit counts the seconds in which a zone got more foreign load than the limit of spill allows.
+func overLimit(b *emu.Books, set zones.Settings) (n int) {
+	if set.Spill >= 1 {
+		return 0
+	}
+	for _, sec := range b.Seconds[:len(b.Seconds)-1] {
+		for z, foreign := range sec.Foreign {
+			if sec.Could[z] > 0 && foreign > set.Spill*sec.Could[z] {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+const (
+	orderSlack = 0.05 // by which the part refused of what earns more may pass that of what earns less, within a second
+	orderLeast = 20   // first tries of a kind that tell a part
+)
+
+// wrongOrder counts the seconds in which a larger part was refused of first tries that earn more for their told work than of some that
+// earn less, by anything: the ladder or, later, the decision module.
+func wrongOrder(b *emu.Books, set zones.Settings) (n int) {
+	if !set.Shed {
+		return 0
+	}
+	for i := range b.Seconds {
+		sec := &b.Seconds[i]
+		least, wrong := 1.0, false // of what earns less
+		for rung, tried := range sec.Tried {
+			if tried < orderLeast {
+				continue
+			}
+			part := float64(sec.Refused[rung]) / float64(tried)
+			wrong = wrong || part > least+orderSlack
+			least = min(least, part)
+		}
+		if wrong {
+			n++
+		}
+	}
+	return n
+}
+
+// conduct holds the plan against what processes do: a zone of three is lost and comes back.
+func conduct(ctx context.Context, gateway string, r *Report, progress io.Writer) error {
+	if gateway == "" {
+		dir, err := os.MkdirTemp("", "foxlab")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		if gateway, err = Build(ctx, dir); err != nil {
+			return err
+		}
+	}
+	const at, away, length, unlisted = 4, 6, 24, 2
+	text := ""
+	for _, name := range []string{"hall-a", "hall-b", "hall-c"} {
+		text += fmt.Sprintf("zone %q {\n  gateways = 2\n  engines = 2\n}\n", name)
+	}
+	text += fmt.Sprintf("cores = 8\nload = 0.5\ncold = \"6s\"\nlength = \"%ds\"\noperator = \"sites {\\n  ramp = \\\"4s\\\"\\n}\\n\"\n", length)
+	text += fmt.Sprintf("fault \"lose\" {\n  of = \"hall-a\"\n  at = \"%ds\"\n  for = \"%ds\"\n  unlisted = \"%ds\"\n}\n", at, away, unlisted)
+	script, err := rig.ParseScript([]byte(text), "sites.hcl")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(progress, "processes, %v\n", script.Length)
+	b, err := rig.Run(ctx, gateway, *script, "")
+	if err != nil {
+		return err
+	}
+	set := zones.Defaults()
+	set.Ramp = 4 * rules.Second
+	whole := float64(len(script.Zones) * 2 * script.Cores)
+	sc := zones.Scenario{Classes: []zones.ClassSpec{{Name: "all", Part: 1, Earns: 1}}, Lose: []int{0}, At: at * rules.Second, Back: (at + away) * rules.Second,
+		Unlisted: unlisted * rules.Second, Notice: rules.Second / 10, ColdFrom: script.ColdFrom, ColdFor: rules.Time(script.Cold / time.Microsecond),
+		Length: length * rules.Second}
+	for _, z := range script.Zones {
+		sc.Zones = append(sc.Zones, zones.ZoneSpec{Name: z.Name, Cores: whole / 3, Demand: script.Load * whole / 3})
+	}
+	planned := zones.Play(set, sc)
+	worst := 0.0
+	for _, span := range []struct {
+		what     string
+		from, to int
+	}{{"before", 1, at}, {"lost", at + 2, at + away}, {"returning", at + away + 3, at + away + 7}, {"after", at + away + 9, length}} {
+		is, sum := make([]float64, len(sc.Zones)), 0.0
+		for _, m := range planned[span.from:min(span.to, len(planned))] {
+			for z := range m.Zones {
+				is[z] += m.Zones[z].Own + m.Zones[z].Foreign
+				sum += m.Zones[z].Own + m.Zones[z].Foreign
+			}
+		}
+		did := b.Parts(span.from, span.to)
+		for z := range is {
+			is[z] /= max(sum, 1e-9)
+			worst = max(worst, math.Abs(is[z]-did[z]))
+		}
+		r.row("processes, "+span.what, "on", fmt.Sprintf("%.3f", b.Share(span.from, span.to)), "-", fmt.Sprintf("plan %.2f", is), "-", "-", fmt.Sprintf("did %.2f", did), "-")
+	}
+	r.set("plan_error", worst, "0.1 or less")
+	r.set("processes_worth", b.Share(at, length), "")
+	r.set("processes_breaches", float64(len(b.Breaches)), "0")
+	r.set("processes_amplification", b.Amplification(), "1.2 or less")
+	for _, x := range b.Breaches {
+		r.row("breach", x)
+	}
+	return nil
+}
+
+func pick(runs []siteRun, of func(siteRun) float64) []float64 {
 	out := make([]float64, len(runs))
 	for i, run := range runs {
 		out[i] = of(run)
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,176 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echo answers what it is sent.
+func echo(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func through(t *testing.T) (*TCP, *Way, *Way, net.Conn) {
+	there, back := NewWay(1), NewWay(2)
+	r, err := NewTCP("127.0.0.1:0", echo(t), there, back)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	c, err := net.Dial("tcp", r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return r, there, back, c
+}
+
+// ask writes, and returns what comes back within a while.
+func ask(t *testing.T, c net.Conn, text string, within time.Duration) (string, time.Duration, error) {
+	t.Helper()
+	began := time.Now()
+	if _, err := c.Write([]byte(text)); err != nil {
+		return "", 0, err
+	}
+	_ = c.SetReadDeadline(began.Add(within))
+	buf := make([]byte, len(text))
+	n, err := io.ReadFull(c, buf)
+	return string(buf[:n]), time.Since(began), err
+}
+
+func TestTCPCarriesAndDelays(t *testing.T) {
+	_, there, back, c := through(t)
+	if got, _, err := ask(t, c, "hello", time.Second); got != "hello" || err != nil {
+		t.Fatalf("%q, %v", got, err)
+	}
+	there.Set(Conditions{Delay: 60 * time.Millisecond})
+	back.Set(Conditions{Delay: 60 * time.Millisecond})
+	if _, took, err := ask(t, c, "hello", 2*time.Second); took < 120*time.Millisecond || err != nil {
+		t.Errorf("took %v, %v", took, err)
+	}
+	there.Set(Conditions{Rate: 10_000})
+	back.Set(Conditions{})
+	big := string(bytes.Repeat([]byte("x"), 2000))
+	if got, took, err := ask(t, c, big, 2*time.Second); got != big || took < 190*time.Millisecond || err != nil {
+		t.Errorf("2000 bytes at 10,000 a second took %v, %v", took, err)
+	}
+	if n := there.Counts(); n.Bytes != 2010 || n.Taken != 1 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// A way that is cut in one direction holds what goes there, and gives it out once it is whole again.
+func TestTCPIsCutOneWay(t *testing.T) {
+	r, _, back, c := through(t)
+	back.Set(Conditions{Cut: true})
+	if got, _, err := ask(t, c, "hello", 150*time.Millisecond); err == nil {
+		t.Fatalf("%q came through a cut", got)
+	}
+	late, err := net.Dial("tcp", r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	if got, _, err := ask(t, late, "later", 100*time.Millisecond); err == nil {
+		t.Fatalf("%q came through a cut, on a new connection", got)
+	}
+	back.Set(Conditions{})
+	for _, want := range []struct {
+		c    net.Conn
+		text string
+	}{{c, "hello"}, {late, "later"}} {
+		_ = want.c.SetReadDeadline(time.Now().Add(time.Second))
+		buf := make([]byte, len(want.text))
+		if n, err := io.ReadFull(want.c, buf); string(buf[:n]) != want.text || err != nil {
+			t.Errorf("after the cut %q, %v", buf[:n], err)
+		}
+	}
+}
+
+func TestTCPIsReset(t *testing.T) {
+	r, _, _, c := through(t)
+	if _, _, err := ask(t, c, "hello", time.Second); err != nil {
+		t.Fatal(err)
+	}
+	r.Reset()
+	if got, _, err := ask(t, c, "hello", time.Second); err == nil {
+		t.Errorf("%q after a reset", got)
+	}
+}
+
+func TestUDPLosesAndDoubles(t *testing.T) {
+	server, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	go func() {
+		buf := make([]byte, 100)
+		for {
+			n, from, err := server.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			_, _ = server.WriteTo(buf[:n], from)
+		}
+	}()
+	there, back := NewWay(1), NewWay(2)
+	r, err := NewUDP("127.0.0.1:0", server.LocalAddr().String(), there, back)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	c, err := net.Dial("udp", r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	count := func(n int) (got int) {
+		for range n {
+			_, _ = c.Write([]byte("x"))
+		}
+		buf := make([]byte, 10)
+		for {
+			_ = c.SetReadDeadline(time.Now().Add(150 * time.Millisecond))
+			if _, err := c.Read(buf); err != nil {
+				return got
+			}
+			got++
+		}
+	}
+	if n := count(40); n != 40 {
+		t.Errorf("%d of 40 came back", n)
+	}
+	there.Set(Conditions{Loss: 0.5})
+	if n := count(40); n < 5 || n > 35 {
+		t.Errorf("%d of 40 came back over a way that loses half", n)
+	}
+	there.Set(Conditions{Double: 1})
+	if n := count(20); n != 40 {
+		t.Errorf("%d came back of 20 that come twice", n)
+	}
+	there.Set(Conditions{Cut: true})
+	if n := count(10); n != 0 {
+		t.Errorf("%d came through a cut", n)
+	}
+}
--- /dev/null
+++ b/internal/rig/books.go
@@ -0,0 +1,282 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"foxlane/internal/relay"
+)
+
+// Books are what clients and engines saw of a run.
+type Books struct {
+	Seconds  []Second
+	Classes  []ClassBooks
+	Breaches []string // of rules, as seen from outside
+	Fallen   int      // times that a cold engine was sent more than it bears
+	Attempts int      // that reached engines
+	Tries    int      // of clients, at gateways
+	Cross    int      // attempts that reached another zone than their gateway's
+	Ways     map[string]relay.Counts
+	Events   []Event // faults, and states of zones as gateways logged them, in order
+
+	rig   *Rig
+	start time.Time
+	mu    sync.Mutex
+	byID  map[string]*try
+	last  uint64
+	most  int // breaches kept
+}
+
+// Second is one of a run, by when clients first asked.
+type Second struct {
+	Offered, Worth float64   // worth; Worth is what was served in time, and what late answers still earn
+	To             []float64 // work that reached each zone's engines, in seconds of a core
+	Foreign        []float64 // of it, from gateways of other zones
+	Refused        []int     // first tries, by class
+	Again          int       // refused tries that were not the first
+	Failed         int
+	Turned         int // tries that found no gateway
+}
+
+// ClassBooks are those of one class.
+type ClassBooks struct {
+	Name                                      string
+	Asked, InTime, Late, Refused, Failed, Ran int
+}
+
+// Event is something that happened, so long after the start.
+type Event struct {
+	At   time.Duration
+	Who  string // a gateway, or "fault"
+	Text string
+	Zone string
+}
+
+// try is one request at one gateway.
+type try struct {
+	request *request
+	work    time.Duration
+	zone    string // of its gateway
+	ran     int    // times that an engine took it
+}
+
+func newBooks(r *Rig) *Books {
+	b := &Books{rig: r, start: time.Now(), byID: map[string]*try{}, most: 20, Ways: map[string]relay.Counts{}}
+	for _, c := range classes {
+		b.Classes = append(b.Classes, ClassBooks{Name: c.name})
+	}
+	return b
+}
+
+// at is the second of a time. The books are locked.
+func (b *Books) at(t time.Time) *Second {
+	i := max(0, int(t.Sub(b.start)/time.Second))
+	for len(b.Seconds) <= i {
+		b.Seconds = append(b.Seconds, Second{To: make([]float64, len(b.rig.Zones)), Foreign: make([]float64, len(b.rig.Zones)),
+			Refused: make([]int, len(classes))})
+	}
+	return &b.Seconds[i]
+}
+
+func (b *Books) count(do func(*Second)) {
+	b.mu.Lock()
+	do(b.at(time.Now()))
+	b.mu.Unlock()
+}
+
+func (b *Books) offer(q *request) {
+	b.mu.Lock()
+	b.at(q.at).Offered += classes[q.class].worth
+	b.Classes[q.class].Asked++
+	b.mu.Unlock()
+}
+
+// open gives a try its id.
+func (b *Books) open(q *request, g *gateway) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.last++
+	b.Tries++
+	id := fmt.Sprintf("%08x%08x", uint32(b.rig.Seed*2654435761), b.last)
+	b.byID[id] = &try{request: q, work: q.work, zone: g.zone}
+	return id
+}
+
+// asked notes that an engine got a query, and returns what it is. One of an unsafe class must come once only.
+func (b *Books) asked(id string, e *engine) *try {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.byID[id]
+	if t == nil {
+		b.note1("an engine was asked for %q, which no client has sent", id)
+		return &try{work: time.Millisecond}
+	}
+	b.Attempts++
+	b.Classes[t.request.class].Ran++
+	s := b.at(time.Now())
+	for i, z := range b.rig.Zones {
+		if z.Name == e.zone {
+			if s.To[i] += t.work.Seconds(); z.Name != t.zone {
+				s.Foreign[i] += t.work.Seconds()
+				b.Cross++
+			}
+		}
+	}
+	if t.ran++; t.ran > 1 && classes[t.request.class].unsafe {
+		b.note1("%s of class %s came to an engine %d times", id, classes[t.request.class].name, t.ran)
+	}
+	return t
+}
+
+// turned notes that an engine has not taken what it was asked for: it never ran.
+func (b *Books) turned(t *try) {
+	b.mu.Lock()
+	t.ran--
+	b.mu.Unlock()
+}
+
+func (b *Books) served(q *request, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if q.served {
+		return
+	}
+	q.served = true
+	c := classes[q.class]
+	if took <= c.aim+time.Duration(aimStretch*float64(q.work)) {
+		b.at(q.at).Worth += c.worth
+		b.Classes[q.class].InTime++
+		return
+	}
+	b.at(q.at).Worth += 0.2 * c.worth
+	b.Classes[q.class].Late++
+}
+
+func (b *Books) refused(q *request, harmless, resent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.at(time.Now())
+	switch {
+	case harmless && resent:
+		s.Again++
+		return
+	case harmless:
+		s.Refused[q.class]++
+		b.Classes[q.class].Refused++
+		return
+	}
+	s.Failed++
+	b.Classes[q.class].Failed++
+}
+
+func (b *Books) breach(format string, args ...any) {
+	b.mu.Lock()
+	b.note1(format, args...)
+	b.mu.Unlock()
+}
+
+func (b *Books) note1(format string, args ...any) {
+	if len(b.Breaches) < b.most {
+		b.Breaches = append(b.Breaches, fmt.Sprintf("at %.2f s: ", time.Since(b.start).Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+func (b *Books) note(f *Fault) {
+	b.mu.Lock()
+	b.Events = append(b.Events, Event{At: time.Since(b.start), Who: "fault", Text: strings.TrimSpace(f.Kind + " " + f.Of + f.From + " " + f.To), Zone: f.Of})
+	b.mu.Unlock()
+}
+
+// log takes the states of zones from a gateway's log.
+func (b *Books) log(g *gateway) {
+	for _, line := range strings.Split(g.log.String(), "\n") {
+		var l struct {
+			Msg, Zone, From, To string
+			TS                  string
+			Damped              bool
+		}
+		if json.Unmarshal([]byte(line), &l) != nil || l.Msg != "zone" {
+			continue
+		}
+		at, err := time.Parse("2006-01-02T15:04:05.000Z0700", l.TS)
+		if err != nil {
+			continue
+		}
+		b.Events = append(b.Events, Event{At: at.Sub(b.start), Who: g.name, Text: l.From + " > " + l.To, Zone: l.Zone})
+	}
+}
+
+// Share is the part of the worth offered from one second to another that was served.
+func (b *Books) Share(from, to int) float64 {
+	offered, worth := 0.0, 0.0
+	for i := from; i < min(to, len(b.Seconds)); i++ {
+		offered += b.Seconds[i].Offered
+		worth += b.Seconds[i].Worth
+	}
+	if offered <= 0 {
+		return 1
+	}
+	return worth / offered
+}
+
+// Parts are how the work that reached engines from one second to another spread over the zones.
+func (b *Books) Parts(from, to int) []float64 {
+	out, sum := make([]float64, len(b.rig.Zones)), 0.0
+	for i := from; i < min(to, len(b.Seconds)); i++ {
+		for z, w := range b.Seconds[i].To {
+			out[z] += w
+			sum += w
+		}
+	}
+	for z := range out {
+		out[z] /= max(sum, 1e-9)
+	}
+	return out
+}
+
+// Amplification is attempts that reached engines over requests of clients.
+func (b *Books) Amplification() float64 {
+	asked := 0
+	for _, c := range b.Classes {
+		asked += c.Asked
+	}
+	return float64(b.Attempts) / float64(max(1, asked))
+}
+
+// Entered counts the gateways at which a zone has entered a state.
+func (b *Books) Entered(zone, state string) int {
+	seen := map[string]bool{}
+	for _, e := range b.Events {
+		if e.Zone == zone && strings.HasSuffix(e.Text, "> "+state) {
+			seen[e.Who] = true
+		}
+	}
+	return len(seen)
+}
+
+// String tells all on a page.
+func (b *Books) String() string {
+	var s strings.Builder
+	fmt.Fprintf(&s, "share %.3f; %d tries, %d attempts at engines, %d across zones; cold engines fell %d times\n", b.Share(0, len(b.Seconds)), b.Tries,
+		b.Attempts, b.Cross, b.Fallen)
+	for _, c := range b.Classes {
+		fmt.Fprintf(&s, "%-8s %5d asked %5d in time %4d late %4d refused %3d failed, ran %d\n", c.Name, c.Asked, c.InTime, c.Late, c.Refused, c.Failed, c.Ran)
+	}
+	for i, sec := range b.Seconds {
+		fmt.Fprintf(&s, "%3d s  %.2f  to zones", i, b.Share(i, i+1))
+		for _, w := range sec.To {
+			fmt.Fprintf(&s, " %5.2f", w)
+		}
+		fmt.Fprintf(&s, "  refused %v again %d failed %d turned %d\n", sec.Refused, sec.Again, sec.Failed, sec.Turned)
+	}
+	for _, e := range b.Events {
+		fmt.Fprintf(&s, "%6.2f %s %s %s\n", e.At.Seconds(), e.Who, e.Zone, e.Text)
+	}
+	for _, x := range b.Breaches {
+		fmt.Fprintln(&s, "BREACH", x)
+	}
+	return s.String()
+}
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,515 @@
+// Package rig owns fleets of several processes on this machine: real gateways in two or more sites, stand-ins for their
+// engines and name services, clients, and relays between all of them, with faults from one script. It keeps books of
+// what clients and engines saw, and judges the rules by these alone. It must never look into a gateway, be part of
+// one, or reach any address but this machine's.
+package rig
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"foxlane/internal/relay"
+	"foxlane/internal/standin"
+)
+
+const (
+	listName   = "_data._tcp.farm.lan"
+	startWait  = 10 * time.Second
+	endWait    = 8 * time.Second
+	memoryMB   = 64
+	sockets    = 512
+	logMost    = 16 << 20 // bytes kept of a gateway's log
+	newsWithin = 150 * time.Millisecond
+)
+
+// Rig is one fleet.
+type Rig struct {
+	Script
+	books    *Books
+	front    *front
+	gateways []*gateway
+	engines  []*engine
+	dir      string
+	program  string
+	logs     string
+	start    time.Time
+
+	mu     sync.Mutex
+	ways   map[[2]string]*way
+	faults []*Fault // that are on
+	serial uint32
+	gone   map[int]bool // engines that the list does not name
+	drains map[string]bool
+	next   int // engine ids given
+}
+
+type way struct {
+	*relay.Way
+	from, to party
+}
+
+// gateway is a process, over all of its lives.
+type gateway struct {
+	party
+	rig    *Rig
+	index  int
+	zoneAt int
+	names  *standin.Names
+	asks   *relay.UDP
+	front  *relay.TCP
+	listen string
+	life   atomic.Int64
+	frozen atomic.Bool
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan error
+	log  cappedLog
+}
+
+// cappedLog keeps the beginning of a log.
+type cappedLog struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *cappedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.buf.Len()+len(p) <= logMost {
+		l.buf.Write(p)
+	}
+	return len(p), nil
+}
+
+func (l *cappedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+// Run plays a script with a gateway's program and returns the books. Logs of the gateways are kept in a folder, if one is
+// named.
+func Run(ctx context.Context, program string, s Script, logs string) (b *Books, err error) {
+	r := &Rig{Script: s, program: program, logs: logs, ways: map[[2]string]*way{}, gone: map[int]bool{}, drains: map[string]bool{}, serial: 1}
+	defer func() {
+		if end := r.close(); err == nil {
+			err = end
+		}
+	}()
+	if err := r.build(); err != nil {
+		return nil, err
+	}
+	return r.play(ctx)
+}
+
+// way is the one from one party to another.
+func (r *Rig) way(from, to party) *relay.Way {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := [2]string{from.name, to.name}
+	w := r.ways[key]
+	if w == nil {
+		w = &way{relay.NewWay(r.Seed + uint64(len(r.ways))), from, to}
+		r.ways[key] = w
+	}
+	return w.Way
+}
+
+func (r *Rig) build() (err error) {
+	if r.dir, err = os.MkdirTemp("", "foxrig"); err != nil {
+		return err
+	}
+	names, clients := party{"names", "", "names"}, party{"clients", "", "clients"}
+	for zi, z := range r.Zones {
+		for i := range z.Engines {
+			r.engines = append(r.engines, &engine{party: party{fmt.Sprintf("%s/e%d", z.Name, i), z.Name, "engines"}, rig: r, index: len(r.engines), id: r.newID()})
+		}
+		for i := range z.Gateways {
+			r.gateways = append(r.gateways, &gateway{party: party{fmt.Sprintf("%s/g%d", z.Name, i), z.Name, "gateways"}, rig: r, index: len(r.gateways), zoneAt: zi})
+		}
+	}
+	r.books = newBooks(r)
+	r.front = newFront(len(r.gateways))
+	for _, e := range r.engines {
+		if err := e.begin(false); err != nil {
+			return err
+		}
+		for _, g := range r.gateways {
+			t, err := relay.NewTCP("127.0.0.1:0", e.addr(), r.way(g.party, e.party), r.way(e.party, g.party))
+			if err != nil {
+				return err
+			}
+			e.ways = append(e.ways, t)
+		}
+	}
+	for _, g := range r.gateways {
+		if g.names, err = standin.NewNames("127.0.0.1:0", listName); err != nil {
+			return err
+		}
+		if g.asks, err = relay.NewUDP("127.0.0.1:0", g.names.Addr(), r.way(g.party, names), r.way(names, g.party)); err != nil {
+			return err
+		}
+		if g.listen, err = unused(); err != nil {
+			return err
+		}
+		if g.front, err = relay.NewTCP("127.0.0.1:0", g.listen, r.way(clients, g.party), r.way(g.party, clients)); err != nil {
+			return err
+		}
+	}
+	r.news(0)
+	for _, g := range r.gateways {
+		if err := g.begin(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Rig) newID() string {
+	r.next++
+	return fmt.Sprintf("s-%08x", r.next)
+}
+
+// unused is an address of this machine that nobody listens on.
+func unused() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// news puts the list as it is now before all gateways, after a while.
+func (r *Rig) news(after time.Duration) {
+	r.mu.Lock()
+	r.serial++
+	serial := r.serial
+	lists := make([][]standin.Host, len(r.gateways))
+	for _, e := range r.engines {
+		if r.gone[e.index] {
+			continue
+		}
+		for i := range lists {
+			lists[i] = append(lists[i], e.host(i, false))
+		}
+	}
+	r.mu.Unlock()
+	put := func() {
+		for i, g := range r.gateways {
+			g.names.Set(serial, lists[i])
+		}
+	}
+	if after <= 0 {
+		put()
+		return
+	}
+	time.AfterFunc(after, put)
+}
+
+// ---- gateways
+
+type object = map[string]any
+
+func (g *gateway) config() object {
+	r := g.rig
+	var servers []object
+	r.mu.Lock()
+	for _, e := range r.engines {
+		if !r.gone[e.index] {
+			h := e.host(g.index, false)
+			servers = append(servers, object{"id": h.ID, "addr": h.Addr.String(), "zone": h.Zone, "kind": h.Kind, "state": "active", "weight": 4,
+				"started_ms": h.Started})
+		}
+	}
+	serial := r.serial
+	r.mu.Unlock()
+	var list []object
+	var threads []int
+	var loads []bool
+	for _, c := range classes {
+		effect := "pure"
+		if c.unsafe {
+			effect = "side_effect"
+		}
+		list = append(list, object{"name": c.name, "aim": c.aim.Microseconds(), "aimStretch": aimStretch, "giveUp": c.giveUp.Microseconds(),
+			"effect": effect, "group": "all", "lateValue": 0.2, "worth": c.worth})
+		threads, loads = append(threads, 1), append(loads, false)
+	}
+	var zones []string
+	for _, z := range r.Zones {
+		zones = append(zones, z.Name)
+	}
+	return object{
+		"name": fmt.Sprint("n", g.index), "listen": g.listen, "seed": fmt.Sprintf("%016x", r.Seed*1000+uint64(g.index)*10+uint64(g.life.Load())),
+		"dns":    g.asks.Addr().String(),
+		"limits": object{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
+		"known":  object{"seq": serial, "results": []object{{"seq": serial, "fleet": object{"version": 1, "full": true, "servers": servers}}}},
+		"settings": object{
+			"classes": list, "clients": object{"marksRetry": true}, "fees": object{"crossZone": 0.05},
+			"extra": object{"classThreads": threads, "isLoad": loads, "cpuOfKind": []int{r.Cores}, "ramOfKindMb": []int{65536}, "tellsCost": true},
+			"limits": object{"cancel": true, "connIdle": 15_000_000, "connectTimeout": 250_000, "maxAttempts": 3, "maxOpen": 20000,
+				"multiplex": 32, "retryAfter": true, "maxRetryAfter": 2_000_000, "probes": true},
+			"machineTypes": []string{"std"}, "membershipMode": "push", "me": g.index, "siblings": len(r.gateways), "tick": 1000, "zone": g.zoneAt,
+			"zones": zones,
+			"rules": object{"answerSlack": 5000, "stopSendingWithin": 1_000_000, "overloadFactor": overload, "cold": r.Cold.Microseconds(),
+				"coldFrom": r.ColdFrom, "tipAfter": tipAfter.Microseconds()},
+		},
+	}
+}
+
+func (g *gateway) path(name string) string {
+	return filepath.Join(g.rig.dir, fmt.Sprintf("g%d-%s", g.index, name))
+}
+
+// write puts the gateway's files where it reads them.
+func (g *gateway) write() error {
+	raw, err := json.Marshal(g.config())
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(g.path("config.json"), raw, 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(g.path("site.hcl"), []byte(g.rig.operator()), 0o600)
+}
+
+// operator is the operator's file as it is now.
+func (r *Rig) operator() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	text := r.Operator
+	if len(r.drains) == 0 {
+		return text
+	}
+	zones := ""
+	for _, z := range r.Zones {
+		if r.drains[z.Name] {
+			zones += fmt.Sprintf("  zone %q {\n    drain = true\n  }\n", z.Name)
+		}
+	}
+	return string(bytes.Replace([]byte(text), []byte("sites {\n"), []byte("sites {\n"+zones), 1))
+}
+
+// begin starts the process and waits until it serves.
+func (g *gateway) begin() error {
+	if err := g.write(); err != nil {
+		return err
+	}
+	args := []string{"serve"}
+	if g.rig.Operator != "" {
+		args = append(args, "--site", g.path("site.hcl"))
+	}
+	cmd := exec.Command(g.rig.program, args...)
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+g.path("config.json"), "LB_NAME=", "LB_LISTEN=")
+	cmd.Stderr = &g.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	g.mu.Lock()
+	g.cmd, g.done = cmd, done
+	g.mu.Unlock()
+	for until := time.Now().Add(startWait); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		select {
+		case err := <-done:
+			return fmt.Errorf("rig: %s ended at once: %v: %s", g.name, err, g.log.String())
+		default:
+		}
+		if c, err := net.DialTimeout("tcp", g.listen, time.Second); err == nil {
+			c.Close()
+			g.life.Add(1)
+			return nil
+		}
+	}
+	return fmt.Errorf("rig: %s does not serve: %s", g.name, g.log.String())
+}
+
+// signal sends one, if the process runs.
+func (g *gateway) signal(s syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cmd != nil {
+		_ = g.cmd.Process.Signal(s)
+	}
+}
+
+// end ends the process by a signal, and returns how it ended.
+func (g *gateway) end(s syscall.Signal) error {
+	g.mu.Lock()
+	cmd, done := g.cmd, g.done
+	g.cmd = nil
+	g.mu.Unlock()
+	if cmd == nil {
+		return nil
+	}
+	g.life.Add(1)
+	_ = cmd.Process.Signal(s)
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(endWait):
+		_ = cmd.Process.Kill()
+		<-done
+		return errors.New("rig: " + g.name + " did not end")
+	}
+}
+
+// disturbed answers whether clients can't count on an answer in time: it is frozen, or cut off from them.
+func (g *gateway) disturbed() bool {
+	if g.frozen.Load() {
+		return true
+	}
+	clients := party{"clients", "", "clients"}
+	for _, w := range []*relay.Way{g.rig.way(clients, g.party), g.rig.way(g.party, clients)} {
+		if c := w.Conditions(); c.Cut || c.Delay > 0 || c.Loss > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ---- a run
+
+func (r *Rig) play(ctx context.Context) (*Books, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Length)
+	defer cancel()
+	r.start = time.Now()
+	r.books.start = r.start
+	var clients, faults sync.WaitGroup
+	errs := make(chan error, 4*len(r.Faults)+1)
+	for i := range r.Faults {
+		f := &r.Faults[i]
+		faults.Go(func() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(f.At):
+				if err := r.befall(ctx, f); err != nil {
+					errs <- err
+				}
+			}
+		})
+	}
+	whole, total := 0.0, 0.0
+	for _, z := range r.Zones {
+		whole += float64(z.Engines * r.Cores)
+		total += z.weight()
+	}
+	var asking sync.WaitGroup
+	for i, z := range r.Zones {
+		if rate := r.Load * whole / meanWork() * float64(time.Second) * z.weight() / total; rate > 0 {
+			asking.Go(func() { r.ask(ctx, i, rate, &clients) })
+		}
+	}
+	asking.Wait()
+	clients.Wait()
+	faults.Wait()
+	select {
+	case err := <-errs:
+		return r.books, err
+	default:
+	}
+	r.finish()
+	return r.books, nil
+}
+
+func (z Zone) weight() float64 {
+	if z.Clients > 0 {
+		return z.Clients
+	}
+	return float64(z.Engines)
+}
+
+// burst is how many times as much clients of a zone ask for now.
+func (r *Rig) burst(zone int) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	times := 1.0
+	for _, f := range r.faults {
+		if f.Kind == "burst" && (party{zone: r.Zones[zone].Name}).is(f.Of) {
+			times *= f.Factor
+		}
+	}
+	return times
+}
+
+// finish takes the last figures, and ends all gateways as operators do.
+func (r *Rig) finish() {
+	var ends sync.WaitGroup
+	for _, g := range r.gateways {
+		ends.Go(func() {
+			if err := g.end(syscall.SIGTERM); err != nil {
+				r.books.breach("%s ended with %v: %s", g.name, err, tail(g.log.String()))
+			}
+		})
+	}
+	ends.Wait()
+	for _, g := range r.gateways {
+		r.books.log(g)
+		if r.logs != "" {
+			name := filepath.Join(r.logs, strings.ReplaceAll(g.name, "/", "-")+".log")
+			if err := os.WriteFile(name, []byte(g.log.String()), 0o600); err != nil {
+				r.books.breach("the log of %s was not kept: %v", g.name, err)
+			}
+		}
+	}
+	slices.SortStableFunc(r.books.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	for _, e := range r.engines {
+		e.mu.Lock()
+		r.books.Fallen += e.fell
+		e.mu.Unlock()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, w := range r.ways {
+		r.books.Ways[key[0]+" > "+key[1]] = w.Counts()
+	}
+}
+
+func tail(text string) string { return text[max(0, len(text)-2000):] }
+
+// close ends all that still runs.
+func (r *Rig) close() error {
+	if r.front != nil {
+		r.front.close()
+	}
+	for _, g := range r.gateways {
+		g.signal(syscall.SIGCONT)
+		_ = g.end(syscall.SIGKILL)
+		if g.front != nil {
+			g.front.Close()
+		}
+		if g.asks != nil {
+			g.asks.Close()
+		}
+		if g.names != nil {
+			g.names.Close()
+		}
+	}
+	for _, e := range r.engines {
+		for _, t := range e.ways {
+			t.Close()
+		}
+		e.end()
+	}
+	if r.dir == "" {
+		return nil
+	}
+	return os.RemoveAll(r.dir)
+}
--- /dev/null
+++ b/internal/rig/script.go
@@ -0,0 +1,206 @@
+package rig
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+)
+
+// This file owns scripts: a rig and what befalls it, in one HCL file.
+
+// Zone is a site: gateways and engines that are lost together.
+type Zone struct {
+	Name     string  `hcl:"name,label"`
+	Gateways int     `hcl:"gateways"`
+	Engines  int     `hcl:"engines"`
+	Clients  float64 `hcl:"clients,optional"` // part of all requests, in any unit; 0: as many as it has engines
+}
+
+// Fault is something that befalls a rig. From, To and Of name a party ("hall-a/g0", "hall-a/e1", "clients", "names"), a zone, all
+// "gateways" or "engines", or anything ("*").
+type Fault struct {
+	Kind     string    `hcl:"kind,label"`
+	Range    hcl.Range `hcl:",def_range"`
+	AtText   string    `hcl:"at"`
+	ForText  string    `hcl:"for,optional"`
+	From     string    `hcl:"from,optional"`
+	To       string    `hcl:"to,optional"`
+	Both     bool      `hcl:"both,optional"` // both ways
+	Of       string    `hcl:"of,optional"`
+	Delay    string    `hcl:"delay,optional"`
+	Jitter   string    `hcl:"jitter,optional"`
+	Loss     float64   `hcl:"loss,optional"`
+	Rate     int       `hcl:"rate,optional"`
+	Factor   float64   `hcl:"factor,optional"`
+	Unlisted string    `hcl:"unlisted,optional"` // from a loss until the list says so
+
+	At, For time.Duration
+	delay   time.Duration
+	jitter  time.Duration
+	unlist  time.Duration
+}
+
+// Kinds of faults, and what each needs.
+var kinds = map[string]struct{ of, ways bool }{
+	"lose":    {of: true},   // a zone, gateways killed and engines silent; it comes back cold after `for`
+	"silence": {of: true},   // nothing comes to or from it
+	"freeze":  {of: true},   // gateways are stopped and go on after `for`
+	"kill":    {of: true},   // gateways are killed, and started after `for`
+	"restart": {of: true},   // gateways are asked to end, and started again once they have
+	"reset":   {of: true},   // its connections are reset
+	"drain":   {of: true},   // the operator's file drains a zone
+	"burst":   {of: true},   // clients of a zone ask `factor` times as much
+	"slow":    {of: true},   // engines take `factor` times as long
+	"dark":    {},           // the name service says nothing
+	"late":    {},           // what it says is late by `delay`
+	"cut":     {ways: true}, // nothing comes through from one to the other
+	"link":    {ways: true}, // delay, jitter, loss, rate
+}
+
+// Script is a rig, and what befalls it.
+type Script struct {
+	Zones      []Zone  `hcl:"zone,block"`
+	Cores      int     `hcl:"cores"` // of an engine
+	Load       float64 `hcl:"load"`  // work offered over what all engines do
+	LengthText string  `hcl:"length"`
+	Seed       uint64  `hcl:"seed,optional"`
+	ColdText   string  `hcl:"cold,optional"` // until an engine that has started has all of its speed
+	ColdFrom   float64 `hcl:"cold_from,optional"`
+	Operator   string  `hcl:"operator,optional"` // text of the operator's file
+	Faults     []Fault `hcl:"fault,block"`
+
+	Length time.Duration
+	Cold   time.Duration
+}
+
+const (
+	mostLength  = 3 * time.Minute
+	mostParties = 24
+)
+
+// LoadScript reads a script from a file.
+func LoadScript(path string) (*Script, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("script: %w", err)
+	}
+	return ParseScript(raw, path)
+}
+
+// ParseScript reads a script. What is wrong is told with its place.
+func ParseScript(raw []byte, name string) (*Script, error) {
+	f, diags := hclparse.NewParser().ParseHCL(raw, name)
+	if diags.HasErrors() {
+		return nil, diags
+	}
+	s := &Script{Seed: 1, ColdFrom: 0.33}
+	if diags := gohcl.DecodeBody(f.Body, nil, s); diags.HasErrors() {
+		return nil, diags
+	}
+	return s, s.check(name)
+}
+
+// check reads what is text, and says what can't be played.
+func (s *Script) check(name string) error {
+	var err error
+	span := func(what, text string, to *time.Duration) {
+		if text == "" || err != nil {
+			return
+		}
+		if *to, err = time.ParseDuration(text); err != nil || *to < 0 {
+			err = fmt.Errorf("%s: %s: %q is no span of time", name, what, text)
+		}
+	}
+	span("length", s.LengthText, &s.Length)
+	span("cold", s.ColdText, &s.Cold)
+	gateways, engines := 0, 0
+	for i, z := range s.Zones {
+		gateways, engines = gateways+z.Gateways, engines+z.Engines
+		if z.Gateways < 0 || z.Engines < 0 || z.Clients < 0 || slices.ContainsFunc(s.Zones[:i], func(o Zone) bool { return o.Name == z.Name }) {
+			return fmt.Errorf("%s: zone %q comes twice, or has a count under 0", name, z.Name)
+		}
+	}
+	switch {
+	case err != nil:
+		return err
+	case s.Length <= 0 || s.Length > mostLength:
+		return fmt.Errorf("%s: length must be over 0 and at most %v", name, mostLength)
+	case gateways == 0 || engines == 0 || gateways+engines > mostParties:
+		return fmt.Errorf("%s: %d gateways and %d engines; at least one of each and %d in all are possible", name, gateways, engines, mostParties)
+	case s.Cores < 1 || !(s.Load > 0 && s.Load <= 10) || !(s.ColdFrom > 0 && s.ColdFrom <= 1):
+		return fmt.Errorf("%s: cores must be at least 1, load within 0 and 10, cold_from within 0 and 1", name)
+	}
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		at := f.Range.String()
+		need, ok := kinds[f.Kind]
+		if !ok {
+			return fmt.Errorf("%s: unknown fault %q", at, f.Kind)
+		}
+		for _, t := range []struct {
+			what, text string
+			to         *time.Duration
+		}{{"at", f.AtText, &f.At}, {"for", f.ForText, &f.For}, {"delay", f.Delay, &f.delay}, {"jitter", f.Jitter, &f.jitter},
+			{"unlisted", f.Unlisted, &f.unlist}} {
+			span(at+": "+t.what, t.text, t.to)
+		}
+		switch {
+		case err != nil:
+			return err
+		case need.of && f.Of == "":
+			return fmt.Errorf("%s: %s needs `of`", at, f.Kind)
+		case need.ways && (f.From == "" || f.To == ""):
+			return fmt.Errorf("%s: %s needs `from` and `to`", at, f.Kind)
+		case (f.Kind == "burst" || f.Kind == "slow") && !(f.Factor > 0):
+			return fmt.Errorf("%s: %s needs a factor over 0", at, f.Kind)
+		case f.Loss < 0 || f.Loss > 1 || f.Rate < 0:
+			return fmt.Errorf("%s: loss is a part, 0 to 1, and rate at least 0", at)
+		}
+		for _, sel := range []string{f.Of, f.From, f.To} {
+			if sel != "" && !s.knows(sel) {
+				return fmt.Errorf("%s: nothing here is called %q", at, sel)
+			}
+		}
+	}
+	return nil
+}
+
+// knows answers whether a selector names something.
+func (s *Script) knows(sel string) bool {
+	if slices.Contains([]string{"*", "clients", "names", "gateways", "engines"}, sel) {
+		return true
+	}
+	zone, rest, one := strings.Cut(sel, "/")
+	for _, z := range s.Zones {
+		if z.Name != zone {
+			continue
+		}
+		if !one {
+			return true
+		}
+		for i := range z.Gateways {
+			if rest == fmt.Sprint("g", i) {
+				return true
+			}
+		}
+		for i := range z.Engines {
+			if rest == fmt.Sprint("e", i) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// party is one end of ways.
+type party struct{ name, zone, kind string }
+
+func (p party) is(sel string) bool {
+	return sel == "*" || sel == p.name || sel == p.zone || sel == p.kind
+}
--- a/internal/site/sites.go
+++ b/internal/site/sites.go
@@ -40,6 +40,7 @@
 	Overprovision *hcl.Attribute   `hcl:"overprovision,optional"`
 	Panic         *hcl.Attribute   `hcl:"panic,optional"`
 	Spill         *hcl.Attribute   `hcl:"spill,optional"`
+	Retries       *hcl.Attribute   `hcl:"retries,optional"`
 	LostBelow     *hcl.Attribute   `hcl:"lost_below,optional"`
 	BackOver      *hcl.Attribute   `hcl:"back_over,optional"`
 	Settle        *hcl.Attribute   `hcl:"settle,optional"`
@@ -62,7 +63,6 @@
 
 type sheddingBlock struct {
 	Up     *hcl.Attribute `hcl:"up,optional"`
-	Step   *hcl.Attribute `hcl:"step,optional"`
 	Slack  *hcl.Attribute `hcl:"slack,optional"`
 	Settle *hcl.Attribute `hcl:"settle,optional"`
 }
@@ -91,6 +91,7 @@
 	r.number(b.Overprovision, 1, 10, &z.Overprovision)
 	r.number(b.Panic, 0, 1, &z.Panic)
 	r.number(b.Spill, 0, 1, &z.Spill)
+	r.number(b.Retries, 0, 1, &z.Retries)
 	r.number(b.LostBelow, 0, 1, &z.LostBelow)
 	r.number(b.BackOver, 0, 1, &z.BackOver)
 	r.duration(b.Settle, &z.Settle)
@@ -105,8 +106,8 @@
 		r.duration(d.Longest, &z.Damping.Longest)
 	}
 	if l := b.Shedding; l != nil {
+		z.Shed = true
 		r.number(l.Up, 0, mostPenalty, &z.Ladder.Up)
-		r.number(l.Step, 0, mostPenalty, &z.Ladder.Step)
 		r.number(l.Slack, 0, mostPenalty, &z.Ladder.Slack)
 		r.duration(l.Settle, &z.Ladder.Settle)
 	}
@@ -204,13 +205,15 @@
 
 func (s *Sites) write(b *bytes.Buffer) {
 	z := s.Zones
-	fmt.Fprintf(b, "sites {\n  overprovision = %v\n  panic         = %v\n  spill         = %v\n  lost_below    = %v\n  back_over     = %v\n"+
+	fmt.Fprintf(b, "sites {\n  overprovision = %v\n  panic         = %v\n  spill         = %v\n  retries       = %v\n  lost_below    = %v\n  back_over     = %v\n"+
 		"  settle        = %q\n  ramp          = %q\n  jitter        = %v\n  drain_over    = %q\n",
-		z.Overprovision, z.Panic, z.Spill, z.LostBelow, z.BackOver, timeText(z.Settle), timeText(z.Ramp), z.Jitter, timeText(z.Drain))
+		z.Overprovision, z.Panic, z.Spill, z.Retries, z.LostBelow, z.BackOver, timeText(z.Settle), timeText(z.Ramp), z.Jitter, timeText(z.Drain))
 	d, l := z.Damping, z.Ladder
 	fmt.Fprintf(b, "\n  damping {\n    penalty   = %v\n    half_life = %q\n    suppress  = %v\n    reuse     = %v\n    longest   = %q\n  }\n",
 		d.Penalty, timeText(d.HalfLife), d.Suppress, d.Reuse, timeText(d.Longest))
-	fmt.Fprintf(b, "\n  shedding {\n    up     = %v\n    step   = %v\n    slack  = %v\n    settle = %q\n  }\n", l.Up, l.Step, l.Slack, timeText(l.Settle))
+	if z.Shed {
+		fmt.Fprintf(b, "\n  shedding {\n    up     = %v\n    slack  = %v\n    settle = %q\n  }\n", l.Up, l.Slack, timeText(l.Settle))
+	}
 	for _, n := range s.Named {
 		fmt.Fprintf(b, "\n  zone %q {\n    drain   = %v\n", n.Name, n.Drain)
 		if n.Prefers != nil {
--- a/internal/site/sites_test.go
+++ b/internal/site/sites_test.go
@@ -68,7 +68,7 @@
 		"sites {\n  zone \"a\" {}\n  zone \"a\" {}\n}":                          "3:3: zone \"a\" comes twice",
 		"sites {\n  class \"c\" {\n    requests = 1\n    work = \"0s\"\n  }\n}": "work must be over 0",
 		"sites {\n  class \"c\" {\n    requests = 1\n  }\n}":                    "needs both requests and work",
-		"sites {\n  shedding {\n    slack = 2\n  }\n}":                          "slack under up",
+		"sites {\n  shedding {\n    slack = 2\n  }\n}":                          "slack at least 0 and under up - 1",
 		"sites {\n  spil = 1\n}":                                                "2:3: Unsupported argument",
 		"sites {}\nsites {}":                                                    "Duplicate sites block",
 	} {
--- a/internal/zones/ladder.go
+++ b/internal/zones/ladder.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"math"
 
 	"foxlane/rules"
 )
 
-// This file decides what is refused first when less is left than is asked for: a ladder, each rung of which adds
-// one kind of request to what is refused.
+// This file decides what is refused first when more is asked for than can be done: a ladder, each rung of which is one kind
+// of request. As much is shed as must be, from the first rung up; of the rung on which that ends only a part. What a request
+// earns for its work counts, not its class: a class shed as a whole takes its many light requests along with the few heavy ones
+// that need the room, and lost 0.07 of all worth in the model of a lost site.
 
 // Rung is a kind of request that a ladder sheds.
 type Rung int
@@ -16,77 +19,255 @@
 const (
 	OverShare Rung = iota // of tenants over their share
 	Repeats               // of requests that failed before
-	Cheap                 // of the class that earns least for its work; one rung for each class but the dearest
+	Cheap                 // of those that earn least for their work, and further rungs up to those that earn most
 )
 
-// Ladder is how it is climbed. Pressure is what is asked for over what there is to take it.
+// Rungs by what a request earns for a second of work on one core: half a power of two each, the middle one at 1.
+const (
+	worthRungs = 48
+	perDouble  = 2
+)
+
+// WorthRung is the place of a request among the rungs by worth, from 0: work in microseconds, all threads together.
+func WorthRung(worth, work float64) int {
+	if worth <= 0 || work <= 0 {
+		return 0
+	}
+	return min(max(int(math.Floor(perDouble*math.Log2(worth*float64(rules.Second)/work)))+worthRungs/2, 0), worthRungs-1)
+}
+
+// Ladder is how it is climbed. Pressure is 1 and what waits over what is worked off within heldSpan.
 type Ladder struct {
-	Up     float64    // pressure from which the first rung is entered
-	Step   float64    // and this much more for each further one
-	Slack  float64    // a rung is left when pressure is this much under where it was entered
+	Up     float64    // pressure from which more is shed
+	Slack  float64    // less is shed when pressure is this much under it
 	Settle rules.Time // how long either must last
 }
 
-// DefaultLadder refuses nothing until a tenth more is asked for than there is.
+// DefaultLadder sheds nothing until a quarter of heldSpan's work waits.
 func DefaultLadder() Ladder {
-	return Ladder{Up: 1.1, Step: 0.15, Slack: 0.1, Settle: 500 * rules.Millisecond}
+	return Ladder{Up: 1.25, Slack: 0.1, Settle: 500 * rules.Millisecond}
 }
 
 func (l Ladder) validate() error {
-	if !(l.Up > 0) || !(l.Step >= 0) || !(l.Slack > 0 && l.Slack < l.Up) || l.Settle < 0 {
-		return errors.New("ladder: up and slack must be over 0, slack under up, step and settle at least 0")
+	if !(l.Up > 1) || !(l.Slack >= 0 && l.Slack < l.Up-1) || l.Settle < 0 {
+		return errors.New("shedding: up must be over 1, slack at least 0 and under up - 1, settle at least 0")
 	}
 	return nil
 }
 
-// ladder is where we stand on it.
-type ladder struct {
-	height  int        // rungs entered
-	turning rules.Time // since when the next rung, or the one below, is called for; 0: neither is
+const (
+	demandSpan  = 4 * rules.Second // over which what is asked for and done is averaged
+	heldOver    = rules.Second     // over which what waits is averaged
+	heldSpan    = 2 * rules.Second // within which what waits should be worked off
+	drainSpan   = 4 * rules.Second // within which a queue that is too long should be gone
+	shedGrow    = 0.5              // most of what is asked for that a second adds to what is shed
+	shedEase    = 0.02             // and that a second without a queue takes away,
+	shedFade    = 0.4              // or this part of what is shed, whichever is more
+	shedMost    = 0.95             // what earns most is let in even then
+	shareChance = 2.0              // deviations by which a tenant may pass its share by chance
+	pressedFor  = 2 * rules.Second // what was shed or kept waiting within it makes one stretch
+	leastReturn = rules.Second
+)
+
+// demand is what our clients ask for, and what becomes of it.
+type demand struct {
+	rungs   []demandRung
+	done    fading   // work that was sent on for the first time
+	held    float64  // work that waits, averaged
+	tenants []fading // requests
+	usual   []float64
+	at      rules.Time // of the last look
+	turning rules.Time // since when more, or less, should be shed
 	up      bool       // which of the two
+	part    float64    // of what is asked for that is shed
+	now     float64    // pressure
+}
+
+// demandRung is one kind of request. Of a part that is shed every so many are: carry is what is left over.
+type demandRung struct {
+	asked fading // work
+	part  float64
+	carry float64
 }
 
-// Kind is what a ladder must know of a request.
-type Kind struct {
-	OverShare  bool // its tenant is over its share
-	Repeat     bool // it failed before, here or elsewhere
-	Rank       int  // of its class by what it earns for its work: 0 earns least
-	MayHaveRun bool // an attempt of an unsafe class is out or may have run: refusing would promise too much
+// fading is a sum that forgets, by e in demandSpan.
+type fading struct {
+	sum float64
+	at  rules.Time
 }
 
-// Press takes the pressure as it is now, for a site of so many classes, and returns how many rungs are entered.
-func (z *Zones) Press(now rules.Time, pressure float64, classes int) int {
+func (f *fading) now(now rules.Time) float64 {
+	f.sum *= math.Exp(-float64(now-f.at) / float64(demandSpan))
+	f.at = now
+	return f.sum
+}
+
+func (f *fading) add(now rules.Time, x float64) { f.sum = f.now(now) + x }
+
+func newDemand(f Fleet) demand {
+	d := demand{tenants: make([]fading, len(f.Tenants)), rungs: make([]demandRung, int(Cheap)+worthRungs)}
+	for i := range d.rungs { // gateways that shed alike begin apart
+		_, d.rungs[i].carry = math.Modf(f.Jitter + float64(i)*math.Phi)
+	}
+	return d
+}
+
+// Ask is what is known of a request ahead of the decision module: nothing of it has run here.
+type Ask struct {
+	Class  int
+	Tenant int
+	Work   float64 // told, all threads together, in microseconds; 0: not told
+	Repeat bool    // its client has tried before
+}
+
+// Arrive takes a request before anything of it runs. If it is refused, after is how long its client should stay away.
+func (z *Zones) Arrive(now rules.Time, a Ask) (refuse bool, after rules.Time) {
 	z.now = max(z.now, now)
-	l, set := &z.ladder, z.set.Ladder
-	most := int(Cheap) + max(classes-1, 0)
-	enter := func(rung int) float64 { return set.Up + set.Step*float64(rung) }
-	up := l.height < most && pressure >= enter(l.height)
-	down := l.height > 0 && pressure < enter(l.height-1)-set.Slack
+	d := &z.demand
+	work := a.Work
+	if work <= 0 && a.Class < len(d.usual) {
+		work = d.usual[a.Class]
+	}
+	rung := Cheap
+	switch over := z.overShare(a.Tenant); {
+	case over:
+		rung = OverShare
+	case a.Repeat:
+		rung = Repeats
+	case a.Class < len(z.fleet.Classes):
+		rung += Rung(WorthRung(z.fleet.Classes[a.Class].Worth, work))
+	}
+	r := &d.rungs[rung]
+	r.asked.add(z.now, work)
+	if !z.set.Shed || r.part <= 0 {
+		return false, 0
+	}
+	if r.carry += r.part; r.carry < 1 {
+		return false, 0
+	}
+	r.carry--
+	z.count.Shed[min(rung, Cheap)]++
+	z.pressed()
+	return true, z.Return(z.now)
+}
+
+// overShare counts a tenant's request, and answers whether its tenant asks for more than its agreed share here.
+func (z *Zones) overShare(tenant int) bool {
+	if tenant < 0 || tenant >= len(z.demand.tenants) || z.fleet.Tenants[tenant].QuotaPerS <= 0 {
+		return false
+	}
+	f := &z.demand.tenants[tenant]
+	f.add(z.now, 1)
+	part := z.fleet.Tenants[tenant].QuotaPerS * float64(demandSpan) / float64(rules.Second) / float64(z.fleet.Gateways)
+	return f.sum > part+shareChance*math.Sqrt(part)+1
+}
+
+// press takes the pressure anew, and how much is shed.
+func (z *Zones) press(s rules.Standing) {
+	d, set := &z.demand, z.set.Ladder
+	d.usual = s.Work
+	if z.since != 0 && z.now-z.last > pressedFor {
+		z.since = 0
+	}
+	gap := z.now - d.at
+	if d.at == 0 {
+		gap = 0
+	}
+	d.at = z.now
+	d.held += (s.Held - d.held) * -math.Expm1(-float64(gap)/float64(heldOver))
+	d.now = 1 + d.held/float64(heldSpan)/max(d.done.now(z.now)/float64(demandSpan), z.leastRate())
+	if !z.set.Shed {
+		d.part = 0
+		z.shed(0)
+		return
+	}
+	up, down := d.now >= set.Up, d.part > 0 && d.now < set.Up-set.Slack
 	switch {
 	case !up && !down:
-		l.turning = 0
-	case l.turning == 0 || l.up != up:
-		l.turning, l.up = max(z.now, 1), up
+		d.turning = 0
+	case d.turning == 0 || d.up != up:
+		d.turning, d.up = max(z.now, 1), up
 	}
-	if l.turning != 0 && z.now-l.turning >= set.Settle {
-		l.turning = max(z.now, 1)
+	if d.turning != 0 && z.now-d.turning >= set.Settle {
+		step := float64(gap) / float64(rules.Second)
 		if up {
-			l.height++
+			d.part = min(max(d.part, z.excess()), d.part+shedGrow*step)
 		} else {
-			l.height--
+			d.part -= max(shedEase, d.part*shedFade) * step
 		}
 	}
-	return l.height
+	d.part = min(max(d.part, 0), shedMost)
+	z.shed(d.part)
 }
 
-// Sheds answers whether a request is refused on the rungs that are entered. What may have run is never refused.
-func (z *Zones) Sheds(k Kind) bool {
-	h := z.ladder.height
-	switch {
-	case k.MayHaveRun:
-		return false
-	case h > int(OverShare) && k.OverShare, h > int(Repeats) && k.Repeat:
-		return true
+// excess is the part of what is asked for that can't be done, while a queue stands: then what is done is all that can be, and some
+// of that is for the queue.
+func (z *Zones) excess() float64 {
+	d := &z.demand
+	asked := 0.0
+	for i := range d.rungs {
+		asked += d.rungs[i].asked.now(z.now)
+	}
+	done := d.done.now(z.now)
+	queue := (d.now - z.set.Ladder.Up) * done * float64(heldSpan) / float64(drainSpan)
+	return 1 - (done-min(queue, done/2))/max(asked, 1e-9)
+}
+
+// leastRate is a rate of work, in cores, under which a gateway does too little to tell a pressure: a request of each class in
+// the time over which it is averaged.
+func (z *Zones) leastRate() (sum float64) {
+	for _, w := range z.demand.usual {
+		sum += w
+	}
+	return max(sum/float64(demandSpan), 1e-9)
+}
+
+// shed spreads a part of what is asked for over the rungs, from the first one up.
+func (z *Zones) shed(part float64) {
+	d := &z.demand
+	total := 0.0
+	for i := range d.rungs {
+		total += d.rungs[i].asked.now(z.now)
 	}
-	return h > int(Cheap)+k.Rank
+	left := part * total
+	for i := range d.rungs {
+		r := &d.rungs[i]
+		r.part = 0
+		if left > 0 {
+			r.part = 1
+			if r.asked.sum > left {
+				r.part = left / r.asked.sum
+			}
+			left -= r.part * r.asked.sum
+		}
+	}
+}
+
+// pressed notes that something was shed or kept waiting.
+func (z *Zones) pressed() {
+	if z.since == 0 {
+		z.since = max(z.now, 1)
+	}
+	z.last = z.now
+}
+
+// Return is how long a client that is refused should stay away, 0 if nothing of the zones keeps it waiting: until a zone that
+// returns has its share again, else as long as it has lasted, since that is all that is known of an outage.
+func (z *Zones) Return(now rules.Time) rules.Time {
+	z.now = max(z.now, now)
+	if z.since == 0 {
+		return 0
+	}
+	longest := max(z.set.Ramp, leastReturn)
+	for i := range z.all {
+		if e := &z.all[i]; e.state == Returning {
+			return min(max(rules.Time((1-z.share(e))*float64(z.set.Ramp)), leastReturn), longest)
+		}
+	}
+	return min(max(z.now-z.since, leastReturn), longest)
+}
+
+// Shedding tells the pressure, the part of what is asked for that is shed, and what limits have done since the start.
+func (z *Zones) Shedding() (pressure, part float64, counts Counts) {
+	return z.demand.now, z.demand.part, z.count
 }
--- a/internal/zones/plan.go
+++ b/internal/zones/plan.go
@@ -19,9 +19,9 @@
 
 // ClassSpec is a class as a plan takes it.
 type ClassSpec struct {
-	Name string
-	Part float64 // of the demand
-	Rank int     // by what it earns for its work: 0 earns least
+	Name  string
+	Part  float64 // of the demand
+	Earns float64 // worth for a second of work on one core
 }
 
 // Scenario is what a plan plays.
@@ -49,14 +49,13 @@
 // ZoneMoment is one zone in it. Loads are in cores.
 type ZoneMoment struct {
 	State   State
-	Share   float64 // of its ordinary use
-	Room    float64 // what its engines can do
-	Own     float64 // load of its own gateways that goes there
-	Foreign float64 // and of others
-	Held    float64 // foreign load over the limit of spill
-	Rungs   int     // of the ladder, entered by its gateways
-	Refused []string
-	Shed    float64 // load of its gateways that the ladder refuses
+	Share   float64  // of its ordinary use
+	Room    float64  // what its engines can do
+	Own     float64  // load of its own gateways that goes there
+	Foreign float64  // and of others
+	Held    float64  // foreign load over the limit of spill
+	Refused []string // classes of which its gateways refuse some
+	Shed    float64  // load of its gateways that the ladder refuses
 }
 
 const planStep = 100 * rules.Millisecond
@@ -66,7 +65,7 @@
 	n := len(sc.Zones)
 	gates := make([]*Zones, n)
 	for i := range gates {
-		gates[i] = New(set, n, i, 0.5, 0)
+		gates[i] = New(set, Fleet{Zones: n, Own: i, Gateways: n, Jitter: 0.5}, 0)
 	}
 	var out []Moment
 	for now := rules.Time(1); now <= sc.Length; now += planStep {
@@ -125,62 +124,74 @@
 func (sc *Scenario) moment(gates []*Zones, sights []Sight, now rules.Time) Moment {
 	n := len(gates)
 	m := Moment{At: now, Zones: make([]ZoneMoment, n)}
-	flow := make([][]float64, n)
+	for j := range gates {
+		m.Zones[j].Room = sights[j].Warm
+	}
 	for i, g := range gates {
-		g.See(now, sights)
+		g.see(now, sights)
+		g.split = g.Split(now)
+		g.allot()
 		asked := sc.demand(i, now)
 		m.Asked += asked
 		zm := &m.Zones[i]
-		own := g.all[i]
-		zm.State, zm.Share, zm.Room = own.state, g.share(&own), sights[i].Warm
-		split := g.Split(now)
-		open := 0.0 // to this gateway's load: its zone, and of others what it may take there
-		for j := range gates {
-			if room := g.capacity(&g.all[j]); j == i {
-				open += room
-			} else if asked > 0 {
-				open += set(g).Spill * room * asked / m.total(sc, now)
-			}
-		}
-		pressure := 0.0
-		if asked > 0 {
-			pressure = asked / max(open, 1e-9)
-		}
-		zm.Rungs = g.Press(now, pressure, len(sc.Classes))
+		own := &g.all[i]
+		zm.State, zm.Share = own.state, g.share(own)
+		g.shedFor(sc, asked)
 		for _, c := range sc.Classes {
-			if g.Sheds(Kind{Rank: c.Rank}) {
+			if part := g.demand.rungs[int(Cheap)+WorthRung(c.Earns, float64(rules.Second))].part; part > 0 {
 				zm.Refused = append(zm.Refused, c.Name)
-				zm.Shed += asked * c.Part
+				zm.Shed += asked * c.Part * part
 			}
 		}
-		flow[i] = make([]float64, n)
-		for j, part := range split.To {
-			flow[i][j] = (asked - zm.Shed) * part
+		for j, part := range g.split.To {
+			flow := (asked - zm.Shed) * part
+			if j == i {
+				zm.Own += flow
+				continue
+			}
+			goes := flow
+			if g.limited(j) {
+				goes = min(flow, g.all[j].spill.whole/float64(spillSpan))
+			}
+			m.Zones[j].Foreign += goes
+			m.Zones[j].Held += flow - goes
 		}
 	}
-	for j := range gates {
+	for j := range m.Zones {
 		zm := &m.Zones[j]
-		zm.Own = flow[j][j]
-		foreign := 0.0
-		for i := range gates {
-			if i != j {
-				foreign += flow[i][j]
-			}
-		}
-		limit := set(gates[j]).Spill * gates[j].capacity(&gates[j].all[j])
-		zm.Foreign = min(foreign, limit)
-		zm.Held = foreign - zm.Foreign
 		m.Left += zm.Shed + zm.Held + math.Max(0, zm.Own+zm.Foreign-zm.Room)
 	}
 	return m
 }
 
-func set(z *Zones) Settings { return z.set }
+// shedFor has the ladder shed what is asked for beyond what takes it: that is where pressure brings it at run time, once it has
+// settled. In a plan nothing is a repeat, and no tenant is over its share.
+func (z *Zones) shedFor(sc *Scenario, asked float64) {
+	d := &z.demand
+	for i := range d.rungs {
+		d.rungs[i].asked = fading{0, z.now}
+	}
+	for _, c := range sc.Classes {
+		d.rungs[int(Cheap)+WorthRung(c.Earns, float64(rules.Second))].asked.add(z.now, asked*c.Part)
+	}
+	if open := z.open(); !z.set.Shed || asked <= open {
+		z.shed(0)
+	} else {
+		z.shed(1 - open/asked)
+	}
+}
 
-// total is what all gateways together are asked for.
-func (m *Moment) total(sc *Scenario, now rules.Time) (sum float64) {
-	for i := range sc.Zones {
-		sum += sc.demand(i, now)
+// open is what takes the load of a zone's gateways, in cores: their zone, and of others what they may spill there.
+func (z *Zones) open() (cores float64) {
+	for i := range z.all {
+		switch room := z.capacity(&z.all[i]); {
+		case i == z.own:
+			cores += room
+		case z.limited(i):
+			cores += z.all[i].spill.whole / float64(spillSpan)
+		default:
+			cores += room * z.split.To[i]
+		}
 	}
-	return max(sum, 1e-9)
+	return cores
 }
--- a/internal/zones/split.go
+++ b/internal/zones/split.go
@@ -7,7 +7,7 @@
 )
 
 // This file decides where the load of a gateway goes: over the tiers of preference, as priority levels with
-// overprovisioning do it, and how much of a foreign zone it may take.
+// overprovisioning do it.
 
 // Split is where load goes, in parts of 1 by zone. Panic tells that too little is well to believe what is seen:
 // then all that is listed gets load by its size.
@@ -40,9 +40,12 @@
 // is left of a zone would be taken for a whole one.
 func (z *Zones) usual(e *zone) float64 {
 	faded := e.usual * math.Exp2(-float64(z.now-e.usualAt)/float64(max(z.set.Damping.Longest, 1)))
-	return max(e.sight.Listed, faded, 1e-9)
+	return max(e.sight.Listed, faded, leastCores/2)
 }
 
+// leastCores is less than any engine has.
+const leastCores = 1e-6
+
 // tiers are all zones in the order in which a zone's load goes to them.
 func (z *Zones) tiers(from int) [][]int {
 	placed := make([]bool, len(z.all))
@@ -78,15 +81,17 @@
 func (z *Zones) splitOf(now rules.Time, from int) Split {
 	z.now = max(z.now, now)
 	s := Split{To: make([]float64, len(z.all))}
-	listed, well := 0.0, 0.0
+	listed, there, well := 0.0, 0.0, 0.0
 	for i := range z.all {
-		listed += z.all[i].sight.Listed
-		well += z.all[i].sight.Listed * z.all[i].sight.well()
+		e := &z.all[i]
+		listed += e.sight.Listed
+		there += e.there()
+		well += e.sight.Listed * e.sight.well()
 	}
 	if listed <= 0 {
 		return s
 	}
-	if well < z.set.Panic*listed {
+	if well < z.set.Panic*there {
 		s.Panic = true
 		z.bySize(&s, listed)
 		return s
@@ -131,68 +136,26 @@
 	}
 }
 
-// bySize gives to each listed zone by its size, but to what is drained on purpose, which nothing makes come back.
+// there is what of a zone may be believed to be there, whatever we hold of its health: that nobody answers a probe is no belief.
+func (e *zone) there() float64 { return max(e.sight.Listed-e.sight.Dead, 0) }
+
+// bySize gives to each zone by what is there of it, but to what is drained on purpose, which nothing makes come back.
 func (z *Zones) bySize(s *Split, listed float64) {
 	total := 0.0
-	for i := range z.all {
-		if e := &z.all[i]; e.state != Draining && e.state != Drained {
-			total += e.sight.Listed
+	size := func(e *zone) float64 {
+		if e.state == Draining || e.state == Drained {
+			return 0
 		}
+		return e.there()
 	}
 	for i := range z.all {
-		e := &z.all[i]
-		switch {
-		case total <= 0:
+		total += size(&z.all[i])
+	}
+	for i := range z.all {
+		if e := &z.all[i]; total > 0 {
+			s.To[i] = size(e) / total
+		} else {
 			s.To[i] = e.sight.Listed / listed
-		case e.state != Draining && e.state != Drained:
-			s.To[i] = e.sight.Listed / total
 		}
 	}
 }
-
-// ---- the limit of spill
-
-// bucket is our even part of what foreign load may take of a zone, in microseconds of work on one core.
-type bucket struct {
-	level float64
-	at    rules.Time
-}
-
-// spillSpan is the span over which a limit of spill holds: what is not used within it is not saved up.
-const spillSpan = rules.Second
-
-// rate is our even part of a zone's limit, in cores.
-func (z *Zones) rate(i, gateways int) float64 {
-	return z.set.Spill * z.capacity(&z.all[i]) / float64(max(1, gateways))
-}
-
-// Spill asks whether work, in microseconds on one core, may go to a foreign zone now. It takes it from our even
-// part if so; if not, back is when it may, 0 if never. Work in our own zone always may. lot is a number from 0 to 1
-// drawn for the query: where hundreds of gateways are an even part is less than one query, and then so many let one
-// through that together they keep to the limit.
-func (z *Zones) Spill(now rules.Time, i int, work float64, gateways int, lot float64) (ok bool, back rules.Time) {
-	z.now = max(z.now, now)
-	if i == z.own || i < 0 || i >= len(z.all) {
-		return true, 0
-	}
-	b := &z.spill[i]
-	rate := z.rate(i, gateways)
-	whole := rate * float64(spillSpan)
-	b.level = min(b.level+rate*float64(z.now-b.at), whole)
-	b.at = z.now
-	need := work
-	if work > whole {
-		need = lot * work
-	}
-	if need <= b.level {
-		b.level -= work
-		return true, 0
-	}
-	switch {
-	case rate <= 0:
-		return false, 0
-	case need > whole: // another lot may let it
-		return false, z.now + spillSpan
-	}
-	return false, z.now + rules.Time(math.Ceil((need-b.level)/rate))
-}
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -4,8 +4,11 @@
 // refused first. Every gateway decides from its own traffic and list alone, and hundreds of them decide alike:
 // what they do at the same time is spread by a jitter of their own and paced in parts of warm capacity.
 //
+// Look takes what a gateway holds of its engines, every while; Draw, Open and Sent are the decision module's questions
+// (rules.ZonePlan); Arrive is asked ahead of it.
+//
 // It owns the state of zones only. It must never pick an engine, hold a query, look at a clock or draw at
-// random: time is an argument, and the gateway's jitter is given at the start.
+// random: time and what is drawn are arguments, and the gateway's jitter is given at the start.
 package zones
 
 import (
@@ -38,7 +41,8 @@
 type Settings struct {
 	Overprovision float64    // times that the capacity which is well counts: 1.4 keeps all of a zone's load in it until 0.71 is well
 	Panic         float64    // part of all capacity that must be well, or health is not believed
-	Spill         float64    // part of a zone's warm capacity that load of other zones takes at most
+	Spill         float64    // part of a zone's warm capacity that load of other zones takes at most; 1: no limit
+	Retries       float64    // further attempts into a zone, over the first ones there; 1: no limit
 	LostBelow     float64    // a zone fails when less than this part of it is well
 	BackOver      float64    // and is well again from this part on
 	Settle        rules.Time // how long either must last
@@ -47,6 +51,7 @@
 	Drain         rules.Time // of a drain, from all to nothing
 	Damping       Damping
 	Tiers         map[int][][]int // by zone: the zones that it prefers beyond itself, nearest first; the rest come last
+	Shed          bool            // the ladder is climbed; without it nothing is refused for the sake of what earns more
 	Ladder        Ladder
 }
 
@@ -62,7 +67,7 @@
 // Defaults are those of a site that says nothing.
 func Defaults() Settings {
 	return Settings{
-		Overprovision: 1.4, Panic: 0.5, Spill: 0.3, LostBelow: 0.3, BackOver: 0.7, Settle: 500 * rules.Millisecond,
+		Overprovision: 1.4, Panic: 0.5, Spill: 1, Retries: 1, LostBelow: 0.3, BackOver: 0.7, Settle: 500 * rules.Millisecond,
 		Ramp: 15 * rules.Second, Jitter: 0.2, Drain: 10 * rules.Second,
 		Damping: Damping{Penalty: 1, HalfLife: 15 * rules.Second, Suppress: 2.5, Reuse: 0.75, Longest: 60 * rules.Second},
 		Ladder:  DefaultLadder(),
@@ -74,8 +79,8 @@
 	switch {
 	case !(s.Overprovision >= 1 && s.Overprovision <= 10):
 		return fmt.Errorf("overprovision is %v, 1 to 10 is possible", s.Overprovision)
-	case !(s.Panic >= 0 && s.Panic <= 1), !(s.Spill >= 0 && s.Spill <= 1), !(s.Jitter >= 0 && s.Jitter <= 1):
-		return errors.New("panic, spill and jitter are parts: 0 to 1")
+	case !(s.Panic >= 0 && s.Panic <= 1), !(s.Spill >= 0 && s.Spill <= 1), !(s.Jitter >= 0 && s.Jitter <= 1), !(s.Retries >= 0 && s.Retries <= 1):
+		return errors.New("panic, spill, retries and jitter are parts: 0 to 1")
 	case !(s.LostBelow > 0 && s.LostBelow < s.BackOver && s.BackOver <= 1):
 		return fmt.Errorf("lost_below is %v and back_over %v: 0 < lost_below < back_over <= 1", s.LostBelow, s.BackOver)
 	case s.Settle < 0, s.Ramp <= 0, s.Drain <= 0:
@@ -102,6 +107,7 @@
 // Sight is what a gateway sees of a zone, in cores.
 type Sight struct {
 	Listed  float64 // of all engines that the list has there, as if warm; 0: none
+	Dead    float64 // of these, in a zone that is lost, by the part of probes that nobody answered
 	Well    float64 // of those that serve and neither fail nor are silent, as if warm
 	Warm    float64 // the same, cold ones counted by what they can do now
 	Slow    float64 // times that queries take there of what they take alone; under 1: not known
@@ -109,46 +115,6 @@
 	Silent  int // engines that owe us answers and have said nothing for longer than a connect time-out
 }
 
-// EngineSight is what a gateway holds of one engine that the list has as serving.
-type EngineSight struct {
-	Zone    int
-	Cores   float64 // warm
-	Warm    float64 // part of its speed that it has
-	Slow    float64 // times that queries take there of what they take alone
-	LeftOut bool    // it fails or is silent
-	Asked   bool    // it was asked for something lately
-	Silent  bool    // and has said nothing since
-}
-
-// Sights adds up what is held of all engines, for n zones. Those of no such zone are let pass.
-func Sights(n int, engines []EngineSight) []Sight {
-	out, slow := make([]Sight, n), make([]float64, n)
-	for _, e := range engines {
-		if e.Zone < 0 || e.Zone >= n {
-			continue
-		}
-		s := &out[e.Zone]
-		s.Listed += e.Cores
-		if !e.LeftOut {
-			s.Well += e.Cores
-			s.Warm += e.Cores * e.Warm
-		}
-		if e.Asked {
-			s.Engines++
-			if e.LeftOut && e.Silent {
-				s.Silent++
-			}
-		}
-		slow[e.Zone] += e.Cores * math.Log(max(e.Slow, 1))
-	}
-	for i := range out {
-		if out[i].Listed > 0 {
-			out[i].Slow = math.Exp(slow[i] / out[i].Listed)
-		}
-	}
-	return out
-}
-
 // cut answers whether all that we have out in a zone is silent, on more than one engine: the way there is cut, or
 // all of it is gone. That is one failure, not one of each engine.
 func (s Sight) cut() bool { return s.Silent > 1 && s.Silent == s.Engines }
@@ -177,24 +143,62 @@
 	seen    bool
 	usual   float64 // cores that were listed when most were
 	usualAt rules.Time
+	look    look
+	spill   spill
+	retries retries
+}
+
+// Fleet is what a gateway is told of the fleet at its start.
+type Fleet struct {
+	Zones     int
+	Elsewhere bool // the last zone holds what belongs to none: nobody's clients are at home there
+	Own       int  // the gateway's zone
+	Gateways  int  // of all zones
+	Jitter    float64
+	Classes   []rules.Class
+	Tenants   []rules.Tenant
+}
+
+// homes are the zones that have gateways.
+func (f Fleet) homes() int {
+	if f.Elsewhere {
+		return max(f.Zones-1, 1)
+	}
+	return max(f.Zones, 1)
 }
 
-// Zones are the zones of one gateway.
+// Zones are the zones of one gateway. It is a rules.ZonePlan.
 type Zones struct {
 	set    Settings
+	fleet  Fleet
 	own    int
 	jitter float64
 	all    []zone
 	now    rules.Time
-	ladder ladder
-	spill  []bucket
+	split  Split // of the last look
+	shut   bool  // a draw found that limits keep a query waiting since the last look
+	demand demand
+	since  rules.Time // since when something has been shed or kept waiting; 0: nothing is
+	last   rules.Time // when something last was
+	count  Counts
+}
+
+// Counts are of what limits did since the start.
+type Counts struct {
+	Spilled int // queries sent to zones that are not ours
+	Waited  int // draws that found no zone with room
+	Further int // further attempts
+	Spent   int // of these, kept from a zone by its budget of retries
+	Shed    [int(Cheap) + 1]int
 }
 
 // New returns the zones of a gateway that has just started: all are taken for present until it sees otherwise, so
-// that one which starts in the middle of a loss does as it would without zones. own is the gateway's zone, jitter
-// a number from 0 to 1 that differs from gateway to gateway.
-func New(set Settings, n, own int, jitter float64, now rules.Time) *Zones {
-	return &Zones{set: set, own: own, jitter: jitter, all: make([]zone, n), now: now, spill: make([]bucket, n)}
+// that one which starts in the middle of a loss does as it would without zones. The fleet's jitter is a number from 0
+// to 1 that differs from gateway to gateway.
+func New(set Settings, fleet Fleet, now rules.Time) *Zones {
+	fleet.Gateways = max(fleet.Gateways, 1)
+	return &Zones{set: set, fleet: fleet, own: fleet.Own, jitter: fleet.Jitter, all: make([]zone, fleet.Zones), now: now,
+		demand: newDemand(fleet)}
 }
 
 // Retune goes over to other settings; states, ramps and penalties go on under them.
@@ -207,8 +211,8 @@
 	Damped   bool // it is kept away because it flaps, whether it is well or not
 }
 
-// See takes what a gateway sees of all zones, and returns which states have changed.
-func (z *Zones) See(now rules.Time, sights []Sight) (changes []Change) {
+// see takes what a gateway sees of all zones, and returns which states have changed.
+func (z *Zones) see(now rules.Time, sights []Sight) (changes []Change) {
 	z.now = max(z.now, now)
 	for i := range z.all {
 		e := &z.all[i]
@@ -244,7 +248,7 @@
 
 // turn moves one zone from state to state.
 func (z *Zones) turn(e *zone) {
-	if !e.seen {
+	if !e.seen || e.usual < leastCores { // it never had an engine
 		return
 	}
 	well := e.sight.well()
@@ -253,6 +257,9 @@
 		if well < z.set.LostBelow {
 			e.from = z.share(e)
 			z.enter(e, Failing)
+			if e.look.failed >= doubtFails { // it has lasted for as long as we have doubted
+				e.turning = e.look.doubt
+			}
 			z.turn(e)
 		} else if e.state == Returning && z.share(e) >= 1 {
 			z.enter(e, Present)
@@ -362,6 +369,8 @@
 	Penalty float64
 	Damped  bool
 	Losses  int
+	Part    float64 // of the gateway's load that goes there
+	Limit   float64 // cores of foreign load that the gateway may put there; under 0: no limit
 }
 
 // Status tells all zones.
@@ -370,7 +379,13 @@
 	out := make([]Status, len(z.all))
 	for i := range z.all {
 		e := &z.all[i]
-		out[i] = Status{e.state, e.since, z.share(e), e.sight.well(), z.penalty(e), e.damped, e.losses}
+		out[i] = Status{e.state, e.since, z.share(e), e.sight.well(), z.penalty(e), e.damped, e.losses, 0, -1}
+		if i < len(z.split.To) {
+			out[i].Part = z.split.To[i]
+		}
+		if z.limited(i) {
+			out[i].Limit = e.spill.whole / float64(spillSpan)
+		}
 	}
 	return out
 }
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -22,17 +22,17 @@
 // play shows the same sights for a while and returns the last of them.
 func (z *Zones) play(from, length rules.Time, sights ...Sight) rules.Time {
 	for now := from; now < from+length; now += 50 * ms {
-		z.See(now, sights)
+		z.see(now, sights)
 	}
 	return from + length
 }
 
-func three() *Zones { return New(Defaults(), 3, 0, 0.5, 0) }
+func three() *Zones { return New(Defaults(), Fleet{Zones: 3, Jitter: 0.5}, 0) }
 
 func TestLossAndReturn(t *testing.T) {
 	z := three()
 	now := z.play(1, second, hall(1), hall(1), hall(1))
-	z.See(now, []Sight{hall(0), hall(1), hall(1)})
+	z.see(now, []Sight{hall(0), hall(1), hall(1)})
 	if s := z.Status(now)[0]; s.State != Failing || s.Share != 1 {
 		t.Fatalf("at the first sign %v with a share of %v", s.State, s.Share)
 	}
@@ -91,7 +91,7 @@
 			now = z.play(now, every, hall(0), hall(1), hall(1))
 			before := z.Status(now)[0].State
 			for range every / (50 * ms) {
-				for _, c := range z.See(now, []Sight{hall(1), hall(1), hall(1)}) {
+				for _, c := range z.see(now, []Sight{hall(1), hall(1), hall(1)}) {
 					if c.Zone == 0 && c.To == Returning && flap >= 3 {
 						returns++
 					}
@@ -166,7 +166,7 @@
 func TestTiersInOrder(t *testing.T) {
 	set := Defaults()
 	set.Tiers = map[int][][]int{0: {{2}}}
-	z := New(set, 4, 0, 0, 0)
+	z := New(set, Fleet{Zones: 4}, 0)
 	now := z.play(1, 2*second, hall(0), hall(1), hall(1), hall(1))
 	if to := z.Split(now).To; to[2] != 1 {
 		t.Errorf("lost, with zone 2 preferred: %v", to)
@@ -182,7 +182,7 @@
 
 // A zone whose engines have died and left the list is not taken for whole.
 func TestHalfOfAZoneLeavesTheList(t *testing.T) {
-	z := New(Defaults(), 2, 0, 0, 0)
+	z := New(Defaults(), Fleet{Zones: 2}, 0)
 	now := z.play(1, 2*second, hall(1), hall(1))
 	half := Sight{Listed: 50, Well: 50, Warm: 50, Engines: 2}
 	now = z.play(now, second, half, hall(1))
@@ -195,70 +195,254 @@
 	}
 }
 
-// 300 gateways that all see a zone's limit keep to it together, with queries larger and smaller than their part.
+// limits are what tests of the limit of spill and of the ladder set.
+func limits(spill float64) Settings {
+	s := Defaults()
+	s.Spill, s.Shed = spill, true
+	return s
+}
+
+// engines are four of 25 cores in each zone, of which a part fails.
+func engines(well ...float64) (out []EngineSight) {
+	for zone, part := range well {
+		for i := range 4 {
+			out = append(out, EngineSight{Engine: rules.EngineID(10*zone + i + 1), Zone: zone, Cores: 25, Warm: 1, Slow: 1,
+				LeftOut: float64(i) >= 4*part})
+		}
+	}
+	return out
+}
+
+// Gateways that all see a zone's limit keep to it together within any second, with queries smaller and larger than their
+// part, and use most of it; those of zones that stay at home need none of it.
 func TestSpillStaysUnderItsLimit(t *testing.T) {
-	for _, work := range []rules.Time{5 * ms, 2 * second} {
-		const gateways = 300
-		set := Defaults()
-		sent, limit := 0.0, set.Spill*100
+	for _, work := range []rules.Time{5 * ms, 200 * ms, 2 * second} {
+		const gateways, length = 300, 40 * second
+		set := limits(0.3)
 		all := make([]*Zones, gateways)
 		for i := range all {
-			all[i] = New(set, 2, 0, 0, 0)
+			_, jitter := math.Modf(float64(i) * math.Phi)
+			all[i] = New(set, Fleet{Zones: 3, Own: i % 3, Gateways: gateways, Jitter: jitter}, 0)
 		}
-		const length = 20 * second
+		var sent [length / second]float64
+		waits := 0
 		for now := rules.Time(1); now < length; now += 100 * ms {
-			for i, z := range all {
-				z.See(now, []Sight{hall(0), hall(1)})
-				_, lot := math.Modf(float64(i)*math.Phi + float64(now/second)*0.37)
-				for range 4 {
-					if ok, back := z.Spill(now, 1, float64(work), gateways, lot); ok {
-						sent += float64(work)
-					} else if back <= now {
-						t.Fatalf("refused at %d, to come back at %d", now, back)
+			for _, z := range all {
+				z.Look(now, engines(0, 1, 1), rules.Standing{Share: 1}, true)
+				if z.own != 0 {
+					continue
+				}
+				for i := range 16 {
+					zone, ok := z.Draw(now, 0.25+0.5*float64(i%2), float64(work), nil)
+					if ok && zone != 0 {
+						z.Sent(now, zone, float64(work), false)
+						sent[now/second] += float64(work) / float64(second)
+					} else if !ok {
+						if waits++; z.Return(now) <= 0 {
+							t.Fatal("kept waiting without a time of return")
+						}
 					}
 				}
 			}
 		}
-		if cores := sent / float64(length); cores > limit*1.1 || cores < limit*0.7 {
-			t.Errorf("queries of %d ms: %v cores of foreign load, the limit is %v", work/ms, cores, limit)
+		limit, sum := 2*0.3*100, 0.0
+		for at, s := range sent[2:] {
+			if sum += s; s > limit*1.001 {
+				t.Errorf("queries of %d ms, second %d: %v cores of foreign load, the limit is %v", work/ms, at+2, s, limit)
+			}
+		}
+		t.Logf("queries of %d ms: %.1f cores of a limit of %.0f, %d draws wait", work/ms, sum/float64(len(sent)-2), limit, waits)
+		if mean := sum / float64(len(sent)-2); mean < 0.35*limit || waits == 0 {
+			t.Errorf("queries of %d ms: %v cores of a limit of %v used, %d draws wait", work/ms, mean, limit, waits)
 		}
 	}
 }
 
-// The ladder goes up one rung at a time, comes down with slack, and refuses the dearest class last.
-func TestLadder(t *testing.T) {
-	z := three()
-	press := func(from rules.Time, p float64) (h int) {
-		for now := from; now < from+4*second; now += 100 * ms {
-			h = z.Press(now, p, 3)
+// A gateway without a zone of its own engines, engines that belong to no zone, and a single zone know no limit.
+func TestNoLimitWhereNobodySpills(t *testing.T) {
+	for name, z := range map[string]*Zones{
+		"no engine of its own zone": New(limits(0.01), Fleet{Zones: 3, Own: 2, Gateways: 9}, 0),
+		"one zone":                  New(limits(0.01), Fleet{Zones: 1, Gateways: 9}, 0),
+		"a zone that is not known":  New(limits(0.01), Fleet{Zones: 2, Own: 7, Gateways: 9}, 0),
+	} {
+		for now := rules.Time(1); now < 3*second; now += 200 * ms {
+			z.Look(now, engines(1, 1)[:4*min(len(z.all), 2)], rules.Standing{Share: 1}, true)
+			for range 50 {
+				zone, ok := z.Draw(now, 0.7, float64(second), nil)
+				if !ok {
+					t.Fatalf("%s: kept waiting", name)
+				}
+				z.Sent(now, zone, float64(second), false)
+			}
+		}
+	}
+	z := New(limits(0.01), Fleet{Zones: 2, Elsewhere: true, Gateways: 9}, 0)
+	z.Look(1, engines(1, 1), rules.Standing{Share: 1}, true)
+	for range 50 {
+		if !z.Open(1, 1, float64(second), false) {
+			t.Fatal("engines of no zone are held for foreign ones")
+		}
+		z.Sent(1, 1, float64(second), false)
+	}
+}
+
+// Further attempts into a zone stay within a part of the first ones there; other zones keep their own budget.
+func TestRetriesByZone(t *testing.T) {
+	set := Defaults()
+	set.Retries = 0.2
+	z := New(set, Fleet{Zones: 3, Gateways: 1}, 0)
+	now, sent := rules.Time(second), 0
+	z.Look(now, engines(0, 1, 1), rules.Standing{}, false)
+	for range 100 {
+		z.Sent(now, 1, float64(ms), false)
+	}
+	for z.Open(now, 1, float64(ms), true) {
+		z.Sent(now, 1, float64(ms), true)
+		if sent++; sent > 100 {
+			t.Fatal("no end of further attempts")
+		}
+	}
+	if sent != retryFree+20 {
+		t.Errorf("%d further attempts on 100 first ones", sent)
+	}
+	if !z.Open(now, 2, float64(ms), true) || !z.Open(now, 1, float64(ms), false) {
+		t.Error("the budget of one zone keeps another's, or first attempts, back")
+	}
+	if !z.Open(now+3*retrySpan, 1, float64(ms), true) {
+		t.Error("the budget does not come back")
+	}
+}
+
+// Nothing is drawn in, or let into, a zone that is lost or drained while others are well; where none is believed any more all are open.
+func TestOpenZones(t *testing.T) {
+	z := New(Defaults(), Fleet{Zones: 3, Gateways: 1}, 0)
+	for now := rules.Time(1); now < 2*second; now += 200 * ms {
+		z.Look(now, engines(0, 1, 1), rules.Standing{}, true)
+	}
+	if z.Open(2*second, 0, 1, false) || !z.Open(2*second, 1, 1, false) {
+		t.Error("the lost zone is open, or another is not")
+	}
+	for drawn := 0.0; drawn < 1; drawn += 0.05 {
+		if zone, ok := z.Draw(2*second, drawn, 1, []int{1}); !ok || zone != 2 {
+			t.Fatalf("after an attempt in zone 1, zone 0 lost: %d, %v", zone, ok)
+		}
+	}
+	if zone, ok := z.Draw(2*second, 0.5, 1, []int{1, 2}); !ok || zone != -1 {
+		t.Errorf("all zones with a part had an attempt: %d, %v", zone, ok)
+	}
+	for now := 2 * second; now < 5*second; now += 200 * ms {
+		z.Look(now, engines(0, 0, 0), rules.Standing{}, true)
+	}
+	if !z.Open(5*second, 0, 1, false) {
+		t.Error("nothing is well, and a zone is shut all the same")
+	}
+}
+
+// Under a standing queue the ladder sheds what earns least, as much as the queue needs to go; calm again it is left. Without the
+// block nothing is shed.
+func TestArriveUnderPressure(t *testing.T) {
+	classes := []rules.Class{{Worth: 1, Aim: second}, {Worth: 20, Aim: second}}
+	const work = float64(second) / 2
+	for _, shed := range []bool{false, true} {
+		set := limits(1)
+		set.Shed = shed
+		z := New(set, Fleet{Zones: 1, Gateways: 1, Classes: classes}, 0)
+		held := 0.0
+		run := func(from, length rules.Time, load float64) (refused [2]int) {
+			due := 0.0
+			for now := from; now < from+length; now += 50 * ms {
+				z.Look(now, engines(1), rules.Standing{Share: 1, Held: held, Work: []float64{work, work}}, true)
+				for due += load * 100 * float64(50*ms) / work; due >= 1; due-- { // 100 cores do their work
+					if refuse, _ := z.Arrive(now, Ask{Class: int(due) % 2, Work: work}); refuse {
+						refused[int(due)%2]++
+					} else {
+						held += work
+					}
+				}
+				for did := 0.0; did < 100*float64(50*ms) && held >= work; did += work {
+					held -= work
+					z.Sent(now, 0, work, false)
+				}
+				held = min(held, 400*float64(second)) // the rest has become hopeless
+			}
+			return refused
+		}
+		if got := run(1, 20*second, 0.9); got != [2]int{} {
+			t.Errorf("shedding %v, a load of 0.9: %v refused", shed, got)
+		}
+		run(20*second, 20*second, 1.4)
+		got := run(40*second, 20*second, 1.4)
+		if part := float64(got[0]) / (20 * 1.4 * 200); shed && (math.Abs(part-0.286) > 0.06 || got[1] != 0) || !shed && got != [2]int{} {
+			t.Errorf("shedding %v, a load of 1.4: %v refused, %.3f of all; 0.286 is over", shed, got, part)
 		}
-		return h
+		run(60*second, 60*second, 0.8)
+		if _, rungs, _ := z.Shedding(); rungs > 0.01 || z.Return(120*second) != 0 {
+			t.Errorf("shedding %v, after the pressure: %v shed, return %d", shed, rungs, z.Return(120*second))
+		}
+	}
+}
+
+// A tenant that asks for more than its agreed share is shed first.
+func TestOverShareGoesFirst(t *testing.T) {
+	z := New(limits(1), Fleet{Zones: 1, Gateways: 2, Tenants: []rules.Tenant{{QuotaPerS: 20}, {QuotaPerS: 20}},
+		Classes: []rules.Class{{Worth: 1, Aim: second}}}, 0)
+	z.demand.rungs[OverShare].part = 1
+	refused := [2]int{}
+	for now := rules.Time(1); now < 20*second; now += 50 * ms {
+		for tenant, n := range []int{3, 0} { // 60 a second, and 5: our even part of the quota is 10
+			if tenant == 1 && now%(200*ms) == 1 {
+				n = 1
+			}
+			for range n {
+				if refuse, _ := z.Arrive(now, Ask{Tenant: tenant, Work: float64(ms)}); refuse {
+					refused[tenant]++
+				}
+			}
+		}
+	}
+	if refused[0] < 500 || refused[1] != 0 {
+		t.Errorf("refused by tenant: %v", refused)
 	}
-	if h := press(1, 1); h != 0 {
-		t.Fatalf("no pressure: %d rungs", h)
+}
+
+// As much is shed as must be, from the first rung up, and of the last only a part: tenants over their share, repeats, then what
+// earns least for its work.
+func TestLadderShedsInOrder(t *testing.T) {
+	z := New(limits(1), Fleet{Zones: 1, Gateways: 1, Classes: []rules.Class{{Worth: 1}, {Worth: 16}}}, 0)
+	light, heavy := Cheap+Rung(WorthRung(1, float64(second))), Cheap+Rung(WorthRung(16, float64(second)))
+	if heavy-light != 4*perDouble {
+		t.Fatalf("16 times the worth is %d rungs up", heavy-light)
 	}
-	for i, p := range []float64{1.15, 1.3, 1.45, 1.6, 9} {
-		h := press(rules.Time(i+1)*10*second, p)
-		if h != min(i+1, 4) {
-			t.Errorf("pressure %v: %d rungs", p, h)
+	for _, c := range []struct{ part, over, again, less, more float64 }{{0, 0, 0, 0, 0}, {0.1, 1, 0, 0, 0}, {0.2, 1, 0.5, 0, 0},
+		{0.4, 1, 1, 1.0 / 3, 0}, {0.7, 1, 1, 1, 1.0 / 4}} {
+		for i := range z.demand.rungs {
+			z.demand.rungs[i].asked = fading{0, z.now}
 		}
-		if z.Sheds(Kind{Rank: 2}) || z.Sheds(Kind{Rank: 0, MayHaveRun: true}) {
-			t.Errorf("pressure %v: the dearest class, or what may have run, is refused", p)
+		for rung, asked := range map[Rung]float64{OverShare: 10, Repeats: 20, light: 30, heavy: 40} {
+			z.demand.rungs[rung].asked.sum = asked
 		}
-		for _, c := range []struct {
-			kind Kind
-			from int
-		}{{Kind{OverShare: true, Rank: 2}, 1}, {Kind{Repeat: true, Rank: 2}, 2}, {Kind{Rank: 0}, 3}, {Kind{Rank: 1}, 4}} {
-			if got := z.Sheds(c.kind); got != (h >= c.from) {
-				t.Errorf("pressure %v: %+v refused: %v", p, c.kind, got)
+		z.shed(c.part)
+		for rung, want := range map[Rung]float64{OverShare: c.over, Repeats: c.again, light: c.less, heavy: c.more} {
+			if got := z.demand.rungs[rung].part; math.Abs(got-want) > 1e-9 {
+				t.Errorf("of %v of all, rung %d sheds %v, want %v", c.part, rung, got, want)
 			}
 		}
 	}
-	if h := press(100*second, 1.5); h != 4 {
-		t.Errorf("pressure back to 1.5, within the slack of the rung at 1.55: %d rungs", h)
+	z.shed(0)
+	z.demand.rungs[light].part = 0.25
+	shed := 0
+	for range 100 {
+		if refuse, after := z.Arrive(second, Ask{Class: 0, Work: float64(second)}); refuse {
+			if shed++; after <= 0 {
+				t.Fatal("refused without a time of return")
+			}
+		}
+		if refuse, _ := z.Arrive(second, Ask{Class: 1, Work: float64(second)}); refuse {
+			t.Fatal("what earns more is refused")
+		}
 	}
-	if h := press(110*second, 1.4); h != 3 {
-		t.Errorf("pressure back to 1.4: %d rungs", h)
+	if shed != 25 {
+		t.Errorf("%d of 100 of a rung that sheds a quarter", shed)
 	}
 }
 
@@ -267,7 +451,7 @@
 func TestSplitIsSound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 5).Draw(t, "zones")
-		z := New(Defaults(), n, rapid.IntRange(0, n-1).Draw(t, "own"), rapid.Float64Range(0, 1).Draw(t, "jitter"), 0)
+		z := New(Defaults(), Fleet{Zones: n, Own: rapid.IntRange(0, n-1).Draw(t, "own"), Jitter: rapid.Float64Range(0, 1).Draw(t, "jitter")}, 0)
 		now := rules.Time(1)
 		before := z.Status(now)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -287,7 +471,7 @@
 			if rapid.Bool().Draw(t, "drains") {
 				z.DrainZone(now, rapid.IntRange(0, n-1).Draw(t, "zone"), rapid.Bool().Draw(t, "on"))
 			}
-			z.See(now, sights)
+			z.see(now, sights)
 			status := z.Status(now)
 			for i := range status {
 				if up := status[i].Share - before[i].Share; up > float64(gap)/float64(z.set.Ramp)+1e-9 {
@@ -316,16 +500,16 @@
 func TestPlan(t *testing.T) {
 	sc := Scenario{
 		Zones:   []ZoneSpec{{"a", 100, 60}, {"b", 100, 60}, {"c", 100, 60}},
-		Classes: []ClassSpec{{"point", 0.1, 2}, {"report", 0.6, 0}, {"load", 0.3, 1}},
+		Classes: []ClassSpec{{"point", 0.1, 22}, {"report", 0.6, 10}, {"load", 0.3, 11}},
 		Lose:    []int{0}, At: 5 * second, Back: 30 * second, Unlisted: 3 * second, Notice: 2 * second,
 		ColdFrom: 0.33, ColdFor: 15 * second, Length: 60 * second,
 	}
-	for _, m := range Play(Defaults(), sc) {
+	for _, m := range Play(limits(0.3), sc) {
 		at := int(m.At / second)
 		asked := 0.0
 		for _, z := range m.Zones {
 			asked += z.Own + z.Foreign + z.Held + z.Shed
-			if z.Foreign > Defaults().Spill*100+1e-9 {
+			if z.Foreign > 0.3*100+1e-9 {
 				t.Errorf("second %d: %v cores of foreign load", at, z.Foreign)
 			}
 		}
--- a/rules/api.go
+++ b/rules/api.go
@@ -215,6 +215,27 @@
 	LeftOut bool    // it fails or rests after that: it gets but a trickle
 	Slow    float64 // times that it takes of what the work takes alone
 	Warm    float64 // part of its speed that it has
+	Late    int     // attempts out that have run for longer than such attempts do
+}
+
+// Standing is what a gateway holds of its own load, for whoever decides what it lets in.
+type Standing struct {
+	Share float64   // what it takes of the fleet, in even parts; at least 1
+	Held  float64   // predicted work that waits and can still be in time, all threads together, in microseconds
+	Work  []float64 // the usual work of a request, by class; 0: none was seen
+}
+
+// ZonePlan decides, where operators have planned it, in which zones a query may run. It is pure, as the module is: what
+// it answers follows from what it was shown, the time and the number drawn. Work is predicted, in microseconds of all
+// threads together; further tells that the query had an attempt before.
+type ZonePlan interface {
+	// Draw returns the zone from which a query's engine is to be drawn, -1 for any, by a number drawn from 0 to 1.
+	// Tried are the zones that had an attempt of it. Without ok it has to wait: no zone has room for it now.
+	Draw(now Time, drawn, work float64, tried []int) (zone int, ok bool)
+	// Open answers whether a query may run in a zone now.
+	Open(now Time, zone int, work float64, further bool) bool
+	// Sent notes that one goes there.
+	Sent(now Time, zone int, work float64, further bool)
 }
 
 // Event is something a gateway is told.
@@ -278,9 +299,8 @@
 	}
 	// Stopping tells that this gateway ends: all answers are due by then.
 	Stopping struct{ By Time }
-	// ZoneParts says which part of our load each zone gets, by its index, as operators have planned it. Nil: no
-	// plan, engines are drawn over all zones. The last value stands; it is not changed afterwards.
-	ZoneParts struct{ To []float64 }
+	// Planned hands over the operators' plan for zones. Nil: none, engines are drawn over all zones.
+	Planned struct{ Zones ZonePlan }
 	// PeerMessage is a message of another gateway.
 	PeerMessage struct {
 		From    int
@@ -308,7 +328,7 @@
 func (ProbeResult) event()  {}
 func (PeerMessage) event()  {}
 func (Stopping) event()     {}
-func (ZoneParts) event()    {}
+func (Planned) event()      {}
 
 // Action is something a gateway does. Actions are carried out in order.
 type Action interface{ action() }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -94,8 +94,8 @@
 		m.heard(e)
 	case Stopping:
 		m.stop(e.By)
-	case ZoneParts:
-		m.zoneParts = e.To
+	case Planned:
+		m.plan = e.Zones
 	case ProbeResult: // it answers: what it is left out for fades
 		if known := m.byID[e.Engine]; known != nil && e.Verdict == VerdictOK {
 			known.bad, known.pause = known.bad/2, pause{}
@@ -284,7 +284,7 @@
 // maySend is the one place that says whether the rules allow a (further) attempt on an engine.
 func (m *Module) maySend(r *request, e *engine) bool {
 	return e.State == EngineServing && contains(r.class.Zones, e.Zone) && contains(r.class.Kinds, e.Kind) &&
-		m.mayRepeat(r, e) && m.coldRoom(r, e)
+		m.mayRepeat(r, e) && m.zoneOpen(r, e) && m.coldRoom(r, e)
 }
 
 func (m *Module) mayRepeat(r *request, e *engine) bool {
@@ -474,10 +474,14 @@
 	if e := m.drawnCold(r); e != nil {
 		return e
 	}
-	if zone := m.drawZone(r); zone < 0 {
-		m.able = m.able[:0]
-	} else if m.listAble(r, m.near(r, zone)); len(m.able) < 2 && len(m.zoneParts) > 0 {
-		m.listAble(r, m.inZone(zone))
+	zone, ok := m.drawZone(r)
+	if m.able = m.able[:0]; !ok {
+		return nil
+	}
+	if zone >= 0 {
+		if m.listAble(r, m.near(r, zone)); len(m.able) < 2 && m.plan != nil {
+			m.listAble(r, m.inZone(zone))
+		}
 	}
 	if len(m.able) == 0 {
 		if m.listAble(r, m.homes(r)); len(m.able) < 2 {
@@ -645,6 +649,9 @@
 		m.extras = append(m.extras, m.now)
 	}
 	work := m.predict(r)
+	if m.planned(r) {
+		m.plan.Sent(m.now, e.Zone, work, len(r.attempts) > 0)
+	}
 	a := attempt{engine: e, zone: e.Zone, cell: e.Cell, at: m.now, threads: float64(max(1, r.class.Threads)),
 		memory: grant, high: m.band(r) > 0, expected: float64(r.runTime(work, m.slowness(r, e)))}
 	a.work = a.expected * a.threads
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -895,9 +895,45 @@
 	}
 }
 
-// Where the host says which part each zone gets, load follows it; a further attempt leaves the zone that had one, and
-// without room in the zone drawn the others are taken rather than none.
-func TestZoneParts(t *testing.T) {
+// fixedPlan gives each zone a part, and shuts some.
+type fixedPlan struct {
+	to    []float64
+	shut  []int
+	waits bool
+	sent  []int // zones, in order
+	again int   // further attempts among them
+}
+
+func (p *fixedPlan) Draw(_ Time, drawn, _ float64, tried []int) (zone int, ok bool) {
+	if p.waits {
+		return 0, false
+	}
+	odds := slices.Clone(p.to)
+	for _, z := range tried {
+		odds[z] = 0
+	}
+	for i, o := range odds {
+		if drawn -= o; o > 0 && drawn < 0 {
+			return i, true
+		}
+	}
+	return slices.IndexFunc(odds, func(o float64) bool { return o > 0 }), true
+}
+
+func (p *fixedPlan) Open(_ Time, zone int, _ float64, _ bool) bool {
+	return !slices.Contains(p.shut, zone)
+}
+
+func (p *fixedPlan) Sent(_ Time, zone int, _ float64, further bool) {
+	p.sent = append(p.sent, zone)
+	if further {
+		p.again++
+	}
+}
+
+// Where a plan says which part each zone gets, load follows it; a further attempt leaves the zone that had one;
+// without room in the zone drawn others that are open are taken rather than none, and those that are shut never.
+func TestZonePlan(t *testing.T) {
 	s := plain(quick)
 	s.Siblings = 50
 	f := newReferee(t, s, 5, 1000*Second)
@@ -906,17 +942,22 @@
 	for i := range fleet {
 		fleet[i].Zone = i % 3
 	}
+	plan := &fixedPlan{to: []float64{0.7, 0.3, 0}}
 	f.tell(FleetChange{Mode: ListSaved, Engines: fleet})
-	f.tell(ZoneParts{To: []float64{0.7, 0.3, 0}})
-	got, again := [3]int{}, [3]int{}
+	f.tell(Planned{Zones: plan})
+	got, again, sends := [3]int{}, [3]int{}, 0
 	for set := range 300 {
 		id := f.ask(0, func(r *Request) { r.DataSet = set % 7 })
 		got[f.requests[id].attempts[0].engine.Zone]++
+		sends++
 		if set%10 == 0 {
 			first := f.requests[id].attempts[0].engine.Zone
 			f.resolve(f.pending()[0], VerdictFull)
-			if as := f.requests[id].attempts; len(as) == 2 && as[1].engine.Zone == first {
-				again[first]++
+			if as := f.requests[id].attempts; len(as) == 2 {
+				sends++
+				if as[1].engine.Zone == first {
+					again[first]++
+				}
 			}
 		}
 		for _, o := range f.pending() {
@@ -930,15 +971,50 @@
 	if again != [3]int{} {
 		t.Errorf("%v further attempts stayed in the zone of the first", again)
 	}
+	if len(plan.sent) != sends || plan.again != sends-300 {
+		t.Errorf("the plan heard of %d attempts, %d of them further ones; %d were sent", len(plan.sent), plan.again, sends)
+	}
 	for i := range fleet {
 		if fleet[i].Zone < 2 {
 			fleet[i].State = EngineDraining
 		}
 	}
 	f.tell(FleetChange{Mode: ListDelta, Engines: fleet})
+	plan.shut = []int{2}
+	if id := f.ask(0, nil); f.sent(id) != 0 {
+		t.Error("sent to a zone that is shut")
+	}
+	plan.shut = nil
 	if id := f.ask(0, nil); f.sent(id) != 1 {
 		t.Error("no engine of the zones drawn serves, and the one that does was not taken")
 	}
+	plan.waits = true
+	id := f.ask(0, nil)
+	if f.sent(id) != 0 {
+		t.Error("sent though the plan has it wait")
+	}
+	plan.waits = false
+	if f.advance(100 * Millisecond); f.sent(id) != 1 {
+		t.Error("not sent once the plan has room")
+	}
+}
+
+// A class that runs in some zones only goes there, whatever the plan says.
+func TestZonePlanLeavesBoundClasses(t *testing.T) {
+	bound := quick
+	bound.Zones = []int{1}
+	s := plain(bound)
+	f := newReferee(t, s, 5, 1000*Second)
+	f.usual[0] = float64(100 * Millisecond)
+	fleet := fleetOf(4)
+	for i := range fleet {
+		fleet[i].Zone = i % 2
+	}
+	f.tell(FleetChange{Mode: ListSaved, Engines: fleet})
+	f.tell(Planned{Zones: &fixedPlan{to: []float64{1, 0}, shut: []int{1}, waits: true}})
+	if id := f.ask(0, nil); f.sent(id) != 1 {
+		t.Error("a class that runs in zone 1 only is kept from it")
+	}
 }
 
 // An engine that is left out and answers a probe is used again, without waiting for a trickle to find out.
--- a/rules/state.go
+++ b/rules/state.go
@@ -38,7 +38,8 @@
 	taken    []Time    // arrivals within the ration's window
 	extras   []Time    // further attempts within it
 
-	zoneParts []float64 // of our load, by zone; nil: no plan
+	plan    ZonePlan  // nil: none
+	inOrder []*engine // scratch: engines of a zone
 }
 
 func newModule(s Settings, rng *rand.Rand) *Module {
@@ -363,9 +364,50 @@
 	return n
 }
 
-// inZone lists the engines of a zone.
+// inZone lists the engines of a zone. It is valid until the next such call.
 func (m *Module) inZone(zone int) []*engine {
-	return slices.DeleteFunc(slices.Clone(m.engines), func(e *engine) bool { return e.Zone != zone })
+	m.inOrder = m.inOrder[:0]
+	for _, e := range m.engines {
+		if e.Zone == zone {
+			m.inOrder = append(m.inOrder, e)
+		}
+	}
+	return m.inOrder
+}
+
+// near are the homes of a data set in one zone. It is valid until the next such call.
+func (m *Module) near(r *request, zone int) []*engine {
+	m.inOrder = m.inOrder[:0]
+	for _, e := range m.set(r.DataSet).order {
+		if e.Zone == zone && e.State == EngineServing && len(m.inOrder) < homesLeast {
+			m.inOrder = append(m.inOrder, e)
+		}
+	}
+	return m.inOrder
+}
+
+// triedIn are the zones that had an attempt of the request.
+func (r *request) triedIn() (zones []int) {
+	for i := range r.attempts {
+		zones = append(zones, r.attempts[i].zone)
+	}
+	return zones
+}
+
+// Standing tells what is held of our own load.
+func (m *Module) Standing() Standing {
+	s := Standing{Share: max(m.share, 1), Work: make([]float64, len(m.classes))}
+	for i, c := range m.classes {
+		s.Work[i] = c.usual.mean(0)
+		for _, q := range c.queues {
+			for _, r := range q.held {
+				if !r.late {
+					s.Held += r.queued
+				}
+			}
+		}
+	}
+	return s
 }
 
 // tells is what peers hear of an engine: what runs of ours there, of that which they are told.
@@ -374,8 +416,17 @@
 // Beliefs tells what is held of each engine, in the order they were first listed.
 func (m *Module) Beliefs() []Belief {
 	out := make([]Belief, 0, len(m.engines))
+	late := map[*engine]int{}
+	for _, r := range m.open {
+		for i := range r.attempts {
+			if a := &r.attempts[i]; !a.done && a.slow > 0 {
+				late[a.engine]++
+			}
+		}
+	}
 	for _, e := range m.engines {
-		out = append(out, Belief{Engine: e.ID, Out: e.out, LeftOut: m.sick(e), Slow: math.Exp(max(e.drags[0].log, e.drags[1].log)), Warm: m.warmth(e)})
+		out = append(out, Belief{Engine: e.ID, Out: e.out, LeftOut: m.sick(e), Slow: math.Exp(max(e.drags[0].log, e.drags[1].log)),
+			Warm: m.warmth(e), Late: late[e]})
 	}
 	return out
 }
--- a/rules/tiers.go
+++ b/rules/tiers.go
@@ -1,33 +1,25 @@
 package rules
 
-// The zone from which engines are drawn; types are in api.go. Where the host says which part of our load each
-// zone gets that is drawn first, and the ordinary path goes on within the zone.
+// The zone from which engines are drawn; types are in api.go. Where operators have planned it the plan says
+// which, and the ordinary path goes on within the zone.
 
-// drawZone is the zone that a request goes to, or -1 for any. Without a plan short queries stay in their own
-// where crossing costs a fee: it counts by query; they are most of all and little of all work, so that load
-// gives no reason to leave. A further attempt leaves zones that had one: a lost zone would use up all.
-func (m *Module) drawZone(r *request) int {
-	if len(m.zoneParts) == 0 {
-		if m.s.Fees.CrossZone <= 0 || m.band(r) == 0 || len(r.attempts) > 0 {
-			return -1
-		}
-		return m.s.Zone
+// drawZone is the zone that a request goes to, or -1 for any; without ok it waits. Without a plan short
+// queries stay in their own where crossing costs a fee: it counts by query; they are most of all and little of
+// all work, so that load gives no reason to leave. A further attempt leaves it: a lost zone would use up all.
+func (m *Module) drawZone(r *request) (zone int, ok bool) {
+	switch {
+	case m.planned(r):
+		return m.plan.Draw(m.now, m.rng.Float64(), m.predict(r), r.triedIn())
+	case m.s.Fees.CrossZone <= 0 || m.band(r) == 0 || len(r.attempts) > 0:
+		return -1, true
 	}
-	odds := append([]float64(nil), m.zoneParts...)
-	for i := range r.attempts {
-		if z := r.attempts[i].zone; z < len(odds) {
-			odds[z] = 0
-		}
-	}
-	return draw(m.rng, odds)
+	return m.s.Zone, true
 }
 
-// near are the homes of a data set in one zone.
-func (m *Module) near(r *request, zone int) (near []*engine) {
-	for _, e := range m.set(r.DataSet).order {
-		if e.Zone == zone && e.State == EngineServing && len(near) < homesLeast {
-			near = append(near, e)
-		}
-	}
-	return near
+// planned answers whether the plan holds for a request: of a class that runs in some zones only it can't.
+func (m *Module) planned(r *request) bool { return m.plan != nil && r.class.Zones == nil }
+
+// zoneOpen answers whether the plan lets a request run in an engine's zone.
+func (m *Module) zoneOpen(r *request, e *engine) bool {
+	return !m.planned(r) || m.plan.Open(m.now, e.Zone, m.predict(r), len(r.attempts) > 0)
 }
