--- a/internal/emu/books.go
+++ b/internal/emu/books.go
@@ -35,9 +35,9 @@
 type Second struct {
 	Offered, Worth, Late float64 // worth; Late is part of Worth
 
-	Tried, Refused []int     // first tries, by what they earn for their told work (zones.WorthRung)
-	Foreign        []float64 // work that began in a zone for gateways of others, by zone, in core seconds
-	Could          []float64 // and what the zone's engines could do in it
+	Tried, Refused, Shed []int     // first tries, by what they earn for their told work (zones.WorthRung); Shed is part of Refused
+	Foreign              []float64 // work that began in a zone for gateways of others, by zone, in core seconds
+	Could                []float64 // and what the zone's engines could do in it
 }
 
 // Move is a state that a zone has entered at a gateway.
@@ -54,7 +54,7 @@
 func (b *Books) at(t rules.Time) *Second {
 	i := int((t - b.start) / rules.Second)
 	for len(b.Seconds) <= i {
-		b.Seconds = append(b.Seconds, Second{Tried: make([]int, worthRungs), Refused: make([]int, worthRungs),
+		b.Seconds = append(b.Seconds, Second{Tried: make([]int, worthRungs), Refused: make([]int, worthRungs), Shed: make([]int, worthRungs),
 			Foreign: make([]float64, b.zones), Could: make([]float64, b.zones)})
 	}
 	return &b.Seconds[i]
@@ -78,19 +78,17 @@
 
 const worthRungs = 64 // more than zones.WorthRung tells
 
-// first notes a first try that came at some time, and that it was refused.
-func (b *Books) first(at rules.Time, worth float64, a *ask, refused bool) {
-	if a.tries != 1 {
-		return
-	}
-	s, rung := b.at(at), zones.WorthRung(worth, a.told)
-	if refused {
-		s.Refused[rung]++
-	} else {
-		s.Tried[rung]++
+// first notes something of a first try that came at some time.
+func (b *Books) first(at rules.Time, worth float64, a *ask, to func(*Second) []int) {
+	if a.tries == 1 {
+		to(b.at(at))[zones.WorthRung(worth, a.told)]++
 	}
 }
 
+func tried(s *Second) []int   { return s.Tried }
+func refused(s *Second) []int { return s.Refused }
+func shed(s *Second) []int    { return s.Shed }
+
 func (b *Books) move(now rules.Time, c zones.Change) {
 	b.Moves++
 	b.MovedAt = append(b.MovedAt, Move{now - b.start, c})
--- a/internal/emu/fleet.go
+++ b/internal/emu/fleet.go
@@ -374,7 +374,7 @@
 	if len(g.order) > 64 && g.order[0].over {
 		g.compact()
 	}
-	f.Books.first(f.now, r.class.Worth, a, false)
+	f.Books.first(f.now, r.class.Worth, a, tried)
 	if !g.admits(r, a) {
 		return
 	}
@@ -455,7 +455,7 @@
 func (g *gateway) refuse(r *request, after rules.Time) {
 	f := g.f
 	f.Books.Refused++
-	f.Books.first(r.at, r.class.Worth, r.ask, true)
+	f.Books.first(r.at, r.class.Worth, r.ask, refused)
 	g.end(r)
 	f.after(f.scene.Ways.Client, func() { f.again(r.ask, min(after, f.scene.Settings.Limits.MaxRetryAfter)) })
 }
--- a/internal/emu/sites.go
+++ b/internal/emu/sites.go
@@ -78,6 +78,7 @@
 	refuse, after := g.zones.Arrive(g.f.now, zones.Ask{Class: a.class, Work: a.told, Repeat: a.tries > 1})
 	if refuse {
 		g.f.Books.Shed++
+		g.f.Books.first(r.at, r.class.Worth, a, shed)
 		g.refuse(r, after)
 	}
 	return !refuse
--- a/internal/gateway/sites_test.go
+++ b/internal/gateway/sites_test.go
@@ -39,6 +39,74 @@
 	}
 }
 
+// zoneTroubles befall whole zones now and then: silence, processes that die together and come back cold, drains by the list.
+func (w *world) zoneTroubles(until rules.Time) {
+	for at := 400 * rules.Millisecond; at < until; at += rules.Time(300+w.rng.IntN(1200)) * rules.Millisecond {
+		zone, kind := []string{"hall-a", "hall-b"}[w.rng.IntN(2)], w.rng.IntN(3)
+		away := rules.Time(200+w.rng.IntN(1500)) * rules.Millisecond
+		w.after(at, func() {
+			for i := range len(w.engines) {
+				e := w.engines[fmt.Sprintf("s-%08x", i)]
+				if e.host.Zone != zone {
+					continue
+				}
+				switch kind {
+				case 0:
+					e.mute = true
+					w.after(away, func() { e.mute = false })
+				case 1:
+					w.reset(e)
+					e.down, e.mute = true, false
+					w.after(away, func() {
+						e.down, e.gone, e.told, e.host.Draining = false, false, 0, false
+						e.coldSince, e.coldSent, e.coldTold = w.now, nil, 0
+						e.host.Started = int64(w.now / rules.Millisecond)
+						w.serial++
+					})
+				case 2:
+					e.host.Draining = true
+					w.serial++
+					w.after(away, func() {
+						e.host.Draining, e.told = false, 0
+						w.serial++
+					})
+				}
+			}
+		})
+	}
+}
+
+// The seven rules hold while whole zones fall silent, die and come back cold, and are drained, with all limits of the plan on: no
+// unsafe query runs twice, no cold engine gets too much of us, nothing new goes where it is drained.
+func TestRulesUnderLossesOfZones(t *testing.T) {
+	const text = "sites {\n  settle = \"100ms\"\n  ramp = \"800ms\"\n  spill = 0.3\n  retries = 0.2\n  damping {\n    half_life = \"500ms\"\n  }\n" +
+		"  shedding {\n    settle = \"100ms\"\n    up = 1.05\n    slack = 0.02\n  }\n}"
+	lost, spilled := 0, 0
+	for _, rough := range []float64{0, 0.4} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprintf("rough %v seed %d", rough, seed), func(t *testing.T) {
+				w := newWorldWith(t, seed, rough, planned(t, text))
+				w.zoneTroubles(6 * rules.Second)
+				w.play(6 * rules.Second)
+				for _, b := range w.broken[:min(len(w.broken), 5)] {
+					t.Error(b)
+				}
+				if w.sent < 120 || w.served < 80 {
+					t.Errorf("only %d attempts and %d served: the test has lost its subject", w.sent, w.served)
+				}
+				for _, s := range w.g.sites.zones.Status(w.now) {
+					lost += s.Losses
+				}
+				_, _, n := w.g.sites.zones.Shedding()
+				spilled += n.Spilled
+			})
+		}
+	}
+	if lost < 10 || spilled < 100 {
+		t.Errorf("zones were lost %d times, %d queries went to another zone: the test has lost its subject", lost, spilled)
+	}
+}
+
 // sentTo counts attempts by zone since a time.
 func (w *world) sentTo(zone string, from, to rules.Time) (n int) {
 	for _, r := range w.taken {
--- a/internal/zones/ladder.go
+++ b/internal/zones/ladder.go
@@ -147,7 +147,7 @@
 	}
 	r.carry--
 	z.count.Shed[min(rung, Cheap)]++
-	z.pressed()
+	z.noteShed()
 	return true, z.Return(z.now)
 }
 
@@ -243,8 +243,8 @@
 	}
 }
 
-// pressed notes that something was shed or kept waiting.
-func (z *Zones) pressed() {
+// noteShed notes that something was shed or kept waiting.
+func (z *Zones) noteShed() {
 	if z.since == 0 {
 		z.since = max(z.now, 1)
 	}
--- a/internal/zones/route.go
+++ b/internal/zones/route.go
@@ -86,7 +86,7 @@
 // wait notes that a query is kept waiting by our limits.
 func (z *Zones) wait() {
 	z.count.Waited++
-	z.pressed()
+	z.noteShed()
 }
 
 // ---- the limit of spill
--- a/rules/tiers.go
+++ b/rules/tiers.go
@@ -4,8 +4,9 @@
 // which, and the ordinary path goes on within the zone.
 
 // drawZone is the zone that a request goes to, or -1 for any; without ok it waits. Without a plan short
-// queries stay in their own where crossing costs a fee: it counts by query; they are most of all and little of
-// all work, so that load gives no reason to leave. A further attempt leaves it: a lost zone would use up all.
+// queries stay in their own where crossing costs a fee: it counts by query; they are most of all and little
+// of all work, so that load gives no reason to leave. A further attempt leaves it: a lost zone would use up
+// all.
 func (m *Module) drawZone(r *request) (zone int, ok bool) {
 	switch {
 	case m.planned(r):
