Keep copies of what other gateways observe: entries with one writer, gossip, membership

Every gateway learns alone and forgets all at its end. For installations that allow talk the operators want observations shared, with a rule for copies that differ.

Nothing of it is wired yet.

--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,299 @@
+// Package members owns who else is there: membership by gossip (hashicorp/memberlist, SWIM) behind an interface of our own, and
+// the datagrams among members. It tells of who comes and goes and hands over what they say, in order, through a ring that is
+// bounded: when it is full, what members say is lost, and counted, and nobody waits. It must never decide anything, look into what it
+// carries, or keep serving waiting.
+//
+// There are no keys and there is no encryption: address sets say who may speak, and that is all. Run it on a network that is the
+// operators' own. A sender's name is claimed, not proven.
+package members
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"go4.org/netipx"
+)
+
+// Settings are how a member finds others.
+type Settings struct {
+	Name  string
+	Zone  string
+	Bind  netip.AddrPort                    // UDP and TCP; also what is told to others
+	Seeds []netip.AddrPort                  // members that are tried first
+	May   *netipx.IPSet                     // addresses that may speak; nil: any
+	Via   map[netip.AddrPort]netip.AddrPort // addresses that are reached by others, as behind a translation
+	Ring  int                               // events that wait
+	Fast  bool                              // for links of a millisecond: failures are told sooner
+}
+
+const (
+	defaultRing = 1024
+	maxName     = 64
+	maxMessage  = 1400 // bytes of a datagram: what memberlist carries whole
+	rejoinLeast = 500 * time.Millisecond
+	rejoinMost  = 15 * time.Second
+	leaveWithin = 300 * time.Millisecond
+)
+
+// Validate says what can't be used.
+func (s Settings) Validate() error {
+	switch {
+	case s.Name == "" || len(s.Name) > maxName || len(s.Zone) > maxName:
+		return fmt.Errorf("members: name %q must have 1 to %d bytes, zone %q at most that", s.Name, maxName, s.Zone)
+	case !s.Bind.IsValid() || s.Bind.Port() == 0:
+		return errors.New("members: bind must be an address with a port")
+	case s.Bind.Addr().IsUnspecified():
+		return errors.New("members: bind must be one address, which others are told")
+	case s.May != nil && !s.May.Contains(s.Bind.Addr()):
+		return fmt.Errorf("members: %s itself is not among the addresses that may speak", s.Bind.Addr())
+	}
+	return nil
+}
+
+// Kind is what an Event tells.
+type Kind int
+
+// Kinds of events.
+const (
+	Joined   Kind = iota + 1
+	Left          // it has left, or is held to be dead
+	Came          // Data came on Channel
+	Namesake      // another process has a member's name: Name, Text
+)
+
+// Event is something that happened.
+type Event struct {
+	Kind    Kind
+	Name    string
+	Zone    string
+	Addr    netip.AddrPort
+	Channel byte
+	Data    []byte
+	Text    string
+}
+
+// Members is one member.
+type Members struct {
+	set   Settings
+	list  *memberlist.Memberlist
+	ring  chan Event
+	ready func() // called when something was put into the ring
+	done  chan struct{}
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	nodes map[string]*memberlist.Node
+	stats struct{ lost, sent, received, strangers atomic.Int64 }
+}
+
+// Stats are counts since the start.
+type Stats struct {
+	Members   int
+	Lost      int64 // events that found the ring full
+	Sent      int64 // bytes
+	Received  int64
+	Strangers int64 // packets and connections of addresses that may not speak
+}
+
+// Start begins to look for others. ready is called, from any goroutine, when Take has something.
+func Start(set Settings, ready func()) (*Members, error) {
+	if err := set.Validate(); err != nil {
+		return nil, err
+	}
+	if set.Ring <= 0 {
+		set.Ring = defaultRing
+	}
+	m := &Members{set: set, ring: make(chan Event, set.Ring), ready: ready, done: make(chan struct{}), nodes: map[string]*memberlist.Node{}}
+	quiet := log.New(io.Discard, "", 0)
+	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{set.Bind.Addr().String()},
+		BindPort: int(set.Bind.Port()), Logger: quiet})
+	if err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	t := newTransport(inner, set, &m.stats.strangers)
+	c := memberlist.DefaultLANConfig()
+	if set.Fast {
+		c.ProbeInterval, c.ProbeTimeout = 300*time.Millisecond, 150*time.Millisecond
+		c.SuspicionMult, c.GossipInterval, c.PushPullInterval = 3, 100*time.Millisecond, 5*time.Second
+		c.TCPTimeout = time.Second
+	}
+	c.Name, c.Transport, c.Logger, c.LogOutput = set.Name, t, quiet, nil
+	c.BindAddr, c.BindPort = set.Bind.Addr().String(), int(set.Bind.Port())
+	c.AdvertiseAddr, c.AdvertisePort = c.BindAddr, c.BindPort
+	c.Delegate, c.Events, c.Conflict = delegate{m}, events{m}, conflicts{m}
+	c.EnableCompression, c.UDPBufferSize = false, maxMessage+128
+	c.DeadNodeReclaimTime = time.Second // a process that comes back at another address has its name again
+	if m.list, err = memberlist.Create(c); err != nil {
+		_ = inner.Shutdown()
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	m.wg.Add(1)
+	go m.rejoin()
+	return m, nil
+}
+
+// rejoin looks for seeds: again and again while alone, and now and then for those that a partition has cut off.
+func (m *Members) rejoin() {
+	defer m.wg.Done()
+	wait := rejoinLeast
+	for {
+		if seeds := m.missing(); len(seeds) > 0 {
+			if n, _ := m.list.Join(seeds[:1]); n > 0 {
+				wait = rejoinLeast
+			}
+		}
+		if wait = min(2*wait, rejoinMost); m.list.NumMembers() == 1 {
+			wait = min(wait, 4*rejoinLeast)
+		}
+		select {
+		case <-m.done:
+			return
+		case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(wait))):
+		}
+	}
+}
+
+// missing are seeds that are not among the members, in any order.
+func (m *Members) missing() (seeds []string) {
+	there := map[string]bool{m.set.Bind.String(): true}
+	for _, n := range m.list.Members() {
+		there[netip.AddrPortFrom(addrOf(n.Addr), n.Port).String()] = true
+	}
+	for _, i := range rand.Perm(len(m.set.Seeds)) {
+		if s := m.set.Seeds[i].String(); !there[s] {
+			seeds = append(seeds, s)
+		}
+	}
+	return seeds
+}
+
+func addrOf(ip net.IP) netip.Addr {
+	a, _ := netip.AddrFromSlice(ip)
+	return a.Unmap()
+}
+
+// put adds an event. What members say gives way where there is no room; who comes and goes must not be lost, and
+// takes the place of something older.
+func (m *Members) put(e Event) {
+	for {
+		select {
+		case m.ring <- e:
+			m.ready()
+			return
+		default:
+		}
+		if e.Kind == Came {
+			m.stats.lost.Add(1)
+			return
+		}
+		select {
+		case old := <-m.ring:
+			m.stats.lost.Add(1)
+			if old.Kind != Came { // the newest of it counts
+				continue
+			}
+		default:
+		}
+	}
+}
+
+// Take returns the next event, if there is one.
+func (m *Members) Take() (e Event, ok bool) {
+	select {
+	case e = <-m.ring:
+		return e, true
+	default:
+		return e, false
+	}
+}
+
+// Send sends a datagram to a member. It may be lost; of one that is not there it is.
+func (m *Members) Send(to string, channel byte, data []byte) error {
+	if len(data) > maxMessage-2-maxName {
+		return fmt.Errorf("members: %d bytes are more than a datagram holds", len(data))
+	}
+	m.mu.Lock()
+	n := m.nodes[to]
+	m.mu.Unlock()
+	if n == nil {
+		return fmt.Errorf("members: no member %q", to)
+	}
+	msg := make([]byte, 0, 2+len(m.set.Name)+len(data))
+	msg = append(msg, channel, byte(len(m.set.Name)))
+	msg = append(append(msg, m.set.Name...), data...)
+	m.stats.sent.Add(int64(len(msg)))
+	return m.list.SendBestEffort(n, msg)
+}
+
+// Stats tells what was done since the start.
+func (m *Members) Stats() Stats {
+	return Stats{Members: m.list.NumMembers(), Lost: m.stats.lost.Load(), Sent: m.stats.sent.Load(), Received: m.stats.received.Load(),
+		Strangers: m.stats.strangers.Load()}
+}
+
+// Close leaves, within a bounded time, and ends all that runs here.
+func (m *Members) Close() {
+	close(m.done)
+	_ = m.list.Leave(leaveWithin)
+	_ = m.list.Shutdown()
+	m.wg.Wait()
+}
+
+// ---- what memberlist calls
+
+type delegate struct{ m *Members }
+
+func (d delegate) NodeMeta(int) []byte { return []byte(d.m.set.Zone) }
+
+func (d delegate) NotifyMsg(msg []byte) {
+	if len(msg) < 2 || len(msg) < 2+int(msg[1]) {
+		return
+	}
+	d.m.stats.received.Add(int64(len(msg)))
+	end := 2 + int(msg[1])
+	d.m.put(Event{Kind: Came, Channel: msg[0], Name: string(msg[2:end]), Data: append([]byte(nil), msg[end:]...)})
+}
+
+func (delegate) GetBroadcasts(int, int) [][]byte { return nil }
+func (delegate) LocalState(bool) []byte          { return nil }
+func (delegate) MergeRemoteState([]byte, bool)   {}
+
+type events struct{ m *Members }
+
+func (e events) NotifyJoin(n *memberlist.Node) {
+	if n.Name == e.m.set.Name {
+		return
+	}
+	e.m.mu.Lock()
+	e.m.nodes[n.Name] = n
+	e.m.mu.Unlock()
+	e.m.put(Event{Kind: Joined, Name: n.Name, Zone: string(n.Meta), Addr: netip.AddrPortFrom(addrOf(n.Addr), n.Port)})
+}
+
+func (e events) NotifyLeave(n *memberlist.Node) {
+	if n.Name == e.m.set.Name {
+		return
+	}
+	e.m.mu.Lock()
+	delete(e.m.nodes, n.Name)
+	e.m.mu.Unlock()
+	e.m.put(Event{Kind: Left, Name: n.Name})
+}
+
+func (e events) NotifyUpdate(n *memberlist.Node) { e.NotifyJoin(n) }
+
+type conflicts struct{ m *Members }
+
+// NotifyConflict: a name comes twice. The first one stays; it is told, not believed.
+func (c conflicts) NotifyConflict(has, other *memberlist.Node) {
+	c.m.put(Event{Kind: Namesake, Name: other.Name, Text: fmt.Sprintf("%s and %s", has.Address(), other.Address())})
+}
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,214 @@
+package members
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go4.org/netipx"
+
+	"foxlane/internal/relay"
+)
+
+// free is an address that nobody listens on, for TCP and UDP.
+func free(t *testing.T, i int) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.9.%d.1:0", i+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// member is one with what it has told.
+type member struct {
+	*Members
+	there []string
+	said  []string
+	twins int
+}
+
+func (m *member) drain() {
+	for {
+		e, ok := m.Take()
+		if !ok {
+			return
+		}
+		switch e.Kind {
+		case Joined:
+			m.there = append(m.there, e.Name+"@"+e.Zone)
+		case Left:
+			m.there = slices.DeleteFunc(m.there, func(s string) bool { return strings.HasPrefix(s, e.Name+"@") })
+		case Came:
+			m.said = append(m.said, fmt.Sprintf("%s/%d %s", e.Name, e.Channel, e.Data))
+		case Namesake:
+			m.twins++
+		}
+	}
+}
+
+func begin(t *testing.T, s Settings) *member {
+	t.Helper()
+	s.Fast = true
+	m, err := Start(s, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &member{Members: m}
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Errorf("not within 10 s: %s", what)
+}
+
+// Three find one another by one seed, say something, one dies, and nothing of any is left behind.
+func TestFindAndLose(t *testing.T) {
+	before := runtime.NumGoroutine()
+	var at []netip.AddrPort
+	for i := range 3 {
+		at = append(at, free(t, i))
+	}
+	var all []*member
+	for i := range 3 {
+		all = append(all, begin(t, Settings{Name: fmt.Sprint("n", i), Zone: fmt.Sprint("z", i), Bind: at[i], Seeds: at[:1]}))
+	}
+	until(t, "all know all", func() bool {
+		for _, m := range all {
+			if m.drain(); len(m.there) != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	slices.Sort(all[0].there)
+	if got := fmt.Sprint(all[0].there); got != "[n1@z1 n2@z2]" {
+		t.Errorf("the first knows %s", got)
+	}
+	if err := all[1].Send("n2", 7, []byte("hello")); err != nil {
+		t.Error(err)
+	}
+	if all[1].Send("nobody", 7, nil) == nil || all[1].Send("n2", 7, make([]byte, 2000)) == nil {
+		t.Error("what can't be sent is no error")
+	}
+	until(t, "a datagram", func() bool { all[2].drain(); return slices.Contains(all[2].said, "n1/7 hello") })
+	all[1].Close()
+	until(t, "one that leaves is gone", func() bool {
+		all[0].drain()
+		all[2].drain()
+		return len(all[0].there) == 1 && len(all[2].there) == 1
+	})
+	all[0].Close()
+	all[2].Close()
+	until(t, "all goroutines end", func() bool { return runtime.NumGoroutine() <= before+2 })
+}
+
+// A name that comes twice is told; addresses that may not speak are not heard.
+func TestNamesakesAndStrangers(t *testing.T) {
+	at := []netip.AddrPort{free(t, 10), free(t, 11), free(t, 12)}
+	var b netipx.IPSetBuilder
+	b.AddPrefix(netip.MustParsePrefix("127.9.0.0/16"))
+	b.Remove(at[2].Addr())
+	may, err := b.IPSet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := begin(t, Settings{Name: "n0", Bind: at[0], May: may})
+	defer one.Close()
+	two := begin(t, Settings{Name: "n0", Bind: at[1], Seeds: at[:1], May: may})
+	defer two.Close()
+	third := begin(t, Settings{Name: "n1", Bind: free(t, 13), Seeds: at[:2], May: may})
+	defer third.Close()
+	until(t, "a namesake is told", func() bool { third.drain(); return third.twins > 0 })
+	odd := begin(t, Settings{Name: "n9", Bind: at[2], Seeds: at[:1]})
+	defer odd.Close()
+	until(t, "a stranger is counted", func() bool { return one.Stats().Strangers > 0 })
+	if one.drain(); slices.ContainsFunc(one.there, func(s string) bool { return strings.HasPrefix(s, "n9@") }) {
+		t.Errorf("a stranger is a member: %v", one.there)
+	}
+	if (Settings{Name: "x", Bind: at[2], May: may}).Validate() == nil {
+		t.Error("a member that may not speak itself is valid")
+	}
+}
+
+// Through relays by pair and direction: datagrams are lost and late, all find one another all the same; cut off both ways one is
+// held to be dead, and found again.
+func TestThroughRelays(t *testing.T) {
+	const n = 3
+	at := []netip.AddrPort{free(t, 20), free(t, 21), free(t, 22)}
+	var ways []*relay.Way
+	var all []*member
+	for i := range n {
+		via := map[netip.AddrPort]netip.AddrPort{}
+		for j := range n {
+			if i == j {
+				continue
+			}
+			there, back := relay.NewWay(uint64(i*n+j)), relay.NewWay(uint64(100+i*n+j))
+			p, err := relay.NewPair(fmt.Sprintf("127.9.%d.%d", 40+i, 1+j), at[j].String(), there, back)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer p.Close()
+			via[at[j]] = p.Addr()
+			if i == 2 || j == 2 {
+				ways = append(ways, there, back)
+			}
+			there.Set(relay.Conditions{Loss: 0.2, Delay: 5 * time.Millisecond})
+		}
+		all = append(all, begin(t, Settings{Name: fmt.Sprint("n", i), Bind: at[i], Seeds: at, Via: via}))
+		defer all[i].Close()
+	}
+	know := func(counts ...int) func() bool {
+		return func() bool {
+			for i, m := range all {
+				if m.drain(); len(m.there) != counts[i] {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	until(t, "all know all through relays", know(2, 2, 2))
+	for _, w := range ways {
+		w.Set(relay.Conditions{Cut: true})
+	}
+	until(t, "the third is cut off", know(1, 1, 0))
+	for _, w := range ways {
+		w.Set(relay.Conditions{})
+	}
+	until(t, "and found again", know(2, 2, 2))
+}
+
+// A ring that is full loses what members say, and keeps who comes and goes.
+func TestRingIsBounded(t *testing.T) {
+	m := &Members{ring: make(chan Event, 4), ready: func() {}}
+	for i := range 20 {
+		m.put(Event{Kind: Came, Name: fmt.Sprint(i)})
+	}
+	m.put(Event{Kind: Left, Name: "gone"})
+	got := 0
+	left := false
+	for {
+		e, ok := m.Take()
+		if !ok {
+			break
+		}
+		got++
+		left = left || e.Kind == Left
+	}
+	if got != 4 || !left || m.stats.lost.Load() != 17 {
+		t.Errorf("%d events kept, %d lost, who left among them: %v", got, m.stats.lost.Load(), left)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -403,3 +403,40 @@
 		})
 	}
 }
+
+// Pair is a relay for datagrams and connections alike, on one address.
+type Pair struct {
+	tcp *TCP
+	udp *UDP
+}
+
+const pairTries = 20 // ports that are tried: one must be free for both
+
+// NewPair starts a relay to a target, on a port of an address of this machine.
+func NewPair(host, target string, there, back *Way) (*Pair, error) {
+	var err error
+	for range pairTries {
+		var t *TCP
+		if t, err = NewTCP(host+":0", target, there, back); err != nil {
+			return nil, err
+		}
+		var u *UDP
+		if u, err = NewUDP(t.Addr().String(), target, there, back); err == nil {
+			return &Pair{t, u}, nil
+		}
+		t.Close()
+	}
+	return nil, err
+}
+
+// Addr is where it listens.
+func (p *Pair) Addr() netip.AddrPort { return p.tcp.Addr() }
+
+// Reset ends all connections.
+func (p *Pair) Reset() { p.tcp.Reset() }
+
+// Close ends it.
+func (p *Pair) Close() {
+	p.tcp.Close()
+	p.udp.Close()
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,457 @@
+// Package replica keeps copies of what other gateways have observed, and lets them have ours: (time, event) to effects.
+// Each entry has one writer, the gateway that observed it; a copy is told by a life of that gateway and a counter, so that of
+// two copies one is always the newer, whichever came first and however often. What differs is joined by that rule alone.
+//
+// It owns copies only. It must never do I/O, look at a clock or draw but from its seed, nor decide what an observation means:
+// who takes entries out of it does, and the decision module never leans on one. Ages travel, not wall clocks; what is old is
+// forgotten. With all peers gone nothing here changes but that the copies fade.
+package replica
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"foxlane/internal/window"
+	"foxlane/rules"
+)
+
+// Kind is what an entry tells. Each has its own merge over gateways, at those who read it (see Settings.Keep and the readers).
+type Kind uint8
+
+// Kinds of entries. Subject says of what: an engine's number, a class, a zone, a hash of a tenant.
+const (
+	EngineLoad  Kind = iota + 1 // threads and work of ours on an engine; read: added up over gateways
+	EngineFault                 // 1 while we leave an engine out, 0 since it is well; read: gateways counted
+	ColdSpend                   // work that we sent to a cold engine in this tip window; read: added up
+	ClassUsual                  // ratio of true over told work and usual work of a class, with weights; read: weighted mean
+	Offered                     // work that our clients ask for, in cores; read: added up
+	TenantUse                   // work that a tenant had of us within a span; read: added up
+	Promise                     // until when a tenant was told to stay away; read: the latest
+	ZoneState                   // state of a zone here; read: gateways counted
+	Kinds
+)
+
+func (k Kind) String() string {
+	names := [...]string{"none", "engine load", "engine fault", "cold spend", "class usual", "offered", "tenant use", "promise", "zone state"}
+	if int(k) < len(names) {
+		return names[k]
+	}
+	return fmt.Sprintf("kind %d", uint8(k))
+}
+
+// Key names an entry of one origin.
+type Key struct {
+	Kind    Kind
+	Subject uint64
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Subject, b.Subject))
+}
+
+// Values is how many numbers an entry holds.
+const Values = 4
+
+// Value is what an entry holds.
+type Value [Values]float32
+
+// Entry is one copy.
+type Entry struct {
+	Key
+	Counter uint64 // of its origin when it was written
+	Born    rules.Time
+	Value   Value
+	check   uint32 // sum of what came: bits that flip later don't fit it
+}
+
+// Settings bound a replica.
+type Settings struct {
+	Name    string            // ours
+	Zone    string            // ours: a peer of it is asked first for a snapshot
+	Life    uint64            // of this process: later ones have larger numbers
+	Keep    [Kinds]rules.Time // how old a copy may get
+	Step    [Kinds]float32    // a value that differs by less, as a part, is not told anew before Refresh
+	Refresh rules.Time        // after which an entry is told anew though nothing has changed
+	Budget  int               // bytes that we send a second
+	Tick    rules.Time        // between two rounds of gossip
+	Digest  rules.Time        // between two digests
+	Fanout  int               // peers that a round reaches
+	Most    int               // entries kept of one origin
+	Origins int               // origins kept
+	Chunk   int               // bytes of a message, at most
+	Seed    uint64
+}
+
+// Defaults are for gateways of one fleet on a local network.
+func Defaults() Settings {
+	s := Settings{Refresh: 5 * rules.Second, Budget: 20_000, Tick: 200 * rules.Millisecond, Digest: rules.Second, Fanout: 3,
+		Most: 256, Origins: 512, Chunk: 1200}
+	for k := range s.Keep {
+		s.Keep[k], s.Step[k] = 15*rules.Second, 0.2
+	}
+	s.Keep[ColdSpend], s.Keep[EngineLoad] = 4*rules.Second, 10*rules.Second
+	s.Keep[ClassUsual] = 10 * 60 * rules.Second
+	s.Keep[Promise] = 60 * rules.Second
+	return s
+}
+
+// Validate says what can't be used.
+func (s Settings) Validate() error {
+	switch {
+	case s.Name == "" || len(s.Name) > maxName || len(s.Zone) > maxName:
+		return fmt.Errorf("replica: name %q must have 1 to %d bytes, zone %q at most that", s.Name, maxName, s.Zone)
+	case s.Budget < 1000 || s.Tick <= 0 || s.Digest < s.Tick || s.Refresh <= 0:
+		return errors.New("replica: budget must be at least 1000 bytes a second, tick over 0, digest at least a tick, refresh over 0")
+	case s.Fanout < 1 || s.Most < 1 || s.Origins < 1 || s.Chunk < 256 || s.Chunk > maxMessage:
+		return fmt.Errorf("replica: fanout, entries and origins must be at least 1, a message within 256 and %d bytes", maxMessage)
+	}
+	return nil
+}
+
+// EventKind is what an Event tells.
+type EventKind int
+
+// Kinds of events.
+const (
+	Joined EventKind = iota + 1 // a member is there: Member
+	Left                        // or has gone
+	Came                        // Data came from a member
+	Tick                        // time has passed
+)
+
+// Member is another gateway.
+type Member struct {
+	Name, Zone string
+}
+
+// Event is something that happened.
+type Event struct {
+	Kind   EventKind
+	Member Member
+	Data   []byte // with Came; it is copied
+}
+
+// EffectKind is what an Effect asks for.
+type EffectKind int
+
+// Kinds of effects.
+const (
+	Send   EffectKind = iota + 1 // send Data to a member, as a datagram
+	Heard                        // an entry of Origin is new or newer here: Entry; its Born is on our clock
+	Forgot                       // an entry of Origin has grown old or its origin has a new life
+	Refuse                       // what came can't be used: Err, from Origin
+)
+
+// Effect is something to do. Data is valid until the next Handle.
+type Effect struct {
+	Kind   EffectKind
+	To     string
+	Data   []byte
+	Origin string
+	Entry  Entry
+	Err    error
+}
+
+// origin is what is held of one gateway.
+type origin struct {
+	name    string
+	life    uint64
+	counter uint64 // all entries up to it are here
+	entries map[Key]*Entry
+	hot     []hot      // told on, for some rounds
+	gone    rules.Time // when it left; 0: it has not
+}
+
+// hot is an entry that is still passed on.
+type hot struct {
+	key    Key
+	rounds int
+}
+
+// Stats are counts since the start, and sizes now.
+type Stats struct {
+	Sent, Received   int // bytes
+	Messages         int // sent
+	New, Old         int // entries that came: news, and those that were here
+	Refused          int // messages
+	Mended           int // origins whose copy did not agree and was fetched again
+	Held             int // rounds in which the budget was used up
+	Entries, Origins int
+	Members          int
+	Lag              rules.Time // for how long somebody has known more than we have; 0: nobody does
+	Given            int        // parts of snapshots
+}
+
+// Replica is the copies of one gateway.
+type Replica struct {
+	set     Settings
+	rng     *rand.Rand
+	now     rules.Time
+	own     *origin
+	origins map[string]*origin
+	names   []string   // of origins, sorted: what is sent follows from the seed
+	members []Member   // sorted by name
+	behind  rules.Time // since when somebody has told of more than we have; 0: nobody has
+	spent   window.Sum // bytes
+	aged    rules.Time // when we last looked for what is old
+	tickAt  rules.Time
+	digest  rules.Time
+	rowsAt  int  // origin at which the next digest begins
+	scrubAt int  // and the next look for flipped bits
+	whole   bool // a snapshot was taken
+	cursor  snapshotCursor
+	stale   []Key // scratch
+	effects []Effect
+	buf     []byte
+	stats   Stats
+}
+
+// New returns the copies of a gateway that has just started: none.
+func New(set Settings, now rules.Time) *Replica {
+	r := &Replica{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0xd1b54a32d192ed03)), now: now, origins: map[string]*origin{},
+		spent: window.Sum{Span: rules.Second}}
+	r.own = r.origin(set.Name)
+	r.own.life = set.Life
+	return r
+}
+
+func (r *Replica) origin(name string) *origin {
+	o := r.origins[name]
+	if o == nil {
+		o = &origin{name: name, entries: map[Key]*Entry{}}
+		r.origins[name] = o
+		i, _ := slices.BinarySearch(r.names, name)
+		r.names = slices.Insert(r.names, i, name)
+	}
+	return o
+}
+
+func (r *Replica) drop(o *origin) {
+	for _, k := range sortedKeys(o.entries) {
+		r.forget(o, k)
+	}
+	delete(r.origins, o.name)
+	if i, ok := slices.BinarySearch(r.names, o.name); ok {
+		r.names = slices.Delete(r.names, i, i+1)
+	}
+}
+
+func sortedKeys(m map[Key]*Entry) []Key {
+	keys := make([]Key, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
+// Handle takes one event and returns what to do. The result is valid until the next call.
+func (r *Replica) Handle(now rules.Time, e Event) []Effect {
+	r.effects = r.effects[:0]
+	r.now = max(r.now, now)
+	r.age() // first: what has grown old while we stood still must not be acted on
+	switch e.Kind {
+	case Joined:
+		r.join(e.Member)
+	case Left:
+		r.leave(e.Member.Name)
+	case Came:
+		r.came(e.Member.Name, e.Data)
+	case Tick:
+		r.tick()
+	}
+	return r.effects
+}
+
+func (r *Replica) do(e Effect) { r.effects = append(r.effects, e) }
+
+// ---- our own entries
+
+// Put writes an entry of ours. It is told on if it is new, differs by the kind's step, or has not been told for Refresh.
+func (r *Replica) Put(now rules.Time, k Key, v Value) {
+	r.now = max(r.now, now)
+	o := r.own
+	e := o.entries[k]
+	if e != nil && r.now-e.Born < r.set.Refresh && near(e.Value, v, r.set.Step[k.Kind]) {
+		return
+	}
+	if e == nil {
+		if len(o.entries) >= r.set.Most {
+			return // bounded: what is written first stays, and ages
+		}
+		e = &Entry{Key: k}
+		o.entries[k] = e
+	} else if r.now-e.Born < r.quiet(k.Kind) {
+		return
+	}
+	o.counter++
+	e.Counter, e.Born, e.Value = o.counter, r.now, v
+	e.check = e.sumOf(o.name)
+	r.heat(o, k)
+}
+
+// quiet is for how long an entry is not told anew, however it changes: where hundreds tell, all of it must fit what one may send.
+// What others act on at once is told at once.
+func (r *Replica) quiet(k Kind) rules.Time {
+	if k == EngineFault || k == ZoneState || k == Promise {
+		return 0
+	}
+	return rules.Time(float64(len(r.members)*r.set.Fanout*entrySize) / float64(r.set.Budget) * float64(rules.Second))
+}
+
+func near(a, b Value, step float32) bool {
+	for i := range a {
+		d := a[i] - b[i]
+		if d < 0 {
+			d = -d
+		}
+		if d > step*max(a[i], b[i], -a[i], -b[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// ---- members
+
+func (r *Replica) join(m Member) {
+	if m.Name == r.set.Name {
+		return
+	}
+	i, ok := slices.BinarySearchFunc(r.members, m.Name, func(a Member, n string) int { return cmp.Compare(a.Name, n) })
+	if ok {
+		r.members[i] = m
+		return
+	}
+	r.members = slices.Insert(r.members, i, m)
+	if o := r.origins[m.Name]; o != nil {
+		o.gone = 0
+	}
+}
+
+// leave: what it observed fades; its life and counter are kept as a tombstone until all copies of it must have faded, so that
+// late messages can't bring them back.
+func (r *Replica) leave(name string) {
+	i, ok := slices.BinarySearchFunc(r.members, name, func(a Member, n string) int { return cmp.Compare(a.Name, n) })
+	if !ok {
+		return
+	}
+	r.members = slices.Delete(r.members, i, i+1)
+	if o := r.origins[name]; o != nil && o != r.own {
+		o.gone = max(r.now, 1)
+	}
+	if r.cursor.from == name {
+		r.cursor = snapshotCursor{}
+	}
+}
+
+// Members tells who is there, sorted by name.
+func (r *Replica) Members() []Member { return r.members }
+
+func (r *Replica) member(name string) bool {
+	_, ok := slices.BinarySearchFunc(r.members, name, func(a Member, n string) int { return cmp.Compare(a.Name, n) })
+	return ok
+}
+
+// ---- reading
+
+// Each calls for all entries of a kind, of all gateways but us, in the order of origin and subject.
+func (r *Replica) Each(k Kind, do func(origin string, e *Entry)) {
+	for _, name := range r.names {
+		o := r.origins[name]
+		if o == r.own {
+			continue
+		}
+		for _, key := range sortedKeys(o.entries) {
+			if key.Kind == k {
+				do(name, o.entries[key])
+			}
+		}
+	}
+}
+
+// Copy is what is held of one origin, for operators.
+type Copy struct {
+	Origin  string
+	Life    uint64
+	Counter uint64
+	Gone    bool
+	Entries []Entry // sorted by kind and subject
+}
+
+// Copies tells all that is held, sorted by origin.
+func (r *Replica) Copies() []Copy {
+	out := make([]Copy, 0, len(r.names))
+	for _, name := range r.names {
+		o := r.origins[name]
+		c := Copy{Origin: name, Life: o.life, Counter: o.counter, Gone: o.gone != 0}
+		for _, k := range sortedKeys(o.entries) {
+			c.Entries = append(c.Entries, *o.entries[k])
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// Stats tells what was done since the start.
+func (r *Replica) Stats() Stats {
+	s := r.stats
+	s.Members, s.Origins = len(r.members), len(r.names)
+	for _, o := range r.origins {
+		s.Entries += len(o.entries)
+	}
+	if r.behind != 0 {
+		s.Lag = r.now - r.behind
+	}
+	return s
+}
+
+// ---- ageing
+
+// age forgets what has grown old.
+func (r *Replica) age() {
+	if r.now-r.aged < r.set.Tick {
+		return
+	}
+	r.aged = r.now
+	for i := 0; i < len(r.names); i++ {
+		o := r.origins[r.names[i]]
+		for k, e := range o.entries {
+			if r.now-e.Born > r.set.Keep[k.Kind] {
+				r.stale = append(r.stale, k)
+			}
+		}
+		if len(r.stale) > 0 {
+			slices.SortFunc(r.stale, compareKeys)
+			for _, k := range r.stale {
+				r.forget(o, k)
+			}
+			r.stale = r.stale[:0]
+		}
+		if o != r.own && o.gone != 0 && r.now-o.gone > 2*r.longest() {
+			r.drop(o)
+			i--
+		}
+	}
+}
+
+func (r *Replica) longest() (most rules.Time) {
+	for _, k := range r.set.Keep {
+		most = max(most, k)
+	}
+	return most
+}
+
+func (r *Replica) forget(o *origin, k Key) {
+	e := o.entries[k]
+	if e == nil {
+		return
+	}
+	delete(o.entries, k)
+	if o != r.own {
+		r.do(Effect{Kind: Forgot, Origin: o.name, Entry: *e})
+	}
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,421 @@
+package replica_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"foxlane/internal/emu"
+	. "foxlane/internal/replica"
+	"foxlane/rules"
+)
+
+const (
+	ms     = rules.Millisecond
+	second = rules.Second
+	start  = 1000 * second
+)
+
+// keep is how old copies may get in tests: those that compare copies end before any is old.
+var keep = func() (k [Kinds]rules.Time) {
+	for i := range k {
+		k[i] = 50 * second
+	}
+	return k
+}()
+
+// club is some members that know one another.
+type club struct {
+	*emu.Talk
+	all map[string]*emu.Copier
+}
+
+func name(i int) string { return fmt.Sprintf("n%03d", i) }
+
+func set(i int, life uint64) Settings {
+	s := Defaults()
+	s.Name, s.Zone, s.Life, s.Seed = name(i), fmt.Sprint("hall-", i%3), life, uint64(i)*7919+life
+	s.Keep = keep
+	return s
+}
+
+func newClub(n int, m emu.TalkModel, seed uint64) *club {
+	c := &club{Talk: emu.NewTalk(m, Defaults().Tick, start, seed), all: map[string]*emu.Copier{}}
+	for i := range n {
+		c.start(i, 1)
+	}
+	return c
+}
+
+// start starts a member, or starts it again: all hear of it, and it of all.
+func (c *club) start(i int, life uint64) {
+	s := set(i, life)
+	m := &emu.Copier{Replica: New(s, c.Now)}
+	for _, n := range c.Names() {
+		if o := c.all[n]; n != s.Name && o != nil {
+			o.Meet(c.Now, Member{Name: s.Name, Zone: s.Zone})
+			m.Meet(c.Now, Member{Name: n, Zone: "hall-x"})
+		}
+	}
+	c.all[s.Name] = m
+	c.Add(s.Name, m)
+}
+
+func (c *club) put(i int, k Kind, subject uint64, v float32) {
+	c.all[name(i)].Replica.Put(c.Now, Key{Kind: k, Subject: subject}, Value{v})
+}
+
+// knows answers how many members hold a value of a member's.
+func (c *club) knows(of int, k Kind, subject uint64, v float32) (n int) {
+	for _, m := range c.all {
+		m.Replica.Each(k, func(origin string, e *Entry) {
+			if origin == name(of) && e.Subject == subject && e.Value[0] == v {
+				n++
+			}
+		})
+	}
+	return n
+}
+
+// agree answers which two members hold differing copies, by life, counter and value.
+func (c *club) agree() error {
+	type held struct {
+		life, counter uint64
+		value         Value
+	}
+	var first map[string]held
+	for _, n := range c.Names() {
+		mine := map[string]held{}
+		for _, cp := range c.all[n].Replica.Copies() {
+			mine[cp.Origin] = held{cp.Life, cp.Counter, Value{}}
+			for _, e := range cp.Entries {
+				mine[fmt.Sprint(cp.Origin, e.Key)] = held{cp.Life, e.Counter, e.Value}
+			}
+		}
+		if first == nil {
+			first = mine
+		} else if !reflect.DeepEqual(first, mine) {
+			for k, v := range first {
+				if mine[k] != v {
+					return fmt.Errorf("%s and %s differ in %s: %v, %v", c.Names()[0], n, k, v, mine[k])
+				}
+			}
+			return fmt.Errorf("%s holds more than %s", n, c.Names()[0])
+		}
+	}
+	return nil
+}
+
+// News reach all, through losses, delays, doubles and the wrong order.
+func TestNewsReachAll(t *testing.T) {
+	for _, m := range []emu.TalkModel{{Least: ms, Most: 5 * ms}, {Loss: 0.3, Double: 0.2, Least: ms, Most: 300 * ms}} {
+		c := newClub(5, m, 3)
+		c.Run(start + 3*second)
+		c.put(2, EngineFault, 77, 1)
+		c.Run(c.Now + 2*second)
+		if n := c.knows(2, EngineFault, 77, 1); n != 4 {
+			t.Errorf("%+v: %d of 4 know after 2 s", m, n)
+		}
+	}
+}
+
+// Late messages, partitions into two and three, one-way cuts and a member that starts anew: once ways are whole all copies agree.
+func TestCopiesAgreeAfterHealing(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		c := newClub(6, emu.TalkModel{Loss: 0.2, Double: 0.1, Least: ms, Most: 2 * second}, seed)
+		lives := map[int]uint64{}
+		for range 12 {
+			switch rng.IntN(6) {
+			case 0:
+				c.Split(func(n string) int { return int(n[3]) % 2 })
+			case 1:
+				c.Split(func(n string) int { return int(n[3]) % 3 })
+			case 2:
+				c.Cut(name(rng.IntN(6)), name(rng.IntN(6)), true)
+			case 3:
+				i := rng.IntN(6)
+				lives[i]++
+				c.Remove(name(i))
+				c.start(i, 1+lives[i])
+			case 4:
+				c.Freeze(name(rng.IntN(6)), rng.IntN(2) == 0)
+			}
+			for range 4 {
+				c.put(rng.IntN(6), Kind(1+rng.IntN(int(Kinds)-1)), uint64(rng.IntN(4)), rng.Float32())
+			}
+			c.Run(c.Now + rules.Time(rng.IntN(3000))*ms)
+		}
+		for i := range 6 {
+			c.Freeze(name(i), false)
+		}
+		c.Split(func(string) int { return 0 })
+		c.Model = emu.TalkModel{Least: ms, Most: 20 * ms}
+		c.Run(c.Now + 8*second)
+		if err := c.agree(); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+// Joining is commutative, associative and idempotent: whatever order messages come in, and however often, the copies are the same.
+func TestJoinIsALattice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// Messages of three writers, of two lives each, recorded as they were sent.
+		var sent [][2]any
+		say := func(from string) func(string, []byte) {
+			return func(_ string, data []byte) { sent = append(sent, [2]any{from, append([]byte(nil), data...)}) }
+		}
+		for i := range 3 {
+			for life := range uint64(2) {
+				w := &emu.Copier{Replica: New(set(i, life+1), start)}
+				w.Meet(start, Member{Name: "reader"})
+				now := rules.Time(start)
+				for range rapid.IntRange(0, 5).Draw(t, "writes") {
+					w.Replica.Put(now, Key{Kind: Kind(rapid.IntRange(1, 3).Draw(t, "kind")), Subject: uint64(rapid.IntRange(0, 2).Draw(t, "subject"))},
+						Value{float32(rapid.IntRange(1, 99).Draw(t, "value"))})
+					now += 200 * ms
+					w.Tick(now, say(name(i)))
+				}
+			}
+		}
+		read := func(order []int) []Copy {
+			r := &emu.Copier{Replica: New(Settings{}, start)}
+			s := set(9, 1)
+			s.Name = "reader"
+			r.Replica = New(s, start)
+			for i := range 3 {
+				r.Meet(start, Member{Name: name(i)})
+			}
+			for _, i := range order {
+				r.Hear(start+2*second, sent[i][0].(string), sent[i][1].([]byte), func(string, []byte) {})
+			}
+			out := r.Replica.Copies()
+			for i := range out {
+				out[i].Counter = 0 // how much is known to be whole depends on the order; what is held does not
+			}
+			return out
+		}
+		once := make([]int, len(sent))
+		for i := range once {
+			once[i] = i
+		}
+		order := rapid.Permutation(once).Draw(t, "order")
+		for range rapid.IntRange(0, 4).Draw(t, "doubles") {
+			if len(order) > 0 {
+				order = append(order, order[rapid.IntRange(0, len(order)-1).Draw(t, "double")])
+			}
+		}
+		if a, b := read(once), read(order); !reflect.DeepEqual(a, b) {
+			t.Fatalf("in order %+v\nas %v %+v", a, order, b)
+		}
+	})
+}
+
+// A member that was away for a minute, or starts anew, has all within 3 s, and nobody sends more than the budget within a second.
+func TestCatchUp(t *testing.T) {
+	c := newClub(40, emu.TalkModel{Loss: 0.05, Least: ms, Most: 20 * ms}, 5)
+	write := func() {
+		for i := range 40 {
+			for s := range 6 {
+				c.put(i, TenantUse, uint64(s), float32(c.Now/second%1000))
+			}
+		}
+	}
+	for range 10 {
+		write()
+		c.Run(c.Now + second)
+	}
+	c.Freeze(name(7), true)
+	for range 60 {
+		write()
+		c.Run(c.Now + second)
+	}
+	c.Freeze(name(7), false)
+	c.Remove(name(8))
+	c.start(8, 2)
+	c.Run(c.Now + 3*second)
+	for _, i := range []int{7, 8} {
+		have, all := 0, 0
+		for _, cp := range c.all[name(1)].Replica.Copies() {
+			for _, e := range cp.Entries {
+				if cp.Origin == name(i) || e.Kind != TenantUse {
+					continue
+				}
+				all++
+				c.all[name(i)].Replica.Each(TenantUse, func(origin string, o *Entry) {
+					if origin == cp.Origin && o.Subject == e.Subject && o.Counter+2 >= e.Counter {
+						have++
+					}
+				})
+			}
+		}
+		if all < 200 || have < all*95/100 {
+			t.Errorf("%s has %d of %d entries 3 s after it came back", name(i), have, all)
+		}
+	}
+	for n, peak := range c.Peak {
+		if peak > Defaults().Budget*11/10 { // the window's second is not the clock's
+			t.Errorf("%s sent %d bytes within a second", n, peak)
+		}
+	}
+}
+
+// What has grown old is gone before anything else is done: a process that stood still acts on nothing old.
+func TestNothingOldAfterAFreeze(t *testing.T) {
+	c := newClub(3, emu.TalkModel{Least: ms, Most: 5 * ms}, 1)
+	c.put(0, EngineFault, 5, 1)
+	c.Run(start + 2*second)
+	if c.knows(0, EngineFault, 5, 1) != 2 {
+		t.Fatal("not known at first")
+	}
+	r := c.all[name(1)].Replica
+	acted := 0
+	r.Handle(c.Now+60*second, Event{Kind: Tick})
+	r.Each(EngineFault, func(string, *Entry) { acted++ })
+	if acted != 0 {
+		t.Error("an entry of a minute ago is still there")
+	}
+	if r.Stats().Entries != 0 {
+		t.Errorf("%d entries held", r.Stats().Entries)
+	}
+}
+
+// A later life of a member takes the place of an earlier one, and messages of the earlier one that come late change nothing.
+func TestLaterLifeWins(t *testing.T) {
+	var late [][]byte
+	old := &emu.Copier{Replica: New(set(1, 1), start)}
+	old.Meet(start, Member{Name: name(0)})
+	old.Replica.Put(start, Key{Kind: ZoneState, Subject: 1}, Value{1})
+	old.Tick(start+ms, func(_ string, d []byte) { late = append(late, append([]byte(nil), d...)) })
+	r := &emu.Copier{Replica: New(set(0, 1), start)}
+	r.Meet(start, Member{Name: name(1)})
+	again := &emu.Copier{Replica: New(set(1, 2), start)}
+	again.Meet(start, Member{Name: name(0)})
+	again.Replica.Put(start, Key{Kind: ZoneState, Subject: 1}, Value{2})
+	again.Tick(start+ms, func(_ string, d []byte) { r.Hear(start+ms, name(1), d, func(string, []byte) {}) })
+	for _, d := range late {
+		r.Hear(start+2*ms, name(1), d, func(string, []byte) {})
+	}
+	if len(late) == 0 {
+		t.Fatal("the earlier life said nothing")
+	}
+	n := 0
+	r.Replica.Each(ZoneState, func(_ string, e *Entry) {
+		if n++; e.Value[0] != 2 {
+			t.Errorf("the earlier life's %v stands", e.Value)
+		}
+	})
+	if n != 1 {
+		t.Errorf("%d entries", n)
+	}
+}
+
+// Another process with our name is told, not believed; strangers, garbage and what was changed on its way count for nothing.
+func TestRefused(t *testing.T) {
+	r := &emu.Copier{Replica: New(set(0, 5), start)}
+	r.Meet(start, Member{Name: name(1)})
+	r.Replica.Put(start, Key{Kind: Offered}, Value{3})
+	var msg []byte
+	w := &emu.Copier{Replica: New(set(1, 1), start)}
+	w.Meet(start, Member{Name: name(0)})
+	w.Replica.Put(start, Key{Kind: Offered}, Value{4})
+	w.Tick(start+ms, func(_ string, d []byte) {
+		if msg == nil {
+			msg = append([]byte(nil), d...)
+		}
+	})
+	say := func(string, []byte) {}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range msg {
+		bad := append([]byte(nil), msg...)
+		bad[i] ^= 1 << rng.IntN(8)
+		r.Hear(start, name(1), bad, say)
+		r.Hear(start, name(1), msg[:i], say)
+	}
+	r.Hear(start, name(2), msg, say)
+	r.Hear(start, name(1), make([]byte, 64<<10), say)
+	if got := r.Replica.Stats().Entries; got != 1 {
+		t.Errorf("%d entries held, of which one is ours", got)
+	}
+	if want := 2*len(msg) + 2; len(r.Refused) != want {
+		t.Errorf("%d of %d messages were refused", len(r.Refused), want)
+	}
+	twin := &emu.Copier{Replica: New(set(0, 6), start)}
+	twin.Meet(start, Member{Name: name(1)})
+	twin.Replica.Put(start, Key{Kind: Offered}, Value{9})
+	twin.Tick(start+ms, func(_ string, d []byte) { w.Hear(start+ms, name(0), d, say) })
+	r.Refused = nil
+	for tick := range rules.Time(20) {
+		w.Tick(start+2*second+tick*second, func(to string, d []byte) { r.Hear(start+3*second+tick*second, name(1), d, say) })
+	}
+	told := false
+	for _, err := range r.Refused {
+		told = told || err.Error() == "replica: another process has our name"
+	}
+	if !told {
+		t.Errorf("a namesake is not told of: %v", r.Refused)
+	}
+	future := append([]byte(nil), msg...)
+	future[3] = 9
+	r.Refused = nil
+	r.Hear(start, name(1), future, say)
+	var v VersionError
+	if len(r.Refused) != 1 || !errors.As(r.Refused[0], &v) || v.Version != 9 {
+		t.Errorf("a peer of version 9: %v", r.Refused)
+	}
+}
+
+// Whatever comes, nothing panics, and what is held stays within its bounds.
+func FuzzCame(f *testing.F) {
+	w := &emu.Copier{Replica: New(set(1, 1), start)}
+	w.Meet(start, Member{Name: name(0)})
+	for s := range 5 {
+		w.Replica.Put(start, Key{Kind: TenantUse, Subject: uint64(s)}, Value{4, 5})
+	}
+	for tick := range rules.Time(8) {
+		w.Tick(start+tick*second, func(_ string, d []byte) { f.Add(append([]byte(nil), d...)) })
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := set(0, 1)
+		s.Most, s.Origins = 4, 3
+		r := New(s, start)
+		r.Handle(start, Event{Kind: Joined, Member: Member{Name: name(1)}})
+		r.Handle(start, Event{Kind: Came, Member: Member{Name: name(1)}, Data: data})
+		r.Handle(start+second, Event{Kind: Tick})
+		if st := r.Stats(); st.Entries > 12 || st.Origins > 3 {
+			t.Errorf("%+v", st)
+		}
+	})
+}
+
+// Nothing is left of members that have gone, once all copies of theirs must have faded; sizes stay bounded under constant churn.
+func TestNothingIsLeftOfWhoHasGone(t *testing.T) {
+	s := set(0, 1)
+	for k := range s.Keep {
+		s.Keep[k] = 2 * second
+	}
+	s.Origins = 20
+	r := &emu.Copier{Replica: New(s, start)}
+	now := rules.Time(start)
+	for i := 1; i < 400; i++ {
+		w := &emu.Copier{Replica: New(set(i, 1), now)}
+		w.Meet(now, Member{Name: name(0)})
+		r.Meet(now, Member{Name: name(i)})
+		w.Replica.Put(now, Key{Kind: Offered}, Value{4})
+		w.Tick(now, func(_ string, d []byte) { r.Hear(now, name(i), d, func(string, []byte) {}) })
+		r.Part(now, name(i))
+		now += 300 * ms
+		if st := r.Replica.Stats(); st.Origins > 20 || st.Entries > 20 {
+			t.Fatalf("after %d came and went: %+v", i, st)
+		}
+	}
+	r.Tick(now+10*second, func(string, []byte) {})
+	if st := r.Replica.Stats(); st.Origins != 1 || st.Entries != 0 {
+		t.Errorf("left: %+v", st)
+	}
+}
--- a/internal/zones/route.go
+++ b/internal/zones/route.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 
+	"foxlane/internal/window"
 	"foxlane/rules"
 )
 
@@ -79,7 +80,7 @@
 		z.count.Spilled++
 	}
 	if z.limited(i) {
-		e.spill.add(z.now, work)
+		e.spill.sent.Add(z.now, work)
 	}
 }
 
@@ -91,43 +92,18 @@
 
 // ---- the limit of spill
 
-// spill is what we have sent to a foreign zone within the last span, in microseconds of work, by step of it.
+// spill is what we have sent to a foreign zone within the last span, in microseconds of work.
 type spill struct {
 	whole float64 // our part of what foreign load may take there within a span
-	steps [spillSteps + 1]float64
-	at    rules.Time // the step that is filled, counted from the start of time
+	sent  window.Sum
 }
 
 const (
 	spillSpan   = rules.Second // over which a limit of spill holds: what is not used within it is not saved up
-	spillSteps  = 10
-	overflow    = 0.2 // of what a gateway may spill whose zone is away, for one whose zone is only full
-	spillChance = 3.0 // deviations of chance by which what gateways send by lot must stay under a limit
+	overflow    = 0.2          // of what a gateway may spill whose zone is away, for one whose zone is only full
+	spillChance = 3.0          // deviations of chance by which what gateways send by lot must stay under a limit
 )
 
-// forward moves the window up to now.
-func (s *spill) forward(now rules.Time) {
-	step := now / (spillSpan / spillSteps)
-	for n := min(step-s.at, rules.Time(len(s.steps))); n > 0; n-- {
-		copy(s.steps[1:], s.steps[:])
-		s.steps[0] = 0
-	}
-	s.at = max(s.at, step)
-}
-
-func (s *spill) add(now rules.Time, work float64) {
-	s.forward(now)
-	s.steps[0] += work
-}
-
-func (s *spill) sum(now rules.Time) (sum float64) {
-	s.forward(now)
-	for _, w := range s.steps {
-		sum += w
-	}
-	return sum
-}
-
 // limited answers whether the limit of spill holds for our load in a zone. It does not in our own, nor where nobody is at home,
 // nor for a gateway whose own zone never had an engine: it has nowhere else to go.
 func (z *Zones) limited(i int) bool {
@@ -181,7 +157,7 @@
 		return true
 	}
 	s := &z.all[i].spill
-	spent := s.sum(z.now)
+	spent := s.sent.Now(z.now)
 	if spent+work <= s.whole {
 		return true
 	}
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -197,8 +197,12 @@
 // to 1 that differs from gateway to gateway.
 func New(set Settings, fleet Fleet, now rules.Time) *Zones {
 	fleet.Gateways = max(fleet.Gateways, 1)
-	return &Zones{set: set, fleet: fleet, own: fleet.Own, jitter: fleet.Jitter, all: make([]zone, fleet.Zones), now: now,
+	z := &Zones{set: set, fleet: fleet, own: fleet.Own, jitter: fleet.Jitter, all: make([]zone, fleet.Zones), now: now,
 		demand: newDemand(fleet)}
+	for i := range z.all {
+		z.all[i].spill.sent.Span = spillSpan
+	}
+	return z
 }
 
 // Retune goes over to other settings; states, ramps and penalties go on under them.
