Talk among gateways: failures, zones and classes are heard of, and looked at by each

Copies and membership were there and not wired. A gateway that hears that others leave an engine out should find out sooner, and nobody's word may act by itself.

internal/hearsay decides what is told and what is made of it: an engine or a zone that two others hold to have failed is probed by us, and only what the probe says counts (a probe for hearsay that nobody answers is a failure of ours); classes are taught once, after a start, by the middle half of others; what others sent a cold engine counts against its budget. internal/gateway/peers.go joins it in one place, with questions of operators (foxlane members, foxlane replica diff); internal/net/talk.go sends and hears through bounded rings; block `members`, off without it, switched by SIGHUP. The rig puts a relay between each two gateways (talk = true; faults hush, link, cut by name).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"foxlane/internal/dns"
 	"foxlane/internal/door"
 	"foxlane/internal/spool"
+	"foxlane/internal/zones"
 	"foxlane/rules"
 )
 
@@ -41,6 +42,8 @@
 	Reload                          // the configuration was read again
 	Shelved                         // the spool's disk has done what it was asked for
 	Drained                         // a connection that was watched has taken all that was written to it
+	Peer                            // something has happened among the members
+	Inquiry                         // an operator's command asks something
 )
 
 // Event is something that happened outside. Data is valid during the call only.
@@ -54,6 +57,7 @@
 
 	Config *config.Config // with Reload: what holds from now on
 	Spool  []spool.Event  // with Shelved
+	Peer   *PeerEvent     // with Peer; Data is what a member said
 }
 
 // EffectKind is what an Effect asks for.
@@ -61,16 +65,20 @@
 
 // Kinds of effects.
 const (
-	Write EffectKind = iota + 1 // send Data on a connection
-	Close                       // close a connection once what was written is sent
-	Dial                        // connect to Addr within Wait
-	Query                       // send Data to the name service
-	Names                       // the name service is at Addr now
-	Arm                         // wake the reducer at At, and at no earlier time
-	Log                         // note Text
-	Exit                        // all is answered: end the process
-	Disk                        // carry Spool out on the spool's disk; its data stays as it is until it is answered
-	Watch                       // tell Drained once all that was written on a connection is taken
+	Write  EffectKind = iota + 1 // send Data on a connection
+	Close                        // close a connection once what was written is sent
+	Dial                         // connect to Addr within Wait
+	Query                        // send Data to the name service
+	Names                        // the name service is at Addr now
+	Arm                          // wake the reducer at At, and at no earlier time
+	Log                          // note Text
+	Exit                         // all is answered: end the process
+	Disk                         // carry Spool out on the spool's disk; its data stays as it is until it is answered
+	Watch                        // tell Drained once all that was written on a connection is taken
+	Tell                         // send Data to the member To on Channel; it may be lost
+	Talk                         // begin to look for members, as the configuration has it now
+	Hush                         // leave them
+	Answer                       // Data answers the Inquiry of Conn
 )
 
 // Level is the weight of a log line.
@@ -101,6 +109,9 @@
 	Text  string
 	Attrs []Attr
 	Spool spool.Effect
+
+	To      string
+	Channel byte
 }
 
 // Gateway is the reducer.
@@ -143,9 +154,11 @@
 	asked    [64]uint16 // ids of the latest queries
 	askedNum int
 
-	shelf *shelf // nil: no spool is set, results are passed on at once
-	gate  *gate  // nil: the door is off, all requests go to the module at once
-	sites *sites // nil: no plan for the loss of a zone is set
+	shelf *shelf              // nil: no spool is set, results are passed on at once
+	gate  *gate               // nil: the door is off, all requests go to the module at once
+	sites *sites              // nil: no plan for the loss of a zone is set
+	seen  []zones.EngineSight // scratch
+	peers *peers              // nil: other gateways are not talked to
 
 	stats    stats
 	stopping bool
@@ -193,6 +206,7 @@
 	if g.sites != nil {
 		g.planZones()
 	}
+	g.beginPeers()
 	g.applyList(cfg.Known.Engines, rules.ListSaved)
 	g.poll()
 	g.timers.add(timer{at: now + g.lim.Sweep, kind: timerSweep})
@@ -241,6 +255,10 @@
 		if c := g.clients[e.Conn]; c != nil {
 			g.drained(c)
 		}
+	case Peer:
+		g.peer(e)
+	case Inquiry:
+		g.inquire(e)
 	}
 }
 
@@ -331,6 +349,7 @@
 	timerStats
 	timerWhole
 	timerKept
+	timerPeers
 )
 
 type timer struct {
@@ -412,6 +431,8 @@
 			g.timers.add(timer{at: g.now + g.lim.Sweep, kind: timerSweep})
 		case timerPoll:
 			g.poll()
+		case timerPeers:
+			g.tickPeers()
 		case timerStop:
 			g.lingered = true
 		case timerStats:
@@ -507,6 +528,7 @@
 	g.cfg = *cfg
 	g.retuneGate()
 	g.retuneSites()
+	g.retunePeers()
 	if g.shelf != nil {
 		budget := cfg.Site.Spool.Budget
 		g.atShelf(spool.Event{Kind: spool.Retune, Budget: &budget})
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -33,6 +33,7 @@
 	link   *link
 	tag    string
 	at     rules.Time
+	doubt  bool // others say that the engine fails
 	done   bool
 }
 
@@ -322,13 +323,16 @@
 
 // ---- probes
 
-func (g *Gateway) probe(id rules.EngineID) {
+func (g *Gateway) probe(id rules.EngineID) { g.probeFor(id, false) }
+
+// probeFor asks an engine for its health, with doubt because others say that it fails.
+func (g *Gateway) probeFor(id rules.EngineID, doubt bool) {
 	e := g.engines[id]
 	if e == nil {
 		return
 	}
 	g.lastTag++
-	p := &probe{engine: e, tag: "p" + strconv.FormatUint(g.lastTag, 10), at: g.now, link: g.linkFor(e, nil)}
+	p := &probe{engine: e, doubt: doubt, tag: "p" + strconv.FormatUint(g.lastTag, 10), at: g.now, link: g.linkFor(e, nil)}
 	if p.link == nil || e.state == rules.EngineGone {
 		g.endProbe(p, rules.VerdictConnectFailed, nil)
 		return
@@ -352,5 +356,5 @@
 		delete(p.link.probes, p.tag)
 		g.maybeShut(p.link)
 	}
-	g.tell(rules.ProbeResult{Engine: p.engine.id, Verdict: v, Latency: g.now - p.at, Load: engine.ParseReport(report)})
+	g.tell(rules.ProbeResult{Engine: p.engine.id, Doubted: p.doubt, Verdict: v, Latency: g.now - p.at, Load: engine.ParseReport(report)})
 }
--- a/internal/gateway/sites.go
+++ b/internal/gateway/sites.go
@@ -16,11 +16,10 @@
 
 // sites are the zones of the gateway. The last one holds the engines of zones that the configuration does not name.
 type sites struct {
-	zones   *zones.Zones
-	names   []string
-	drains  []int
-	engines []zones.EngineSight // scratch
-	last    zones.Counts        // at the last line of the log
+	zones  *zones.Zones
+	names  []string
+	drains []int
+	last   zones.Counts // at the last line of the log
 }
 
 // newSites returns the zones that the operator has set, or nil.
@@ -102,7 +101,7 @@
 
 // sights is what is held of each engine that serves.
 func (g *Gateway) sights() []zones.EngineSight {
-	out := g.sites.engines[:0]
+	out := g.seen[:0]
 	for _, b := range g.module.Beliefs() {
 		e := g.engines[b.Engine]
 		if e == nil || e.state != rules.EngineServing {
@@ -115,7 +114,7 @@
 		out = append(out, zones.EngineSight{Engine: b.Engine, Zone: g.zoneOf(e), Cores: cores, Warm: b.Warm, Slow: b.Slow,
 			LeftOut: b.LeftOut, Late: b.Late > 0, Asked: e.asked, Heard: e.heard, Fault: e.fault})
 	}
-	g.sites.engines = out
+	g.seen = out
 	return out
 }
 
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -59,5 +59,6 @@
 	g.logGate()
 	g.logShelf()
 	g.logSites()
+	g.logPeers()
 	g.logBeliefs()
 }
--- /dev/null
+++ b/internal/hearsay/hearsay.go
@@ -0,0 +1,213 @@
+// Package hearsay decides what a gateway tells the others of what it holds, and what it makes of what they tell. An observation of
+// others never acts by itself: it has us look for ourselves, or stands where we know nothing yet. So one that lies costs a few
+// probes, and all peers gone leaves a gateway as it would be without any.
+//
+// It is pure: time is an argument, and what it reads and writes is a replica of the caller's.
+package hearsay
+
+import (
+	"slices"
+
+	"foxlane/internal/replica"
+	"foxlane/internal/zones"
+	"foxlane/rules"
+)
+
+// Settings are how much is made of what others say.
+type Settings struct {
+	Observers int        // others that must say so before an engine or a zone is looked at for it
+	Fresh     rules.Time // how old what they say may be for that
+	AskEvery  rules.Time // between two looks at one engine for hearsay
+	AskMost   int        // looks at one time
+	Warm      rules.Time // after our start, for how long what others have learned stands in for what we have not
+	Chatty    int        // members up to which each tells what it runs on engines: more would not fit the budget
+}
+
+// Defaults are for gateways that see each other's news within a second.
+func Defaults() Settings {
+	return Settings{Observers: 2, Fresh: 4 * rules.Second, AskEvery: rules.Second, AskMost: 2, Warm: 10 * rules.Second, Chatty: 48}
+}
+
+// View is what a gateway holds itself.
+type View struct {
+	Engines  []zones.EngineSight // that serve, in the order of the list
+	Zones    []zones.Status      // nil: no plan
+	Learned  []rules.Learned     // by class
+	Cold     []rules.ColdSent
+	Standing rules.Standing
+}
+
+// Hearsay is what one gateway remembers of what it has told and asked.
+type Hearsay struct {
+	set    Settings
+	copies *replica.Replica
+	born   rules.Time
+	faults map[rules.EngineID]bool // told as left out
+	asked  map[rules.EngineID]rules.Time
+	taught bool
+	counts Counts
+}
+
+// Counts are since the start.
+type Counts struct {
+	Asked   int // engines that were looked at for hearsay
+	Doubted int // zones
+	Taught  int // classes that were learned from others
+}
+
+// New returns a gateway's that has just started.
+func New(set Settings, copies *replica.Replica, now rules.Time) *Hearsay {
+	return &Hearsay{set: set, copies: copies, born: now, faults: map[rules.EngineID]bool{}, asked: map[rules.EngineID]rules.Time{}}
+}
+
+// Counts tells what was done.
+func (h *Hearsay) Counts() Counts { return h.counts }
+
+// Tell writes what others may want to know.
+func (h *Hearsay) Tell(now rules.Time, v View) {
+	put := func(k replica.Kind, subject uint64, value replica.Value) {
+		h.copies.Put(now, replica.Key{Kind: k, Subject: subject}, value)
+	}
+	listed := map[rules.EngineID]bool{}
+	for _, e := range v.Engines {
+		listed[e.Engine] = true
+		switch {
+		case e.LeftOut:
+			h.faults[e.Engine] = true
+			put(replica.EngineFault, uint64(e.Engine), replica.Value{1})
+		case h.faults[e.Engine]:
+			delete(h.faults, e.Engine)
+			put(replica.EngineFault, uint64(e.Engine), replica.Value{0})
+		}
+	}
+	for id := range h.faults {
+		if !listed[id] {
+			delete(h.faults, id)
+		}
+	}
+	for id, at := range h.asked {
+		if now-at > 2*h.set.AskEvery {
+			delete(h.asked, id)
+		}
+	}
+	for i, z := range v.Zones {
+		if z.State == zones.Lost {
+			put(replica.ZoneState, uint64(i), replica.Value{float32(z.State)})
+		}
+	}
+	for c, l := range v.Learned {
+		if l.Weight > 1 {
+			put(replica.ClassUsual, uint64(c), replica.Value{float32(l.Ratio), float32(l.Usual), float32(min(l.Weight, 100))})
+		}
+	}
+	for _, c := range v.Cold {
+		if c.Work > 0 {
+			put(replica.ColdSpend, uint64(c.Engine), replica.Value{float32(c.Work)})
+		}
+	}
+}
+
+// Weighed is what is made of what others say.
+type Weighed struct {
+	Ask     []rules.EngineID // to be probed: what the probe says counts, not what others do
+	Doubt   []int            // zones to be looked at
+	Lessons []rules.Event    // for the decision module
+}
+
+// Weigh looks at what others say.
+func (h *Hearsay) Weigh(now rules.Time, v View) (out Weighed) {
+	said := h.said(now, replica.EngineFault, func(v replica.Value) bool { return v[0] > 0 })
+	for _, e := range v.Engines {
+		if len(out.Ask) >= h.set.AskMost {
+			break
+		}
+		if said[uint64(e.Engine)] < h.set.Observers || e.LeftOut || now-h.asked[e.Engine] < h.set.AskEvery {
+			continue
+		}
+		h.asked[e.Engine] = now
+		h.counts.Asked++
+		out.Ask = append(out.Ask, e.Engine)
+	}
+	if v.Zones != nil {
+		lost := h.said(now, replica.ZoneState, func(v replica.Value) bool { return zones.State(v[0]) == zones.Lost })
+		for i, z := range v.Zones {
+			if z.State == zones.Present && lost[uint64(i)] >= h.set.Observers {
+				h.counts.Doubted++
+				out.Doubt = append(out.Doubt, i)
+			}
+		}
+	}
+	out.Lessons = append(h.teach(now, v), h.spent(now, v)...)
+	return out
+}
+
+// said counts the gateways that say so of a subject, and have said it lately.
+func (h *Hearsay) said(now rules.Time, k replica.Kind, so func(replica.Value) bool) map[uint64]int {
+	n := map[uint64]int{}
+	h.copies.Each(k, func(_ string, e *replica.Entry) {
+		if now-e.Born <= h.set.Fresh && so(e.Value) {
+			n[e.Subject]++
+		}
+	})
+	return n
+}
+
+// teach passes on what others have learned of classes, once, as soon as enough of them are heard, to a gateway that has just started:
+// the mean by weight of the middle half, so that one that lies moves little.
+func (h *Hearsay) teach(now rules.Time, v View) (out []rules.Event) {
+	if h.taught || now-h.born > h.set.Warm {
+		return nil
+	}
+	type sample struct{ ratio, usual, weight float64 }
+	heard := make([][]sample, len(v.Learned))
+	h.copies.Each(replica.ClassUsual, func(_ string, e *replica.Entry) {
+		if e.Subject < uint64(len(heard)) && e.Value[0] > 0 && e.Value[1] > 0 && e.Value[2] > 0 {
+			heard[e.Subject] = append(heard[e.Subject], sample{float64(e.Value[0]), float64(e.Value[1]), float64(e.Value[2])})
+		}
+	})
+	for c, list := range heard {
+		if len(list) < h.set.Observers || v.Learned[c].Weight > ownWeight {
+			continue
+		}
+		middle := func(of func(sample) float64) float64 {
+			slices.SortFunc(list, func(a, b sample) int {
+				switch {
+				case of(a) < of(b):
+					return -1
+				case of(a) > of(b):
+					return 1
+				}
+				return 0
+			})
+			cut := len(list) / 4
+			sum, weight := 0.0, 0.0
+			for _, s := range list[cut : len(list)-cut] {
+				sum += of(s) * s.weight
+				weight += s.weight
+			}
+			return sum / weight
+		}
+		out = append(out, rules.Taught{Class: c, Ratio: middle(func(s sample) float64 { return s.ratio }), Usual: middle(func(s sample) float64 { return s.usual })})
+		h.counts.Taught++
+	}
+	if len(out) == len(heard) {
+		h.taught = true
+	}
+	return out
+}
+
+// ownWeight is the weight of own samples of a class from which nothing of others is wanted.
+const ownWeight = 8
+
+// spent adds up what others have sent to cold engines of late.
+func (h *Hearsay) spent(now rules.Time, v View) (out []rules.Event) {
+	if len(v.Cold) == 0 {
+		return nil
+	}
+	sums := map[uint64]float64{}
+	h.copies.Each(replica.ColdSpend, func(_ string, e *replica.Entry) { sums[e.Subject] += float64(e.Value[0]) })
+	for _, c := range v.Cold {
+		out = append(out, rules.SpentElsewhere{Engine: c.Engine, Work: sums[uint64(c.Engine)]})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/hearsay/hearsay_test.go
@@ -0,0 +1,186 @@
+package hearsay
+
+import (
+	"fmt"
+	"testing"
+
+	"foxlane/internal/replica"
+	"foxlane/internal/zones"
+	"foxlane/rules"
+)
+
+const (
+	ms     = rules.Millisecond
+	second = rules.Second
+	start  = 1000 * second
+)
+
+// pair is a gateway with others that say things.
+type pair struct {
+	*Hearsay
+	copies *replica.Replica
+	others []*replica.Replica
+}
+
+func newPair(others int) *pair {
+	set := func(name string) replica.Settings {
+		s := replica.Defaults()
+		s.Name, s.Life = name, 1
+		return s
+	}
+	p := &pair{copies: replica.New(set("us"), start)}
+	p.Hearsay = New(Defaults(), p.copies, start)
+	for i := range others {
+		name := fmt.Sprint("n", i)
+		o := replica.New(set(name), start)
+		o.Handle(start, replica.Event{Kind: replica.Joined, Member: replica.Member{Name: "us"}})
+		p.copies.Handle(start, replica.Event{Kind: replica.Joined, Member: replica.Member{Name: name}})
+		p.others = append(p.others, o)
+	}
+	return p
+}
+
+// say has one of the others write, and us hear it.
+func (p *pair) say(now rules.Time, i int, k replica.Kind, subject uint64, v ...float32) {
+	var value replica.Value
+	copy(value[:], v)
+	p.others[i].Put(now, replica.Key{Kind: k, Subject: subject}, value)
+	for _, f := range p.others[i].Handle(now, replica.Event{Kind: replica.Tick}) {
+		if f.Kind == replica.Send {
+			p.copies.Handle(now, replica.Event{Kind: replica.Came, Member: replica.Member{Name: fmt.Sprint("n", i)}, Data: f.Data})
+		}
+	}
+}
+
+func engines(ids ...rules.EngineID) (v View) {
+	for _, id := range ids {
+		v.Engines = append(v.Engines, zones.EngineSight{Engine: id})
+	}
+	return v
+}
+
+// One that says an engine fails moves nothing; two have us look, now and then, at a bounded number; what they said long ago counts no more.
+func TestTwoObserversAreNeeded(t *testing.T) {
+	p := newPair(3)
+	v := engines(1, 2, 3, 4)
+	p.say(start, 0, replica.EngineFault, 2, 1)
+	if w := p.Weigh(start, v); len(w.Ask) != 0 {
+		t.Fatalf("one observer has us look at %v", w.Ask)
+	}
+	p.say(start+ms, 1, replica.EngineFault, 2, 1)
+	if w := p.Weigh(start+ms, v); len(w.Ask) != 1 || w.Ask[0] != 2 {
+		t.Fatalf("two observers have us look at %v", w.Ask)
+	}
+	if w := p.Weigh(start+200*ms, v); len(w.Ask) != 0 {
+		t.Errorf("looked at again after 200 ms: %v", w.Ask)
+	}
+	if w := p.Weigh(start+1200*ms, v); len(w.Ask) != 1 {
+		t.Errorf("not looked at again after 1.2 s")
+	}
+	left := engines(1, 2)
+	left.Engines[1].LeftOut = true
+	if w := p.Weigh(start+2500*ms, left); len(w.Ask) != 0 {
+		t.Errorf("we leave it out ourselves, and look for hearsay: %v", w.Ask)
+	}
+	if w := p.Weigh(start+Defaults().Fresh+100*ms, v); len(w.Ask) != 0 {
+		t.Errorf("looked at for what was said long ago: %v", w.Ask)
+	}
+	p.say(start+6*second, 0, replica.EngineFault, 3, 1)
+	p.say(start+6*second, 1, replica.EngineFault, 3, 1)
+	p.say(start+6*second, 1, replica.EngineFault, 3, 0)
+	if w := p.Weigh(start+6*second+ms, v); len(w.Ask) != 0 {
+		t.Errorf("one of two has taken it back: %v", w.Ask)
+	}
+	for id := range uint64(4) {
+		for i := range 2 {
+			p.say(start+8*second, i, replica.EngineFault, id+1, 1)
+		}
+	}
+	if w := p.Weigh(start+8*second, v); len(w.Ask) > Defaults().AskMost {
+		t.Errorf("%d looks at one time", len(w.Ask))
+	}
+}
+
+// A zone that two others hold to be lost is doubted; one that we hold to be lost, or that one other does, is not.
+func TestZonesAreDoubted(t *testing.T) {
+	p := newPair(3)
+	v := View{Zones: []zones.Status{{State: zones.Present}, {State: zones.Lost}, {State: zones.Present}}}
+	for i := range 2 {
+		for zone := range uint64(2) {
+			p.say(start, i, replica.ZoneState, zone, float32(zones.Lost))
+		}
+	}
+	p.say(start, 2, replica.ZoneState, 2, float32(zones.Lost))
+	if w := p.Weigh(start, v); len(w.Doubt) != 1 || w.Doubt[0] != 0 {
+		t.Errorf("doubted: %v", w.Doubt)
+	}
+}
+
+// One that has just started learns classes from others, once; one that lies moves little; own samples go first; later nothing is taken.
+func TestTaughtOnce(t *testing.T) {
+	p := newPair(5)
+	v := View{Learned: make([]rules.Learned, 2)}
+	v.Learned[1].Weight = 20 // our own
+	for i := range 5 {
+		ratio := float32(1.5)
+		if i == 4 {
+			ratio = 1000
+		}
+		p.say(start, i, replica.ClassUsual, 0, ratio, 5000, 10)
+		p.say(start, i, replica.ClassUsual, 1, ratio, 5000, 10)
+	}
+	w := p.Weigh(start+ms, v)
+	if len(w.Lessons) != 1 {
+		t.Fatalf("%d lessons", len(w.Lessons))
+	}
+	if l := w.Lessons[0].(rules.Taught); l.Class != 0 || l.Ratio < 1.4 || l.Ratio > 1.6 || l.Usual != 5000 {
+		t.Errorf("%+v", l)
+	}
+	late := newPair(2)
+	late.born = start - 60*second
+	for i := range 2 {
+		late.say(start, i, replica.ClassUsual, 0, 2, 5000, 10)
+	}
+	if w := late.Weigh(start+ms, v); len(w.Lessons) != 0 {
+		t.Errorf("a minute after our start: %v", w.Lessons)
+	}
+}
+
+// What others have spent of a cold engine's budget is added up; of what is not cold nothing is told.
+func TestSpentElsewhere(t *testing.T) {
+	p := newPair(3)
+	for i := range 3 {
+		p.say(start, i, replica.ColdSpend, 7, float32(i+1)*1000)
+	}
+	w := p.Weigh(start, View{Cold: []rules.ColdSent{{Engine: 7}, {Engine: 8}}})
+	want := []rules.Event{rules.SpentElsewhere{Engine: 7, Work: 6000}, rules.SpentElsewhere{Engine: 8}}
+	if fmt.Sprint(w.Lessons) != fmt.Sprint(want) {
+		t.Errorf("%v, want %v", w.Lessons, want)
+	}
+}
+
+// What we hold is told: engines left out, and that they are well again; zones lost; classes with some weight.
+func TestTell(t *testing.T) {
+	p := newPair(1)
+	v := engines(1, 2)
+	v.Engines[0].LeftOut = true
+	v.Zones = []zones.Status{{State: zones.Present}, {State: zones.Lost}}
+	v.Learned = []rules.Learned{{Ratio: 2, Usual: 100, Weight: 5}, {Ratio: 2, Usual: 100, Weight: 0.5}}
+	p.Tell(start, v)
+	v.Engines[0].LeftOut = false
+	p.Tell(start+second, v)
+	told := map[replica.Key]replica.Value{}
+	for _, c := range p.copies.Copies() {
+		for _, e := range c.Entries {
+			told[e.Key] = e.Value
+		}
+	}
+	want := map[replica.Key]replica.Value{
+		{Kind: replica.EngineFault, Subject: 1}: {0},
+		{Kind: replica.ZoneState, Subject: 1}:   {float32(zones.Lost)},
+		{Kind: replica.ClassUsual, Subject: 0}:  {2, 100, 5},
+	}
+	if fmt.Sprint(told) != fmt.Sprint(want) {
+		t.Errorf("told %v, want %v", told, want)
+	}
+}
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -126,6 +126,7 @@
 	ending   atomic.Bool
 	readers  sync.WaitGroup // of UDP
 	shelf    *shelf         // nil: no spool is on a disk
+	talk     *talk          // nil: other gateways are not talked to
 }
 
 // Run serves until the process is asked to end by a signal, and all is answered.
@@ -146,6 +147,10 @@
 		return err
 	}
 	defer e.close()
+	if err := e.openTalk(); err != nil {
+		return err
+	}
+	defer e.closeTalk()
 	log.Info("serving", zap.String("name", cfg.Name), zap.Stringer("listen", cfg.Listen),
 		zap.Int("engines", len(cfg.Known.Engines)))
 	e.loop(signals)
@@ -378,6 +383,7 @@
 		for _, ev := range events {
 			g.Step(now, ev)
 		}
+		e.hearMembers(now, g)
 		if now >= armed {
 			g.Step(now, gateway.Event{Kind: gateway.Wake})
 		}
@@ -438,6 +444,16 @@
 				e.tellDrained(c)
 			}
 		}
+	case gateway.Tell:
+		e.tellMember(f)
+	case gateway.Talk:
+		if err := e.openTalk(); err != nil {
+			e.log.Warn("members: talk can't begin", zap.Error(err))
+		}
+	case gateway.Hush:
+		e.closeTalk()
+	case gateway.Answer:
+		e.answer(f)
 	case gateway.Log:
 		e.write(f)
 	}
--- a/internal/replica/gossip.go
+++ b/internal/replica/gossip.go
@@ -92,7 +92,7 @@
 	if !r.anyHot() {
 		return
 	}
-	w.begin(typeDelta, r.set.Name, r.set.Life)
+	w.begin(typeDelta, r.set.Name, r.own.life)
 	begun := len(w.b)
 	full := false
 	for _, name := range r.names {
@@ -176,7 +176,7 @@
 		return
 	}
 	w := writer{b: r.buf}
-	w.begin(typeDigest, r.set.Name, r.set.Life)
+	w.begin(typeDigest, r.set.Name, r.own.life)
 	wanted := byte(0)
 	if answer {
 		wanted = 1
@@ -215,7 +215,7 @@
 		case o == nil:
 			lack = append(lack, row{hash: x.hash})
 		case o == r.own && x.life > o.life:
-			r.refuse(h.sender, errNamesake)
+			r.refute(h.sender, x.life)
 		case x.life > o.life || x.life == o.life && x.counter > o.counter:
 			if o != r.own && o.gone == 0 {
 				lack = append(lack, o.row())
@@ -262,7 +262,7 @@
 	list := o.over(from)
 	for sent < most {
 		w := writer{b: r.buf}
-		w.begin(typeDelta, r.set.Name, r.set.Life)
+		w.begin(typeDelta, r.set.Name, r.own.life)
 		n := min(len(list), (r.set.Chunk-headMost-blockMost)/entryMost)
 		until := o.counter
 		if n < len(list) {
@@ -313,7 +313,7 @@
 func (r *Replica) askMore() {
 	w := writer{b: r.buf}
 	defer func() { r.buf = w.b[:0] }()
-	w.begin(typeAsk, r.set.Name, r.set.Life)
+	w.begin(typeAsk, r.set.Name, r.own.life)
 	w.number(r.cursor.next)
 	msg := w.end()
 	w.b = msg
@@ -354,7 +354,7 @@
 		end = last
 	}
 	w := writer{b: r.buf}
-	w.begin(typeDone, r.set.Name, r.set.Life)
+	w.begin(typeDone, r.set.Name, r.own.life)
 	w.number(end)
 	msg := w.end()
 	r.buf = msg[:0]
@@ -379,6 +379,18 @@
 
 var errNamesake = errors.New("replica: another process has our name")
 
+// refute takes a later life than one that others hold of our name: we were that one, and our clock has stepped back since. If it
+// happens again and again another process has our name, and is told.
+func (r *Replica) refute(from string, life uint64) {
+	if r.refuted++; r.refuted > mostRefutes {
+		r.refuse(from, errNamesake)
+		return
+	}
+	r.own.life = life + 1
+}
+
+const mostRefutes = 3
+
 func (r *Replica) refuse(from string, err error) {
 	r.stats.Refused++
 	r.do(Effect{Kind: Refuse, Origin: from, Err: err})
@@ -460,8 +472,8 @@
 // the order in which they come, and how often, makes no difference.
 func (r *Replica) join1(from string, b *block) {
 	if b.name == r.set.Name {
-		if b.life > r.set.Life {
-			r.refuse(from, errNamesake)
+		if b.life > r.own.life {
+			r.refute(from, b.life)
 		}
 		return
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -203,6 +203,7 @@
 	scrubAt int  // and the next look for flipped bits
 	whole   bool // a snapshot was taken
 	cursor  snapshotCursor
+	refuted int   // lives of our name that were later than ours
 	stale   []Key // scratch
 	effects []Effect
 	buf     []byte
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -57,6 +57,7 @@
 	"drain":   {of: true},   // the operator's file drains a zone
 	"burst":   {of: true},   // clients of a zone ask `factor` times as much
 	"slow":    {of: true},   // engines take `factor` times as long
+	"hush":    {},           // the operator's file switches the gateways' talk off
 	"dark":    {},           // the name service says nothing
 	"late":    {},           // what it says is late by `delay`
 	"cut":     {ways: true}, // nothing comes through from one to the other
@@ -73,6 +74,7 @@
 	ColdText   string  `hcl:"cold,optional"` // until an engine that has started has all of its speed
 	ColdFrom   float64 `hcl:"cold_from,optional"`
 	Operator   string  `hcl:"operator,optional"` // text of the operator's file
+	Talk       bool    `hcl:"talk,optional"`     // gateways talk to one another, through relays by pair
 	Faults     []Fault `hcl:"fault,block"`
 
 	Length time.Duration
--- /dev/null
+++ b/internal/rig/talk_test.go
@@ -0,0 +1,74 @@
+package rig
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const talking = "talk = true\n" + halls
+
+// A fifth of the engines fall silent and others learn of it from one another, through relays that lose a third of all datagrams and
+// delay the rest; a member is killed and comes back, one is frozen, one is cut off one way, and talk is switched off in the end: clients
+// notice nothing of any of it.
+func TestTalkThroughFaults(t *testing.T) {
+	t.Parallel()
+	b := play(t, talking+plan+`
+load   = 0.4
+length = "18s"
+fault "link" {
+  from   = "gateways"
+  to     = "gateways"
+  at     = "1s"
+  for    = "14s"
+  loss   = 0.3
+  delay  = "20ms"
+  jitter = "100ms"
+}
+fault "kill" {
+  of  = "hall-b/g1"
+  at  = "4s"
+  for = "1s"
+}
+fault "silence" {
+  of  = "hall-a/e0"
+  at  = "5s"
+  for = "5s"
+}
+fault "freeze" {
+  of  = "hall-c/g0"
+  at  = "7s"
+  for = "2s"
+}
+fault "cut" {
+  from = "hall-a/g1"
+  to   = "hall-b/g0"
+  at   = "8s"
+  for  = "4s"
+}
+fault "hush" {
+  at = "15s"
+}
+`)
+	if got := b.Share(11, 17); got < 0.95 {
+		t.Errorf("%.3f of the worth served at the end", got)
+	}
+	joined, ended := map[string]bool{}, map[string]bool{}
+	for _, e := range b.Events {
+		switch {
+		case strings.HasPrefix(e.Text, "members: joined"):
+			joined[e.Who] = true
+		case strings.HasPrefix(e.Text, "members: talk ends"):
+			ended[e.Who] = true
+			if e.At < 15*time.Second {
+				t.Errorf("%s ends its talk at %v", e.Who, e.At)
+			}
+		}
+	}
+	if len(joined) != 6 || len(ended) != 6 {
+		t.Errorf("%d of 6 gateways have met others, %d have ended their talk when told", len(joined), len(ended))
+	}
+	if b.Copies < 10 {
+		t.Errorf("%d entries of others at the most: nothing was shared", b.Copies)
+	}
+}
--- /dev/null
+++ b/internal/site/members_test.go
@@ -0,0 +1,63 @@
+package site
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+
+	"foxlane/rules"
+)
+
+const membersSample = `
+members {
+  bind      = "10.0.0.4:7946"
+  control   = "127.0.0.1:7947"
+  seeds     = ["10.0.0.5:7946", "10.0.0.6:7946"]
+  may       = ["10.0.0.0/24"]
+  budget    = 40000
+  observers = 3
+  fresh     = "2s"
+  via "10.0.0.6:7946" {
+    at = "192.0.2.6:9000"
+  }
+}
+`
+
+func TestMembers(t *testing.T) {
+	s, err := Parse([]byte(membersSample), "site.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := s.Members
+	if m.Bind.String() != "10.0.0.4:7946" || m.Control.Port() != 7947 || len(m.Seeds) != 2 || m.Replica.Budget != 40000 || m.Hearsay.Observers != 3 ||
+		m.Hearsay.Fresh != 2*rules.Second || m.Via[netip.MustParseAddrPort("10.0.0.6:7946")].Port() != 9000 {
+		t.Errorf("got %+v", m)
+	}
+	set, err := m.Set()
+	if err != nil || !set.Contains(netip.MustParseAddr("10.0.0.9")) || set.Contains(netip.MustParseAddr("10.0.1.9")) {
+		t.Errorf("%v, %v", set, err)
+	}
+	again, err := Parse([]byte(s.String()), "again.hcl")
+	if err != nil || again.String() != s.String() {
+		t.Errorf("%v\n%s", err, s)
+	}
+}
+
+// What is wrong is told with its place.
+func TestMembersThatAreNone(t *testing.T) {
+	for text, want := range map[string]string{
+		"members {\n}":                                                                "1:1: members needs bind",
+		"members {\n  bind = \"somewhere\"\n}":                                        "2:10: bind: \"somewhere\" is no address",
+		"members {\n  bind = \"0.0.0.0:7946\"\n}":                                     "is no address with a port that others could reach",
+		"members {\n  bind = \"10.0.0.4:0\"\n}":                                       "is no address with a port",
+		"members {\n  bind = \"10.0.0.4:1\"\n  may = [\"10.0.1.0/24\"]\n}":            "10.0.0.4 itself is not among the addresses that may speak",
+		"members {\n  bind = \"10.0.0.4:1\"\n  may = [\"10.0.1.0\"]\n}":               "\"10.0.1.0\" is no prefix",
+		"members {\n  bind = \"10.0.0.4:1\"\n  budget = 5\n}":                         "5 is not within 1000",
+		"members {\n  bind = \"10.0.0.4:1\"\n  via \"x\" {\n    at = \"y:1\"\n  }\n}": "\"x\" is no address",
+		"members {\n  bind = \"10.0.0.4:1\"\n  seed = []\n}":                          "3:3: Unsupported argument",
+	} {
+		if _, err := Parse([]byte(text), "x.hcl"); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s\ngot %v, want %q", text, err, want)
+		}
+	}
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -25,6 +25,8 @@
 	Fair  *Fair
 	Spool *Spool
 	Sites *Sites
+
+	Members *Members
 }
 
 // Fair are the settings of the door.
@@ -37,6 +39,8 @@
 	Fair  *fairBlock  `hcl:"fair,block"`
 	Spool *spoolBlock `hcl:"spool,block"`
 	Sites *sitesBlock `hcl:"sites,block"`
+
+	Members *membersBlock `hcl:"members,block"`
 }
 
 // LoadFile reads the operator's file.
@@ -87,6 +91,13 @@
 		}
 		s.Sites = sites
 	}
+	if d.Members != nil {
+		m, diags := d.Members.decode()
+		if diags.HasErrors() {
+			return nil, problem(diags)
+		}
+		s.Members = m
+	}
 	return s, nil
 }
 
@@ -136,5 +147,10 @@
 	} else {
 		s.Sites.write(&b)
 	}
+	if s == nil || s.Members == nil {
+		b.WriteString("# members: off\n")
+	} else {
+		s.Members.write(&b)
+	}
 	return b.String()
 }
--- a/internal/zones/look.go
+++ b/internal/zones/look.go
@@ -70,6 +70,16 @@
 	return out
 }
 
+// Doubt has a zone looked at because others say that it is lost. What its engines answer us counts, and nothing else.
+func (z *Zones) Doubt(zone int) {
+	if zone < 0 || zone >= len(z.all) {
+		return
+	}
+	if e := &z.all[zone]; e.look.doubt == 0 && (e.state == Present || e.state == Returning) {
+		e.look.doubt = z.now
+	}
+}
+
 // Answered takes what a probe of an engine in a zone said.
 func (z *Zones) Answered(zone int, ok bool) {
 	if zone < 0 || zone >= len(z.all) {
--- a/rules/api.go
+++ b/rules/api.go
@@ -225,6 +225,18 @@
 	Work  []float64 // the usual work of a request, by class; 0: none was seen
 }
 
+// Learned is what a gateway has learned of a class.
+type Learned struct {
+	Ratio, Usual float64 // of true over told work; work of a request, all threads together, in microseconds
+	Weight       float64 // of the requests that it rests on
+}
+
+// ColdSent is what a gateway has sent to a cold engine within the tip window.
+type ColdSent struct {
+	Engine EngineID
+	Work   float64 // predicted, all threads together, in microseconds
+}
+
 // ZonePlan decides, where operators have planned it, in which zones a query may run. It is pure, as the module is: what
 // it answers follows from what it was shown, the time and the number drawn. Work is predicted, in microseconds of all
 // threads together; further tells that the query had an attempt before.
@@ -293,6 +305,7 @@
 	// ProbeResult answers a Probe.
 	ProbeResult struct {
 		Engine  EngineID
+		Doubted bool // other gateways say that it fails: if it does not answer it counts as a failure of ours
 		Verdict Verdict
 		Latency Time
 		Load    map[string]float64
@@ -301,6 +314,16 @@
 	Stopping struct{ By Time }
 	// Planned hands over the operators' plan for zones. Nil: none, engines are drawn over all zones.
 	Planned struct{ Zones ZonePlan }
+	// Taught tells what other gateways have learned of a class. It stands for what we have not seen ourselves.
+	Taught struct {
+		Class        int
+		Ratio, Usual float64 // as in Learned
+	}
+	// SpentElsewhere tells what other gateways have sent to a cold engine within the tip window.
+	SpentElsewhere struct {
+		Engine EngineID
+		Work   float64
+	}
 	// PeerMessage is a message of another gateway.
 	PeerMessage struct {
 		From    int
@@ -318,17 +341,19 @@
 	ProgressWaits                          // 1 for memory, 2 for a load
 )
 
-func (FleetChange) event()  {}
-func (Arrival) event()      {}
-func (Outcome) event()      {}
-func (StreamOpened) event() {}
-func (Progress) event()     {}
-func (Departure) event()    {}
-func (Alarm) event()        {}
-func (ProbeResult) event()  {}
-func (PeerMessage) event()  {}
-func (Stopping) event()     {}
-func (Planned) event()      {}
+func (FleetChange) event()    {}
+func (Arrival) event()        {}
+func (Outcome) event()        {}
+func (StreamOpened) event()   {}
+func (Progress) event()       {}
+func (Departure) event()      {}
+func (Alarm) event()          {}
+func (ProbeResult) event()    {}
+func (PeerMessage) event()    {}
+func (Stopping) event()       {}
+func (Planned) event()        {}
+func (Taught) event()         {}
+func (SpentElsewhere) event() {}
 
 // Action is something a gateway does. Actions are carried out in order.
 type Action interface{ action() }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -94,11 +94,13 @@
 		m.heard(e)
 	case Stopping:
 		m.stop(e.By)
-	case Planned:
-		m.plan = e.Zones
+	case lesson:
+		e.tell(m)
 	case ProbeResult: // it answers: what it is left out for fades
 		if known := m.byID[e.Engine]; known != nil && e.Verdict == VerdictOK {
 			known.bad, known.pause = known.bad/2, pause{}
+		} else if known != nil && e.Doubted {
+			m.failed(known)
 		}
 	}
 	m.release()
@@ -342,13 +344,13 @@
 		e.sent = nil
 		return true
 	}
-	if m.now < m.born+d.TipAfter {
-		return false
-	}
 	work := max(r.class.usual.mean(math.Inf(1)), m.predict(r))
 	spent := e.sentSince(m.now - d.TipAfter - m.s.Tick)
 	part := m.coldPart(e)
 	whole := part * float64(m.s.Siblings)
+	if m.now < m.born+d.TipAfter || e.elsewhere > 0 && e.elsewhere+spent+work > whole {
+		return false
+	}
 	asked := part * drawnPart(whole/work) * min(1, float64(m.now-e.StartedAt)/float64(d.TipAfter))
 	return m.evenRoom(r, e) || spent+work <= coldSafety/2*whole && spent+m.lot(e, d.TipAfter)*work <= asked
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1371,3 +1371,68 @@
 		f.check("turned away")
 	}
 }
+
+// A probe for hearsay counts as a failure of ours if nobody answers, and not otherwise; any other probe that fails says nothing.
+func TestDoubtedProbe(t *testing.T) {
+	f := site(t, plain(quick), 2)
+	for range 4 {
+		f.tell(ProbeResult{Engine: 1, Verdict: VerdictTimeout})
+	}
+	if f.m.sick(f.m.byID[1]) {
+		t.Fatal("an engine is left out for probes that nobody doubted")
+	}
+	f.tell(ProbeResult{Engine: 1, Verdict: VerdictTimeout, Doubted: true})
+	f.tell(ProbeResult{Engine: 1, Verdict: VerdictTimeout, Doubted: true})
+	if !f.m.sick(f.m.byID[1]) {
+		t.Error("an engine that answered neither of two probes for hearsay is not left out")
+	}
+	f.tell(ProbeResult{Engine: 1, Verdict: VerdictOK, Doubted: true})
+	if f.m.sick(f.m.byID[1]) {
+		t.Error("and is not used again once it answers one")
+	}
+}
+
+// What others have learned stands in for what we have not seen, with little weight, and never beside what we have.
+func TestTaughtByOthers(t *testing.T) {
+	s := plain(quick)
+	f := site(t, s, 2)
+	f.tell(Taught{Class: 0, Ratio: 3, Usual: float64(300 * Millisecond)})
+	f.tell(Taught{Class: 7, Ratio: 3, Usual: 1})
+	f.tell(Taught{Class: 0, Ratio: 0, Usual: 1})
+	if l := f.m.Learned()[0]; l.Ratio < 2.9 || l.Usual != float64(300*Millisecond) {
+		t.Fatalf("taught: %+v", l)
+	}
+	for range 40 {
+		f.ask(0, nil)
+		f.resolve(f.pending()[0], VerdictOK)
+		f.advance(10 * Millisecond)
+	}
+	seen := f.m.Learned()[0]
+	if seen.Usual > float64(200*Millisecond) {
+		t.Errorf("after 40 requests of 100 ms: %+v", seen)
+	}
+	f.tell(Taught{Class: 0, Ratio: 3, Usual: float64(3000 * Millisecond)})
+	if l := f.m.Learned()[0]; l != seen {
+		t.Errorf("taught beside what we have seen: %+v, then %+v", seen, l)
+	}
+}
+
+// A cold engine whose budget others have used up gets nothing; without word of others it does.
+func TestColdBudgetCountsOthers(t *testing.T) {
+	s := plain(quick)
+	f := newReferee(t, s, 1, 1000*Second)
+	f.usual[0] = float64(100 * Millisecond)
+	f.advance(5 * Second)
+	f.tell(FleetChange{Mode: ListSaved, Engines: []Engine{{ID: 1, Scale: 1, StartedAt: f.now}}})
+	f.advance(3 * Second)
+	f.tell(SpentElsewhere{Engine: 9}) // of one that is not listed: let pass
+	whole := 2 * f.m.warmth(f.m.byID[1]) * 8 * float64(2*Second)
+	f.tell(SpentElsewhere{Engine: 1, Work: whole})
+	if id := f.ask(0, nil); f.sent(id) != 0 {
+		t.Error("sent to a cold engine whose budget others have used up")
+	}
+	f.tell(SpentElsewhere{Engine: 1, Work: whole / 2})
+	if id := f.ask(0, nil); f.sent(id) != 1 {
+		t.Error("not sent to a cold engine with half of its budget left")
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -58,8 +58,10 @@
 	bad    float64          // learned share of failures
 	pause                   // from all but a trickle
 	turned map[*class]pause // from classes that it turned away
-	loads  map[int]int      // ours that run there, by data set
-	sent   []sending        // while it is cold: what we sent within the tip window
+
+	elsewhere float64     // what others say that they have sent it within the tip window, while it is cold
+	loads     map[int]int // ours that run there, by data set
+	sent      []sending   // while it is cold: what we sent within the tip window
 }
 
 // load is what runs of ours.
@@ -394,6 +396,51 @@
 	return zones
 }
 
+// lesson is an event that tells something to remember.
+type lesson interface{ tell(m *Module) }
+
+func (e Planned) tell(m *Module) { m.plan = e.Zones }
+
+func (e SpentElsewhere) tell(m *Module) {
+	if known := m.byID[e.Engine]; known != nil {
+		known.elsewhere = e.Work
+	}
+}
+
+// tell gives what others have learned of a class the weight of a few samples, ahead of our own.
+func (e Taught) tell(m *Module) {
+	if e.Class < 0 || e.Class >= len(m.classes) || !(e.Ratio > 0) || !(e.Usual > 0) {
+		return
+	}
+	const weight = 4
+	c := m.classes[e.Class]
+	if told := weight * e.Usual / e.Ratio; c.ratio.weight < told { // it weighs by told work
+		c.ratio.sum, c.ratio.weight = c.ratio.sum+told*e.Ratio, c.ratio.weight+told
+	}
+	if c.usual.weight < weight {
+		c.usual.sum, c.usual.weight = c.usual.sum+weight*e.Usual, c.usual.weight+weight
+	}
+}
+
+// Learned tells what is known of each class.
+func (m *Module) Learned() []Learned {
+	out := make([]Learned, len(m.classes))
+	for i, c := range m.classes {
+		out[i] = Learned{Ratio: c.ratio.mean(1), Usual: c.usual.mean(0), Weight: c.usual.weight}
+	}
+	return out
+}
+
+// Cold tells what we have sent to each cold engine within the tip window.
+func (m *Module) Cold() (out []ColdSent) {
+	for _, e := range m.engines {
+		if m.cold(e) && e.State == EngineServing {
+			out = append(out, ColdSent{e.ID, e.sentSince(m.now - m.s.Duties.TipAfter - m.s.Tick)})
+		}
+	}
+	return out
+}
+
 // Standing tells what is held of our own load.
 func (m *Module) Standing() Standing {
 	s := Standing{Share: max(m.share, 1), Work: make([]float64, len(m.classes))}
