Tell what is urgent first, teach by the median, and measure what talk among gateways does

Faults, zones and promises go first and are passed on by all, the rest is told by its origin twice and goes on by digests; what others tell us cools down. Classes are taught as the median of half of the members. foxlab measure replica: pure members in virtual time, 10,000 random schedules, the modelled fleet alone and talking, six processes.

--- a/cmd/foxlab/main.go
+++ b/cmd/foxlab/main.go
@@ -130,6 +130,10 @@
 		func(ctx context.Context, gateway string, _ int, progress io.Writer) (*lab.Report, error) {
 			return lab.MeasureSites(ctx, gateway, progress)
 		}},
+	{"replica", "talk among gateways: how soon news reach all, bytes, copies that differ, worth, what it costs", 1,
+		func(ctx context.Context, gateway string, _ int, progress io.Writer) (*lab.Report, error) {
+			return lab.MeasureReplica(ctx, gateway, progress)
+		}},
 	{"cost-fair", "the same with the door on", 12,
 		func(ctx context.Context, gateway string, seconds int, progress io.Writer) (*lab.Report, error) {
 			return lab.MeasureCost(ctx, gateway, "fair {\n}\n", seconds, progress)
--- a/internal/emu/books.go
+++ b/internal/emu/books.go
@@ -20,6 +20,7 @@
 	Cross      int // of these, to another zone
 	Dials      int // connections that attempts had to make
 	Probes     int
+	Said       int // bytes among gateways
 	Moves      int // states that zones have entered, over all gateways
 	MovedAt    []Move
 	Shed       int // of the refused, for the sake of what earns more
--- a/internal/emu/fleet.go
+++ b/internal/emu/fleet.go
@@ -9,6 +9,8 @@
 	"math"
 	"math/rand/v2"
 
+	"foxlane/internal/hearsay"
+	"foxlane/internal/replica"
 	"foxlane/internal/zones"
 	"foxlane/rules"
 )
@@ -19,6 +21,7 @@
 	Work  rules.Time // mean, all threads together
 	CV    float64    // deviation over mean of the work, which is lognormal
 	Rough float64    // deviation of the logarithm of told over true work
+	Told  float64    // told over true work, on the whole; 0: 1
 }
 
 // ClientModel is how clients behave.
@@ -55,6 +58,7 @@
 	Faults   []Fault
 	Spread   []int           // zones of engines and gateways, in turn; nil: evenly over Zones
 	Sites    *zones.Settings // what gateways do when a zone is lost; nil: nothing of its own
+	Talk     *HearsayModel   // how gateways talk; nil: they don't
 	Static   *float64        // instead: the part of each gateway's load that stays in its zone, whatever happens; a baseline
 }
 
@@ -99,6 +103,8 @@
 	order    []*request                    // in the order of arrival, some of them over
 	links    map[rules.EngineID]rules.Time // when a connection was last used
 	zones    *zones.Zones
+	copies   *replica.Replica
+	hearsay  *hearsay.Hearsay
 	seen     map[rules.EngineID]*seen
 	listed   map[rules.EngineID]bool // serve, by the list as the gateway has it
 	stopping bool
@@ -266,6 +272,9 @@
 	work := float64(m.Work) * math.Exp(f.rng.NormFloat64()*sigma-sigma*sigma/2)
 	a := &ask{class: class, at: f.now, due: f.now + c.GiveUp, work: work,
 		told: work * math.Exp(f.rng.NormFloat64()*m.Rough), set: f.rng.IntN(40)}
+	if m.Told > 0 {
+		a.told *= m.Told
+	}
 	f.Books.offer(a, c)
 	f.try(a)
 }
@@ -329,6 +338,7 @@
 	g.inbox, g.telling = nil, false
 	g.seen, g.listed = map[rules.EngineID]*seen{}, map[rules.EngineID]bool{}
 	g.beginSites()
+	g.beginTalk()
 	g.hear(rules.ListSaved, g.f.listed())
 }
 
@@ -344,6 +354,7 @@
 func (g *gateway) die() {
 	g.up = false
 	g.life++
+	g.endTalk()
 	for _, r := range g.order {
 		if r.over {
 			continue
--- a/internal/emu/sites.go
+++ b/internal/emu/sites.go
@@ -46,10 +46,9 @@
 	g.f.after(rules.Time(g.f.rng.Int64N(int64(sitesEvery))), look)
 }
 
-// look shows the zones what is held of their engines.
-func (g *gateway) look() {
+// sights is what is held of each engine that serves.
+func (g *gateway) sights() (list []zones.EngineSight) {
 	f := g.f
-	var list []zones.EngineSight
 	for _, b := range g.module.Beliefs() {
 		e := f.engine(b.Engine)
 		if !g.listed[e.id] {
@@ -59,7 +58,13 @@
 		list = append(list, zones.EngineSight{Engine: b.Engine, Zone: e.zone, Cores: f.scene.Engine.Cores, Warm: b.Warm, Slow: b.Slow,
 			LeftOut: b.LeftOut, Late: b.Late > 0, Asked: k.asked, Heard: k.heard, Fault: k.fault})
 	}
-	looked := g.zones.Look(f.now, list, g.module.Standing(), f.scene.Settings.Limits.Probes)
+	return list
+}
+
+// look shows the zones what is held of their engines.
+func (g *gateway) look() {
+	f := g.f
+	looked := g.zones.Look(f.now, g.sights(), g.module.Standing(), f.scene.Settings.Limits.Probes)
 	for _, c := range looked.Changes {
 		if c.From != c.To {
 			f.Books.move(f.now, c)
@@ -84,7 +89,9 @@
 	return !refuse
 }
 
-func (g *gateway) probe(e *engine) {
+func (g *gateway) probe(e *engine) { g.probeFor(e, false) }
+
+func (g *gateway) probeFor(e *engine, doubt bool) {
 	f, life := g.f, g.life
 	f.Books.Probes++
 	ok := !e.silent && !e.gone && !e.fallen && !f.cut(g.zone, e.zone) && !f.cut(e.zone, g.zone)
@@ -99,12 +106,14 @@
 		if ok {
 			g.of(e.id).heard = f.now
 		}
-		g.zones.Answered(e.zone, ok)
+		if g.zones != nil {
+			g.zones.Answered(e.zone, ok)
+		}
 		v := rules.VerdictTimeout
 		if ok {
 			v = rules.VerdictOK
 		}
-		g.tell(rules.ProbeResult{Engine: e.id, Verdict: v})
+		g.tell(rules.ProbeResult{Engine: e.id, Doubted: doubt, Verdict: v})
 	})
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -45,6 +45,7 @@
 	hearsay *hearsay.Hearsay
 	last    replica.Stats
 	asked   hearsay.Counts
+	odd     bool                  // ticks
 	since   map[string]rules.Time // members, by when they came
 }
 
@@ -128,6 +129,10 @@
 		return
 	}
 	g.timers.add(timer{at: g.now + g.cfg.Site.Members.Replica.Tick, kind: timerPeers})
+	if p.odd = !p.odd; p.odd { // what we hold changes slower than what is said
+		g.atCopies(replica.Event{Kind: replica.Tick})
+		return
+	}
 	v := hearsay.View{Engines: g.sights(), Learned: g.module.Learned(), Cold: g.module.Cold(), Standing: g.module.Standing()}
 	if g.sites != nil {
 		v.Zones = g.sites.zones.Status(g.now)
--- a/internal/hearsay/hearsay.go
+++ b/internal/hearsay/hearsay.go
@@ -152,50 +152,43 @@
 	return n
 }
 
-// teach passes on what others have learned of classes, once, as soon as enough of them are heard, to a gateway that has just started:
-// the mean by weight of the middle half, so that one that lies moves little.
+// teach passes on what others have learned of classes, once, to a gateway that has just started: the median, as soon as half of the
+// members, or many, are heard, so that some that lie move nothing. How much weight one claims to have does not count.
 func (h *Hearsay) teach(now rules.Time, v View) (out []rules.Event) {
 	if h.taught || now-h.born > h.set.Warm {
 		return nil
 	}
-	type sample struct{ ratio, usual, weight float64 }
-	heard := make([][]sample, len(v.Learned))
+	ratios, usuals := make([][]float64, len(v.Learned)), make([][]float64, len(v.Learned))
 	h.copies.Each(replica.ClassUsual, func(_ string, e *replica.Entry) {
-		if e.Subject < uint64(len(heard)) && e.Value[0] > 0 && e.Value[1] > 0 && e.Value[2] > 0 {
-			heard[e.Subject] = append(heard[e.Subject], sample{float64(e.Value[0]), float64(e.Value[1]), float64(e.Value[2])})
+		if e.Subject < uint64(len(ratios)) && e.Value[0] > 0 && e.Value[1] > 0 {
+			ratios[e.Subject] = append(ratios[e.Subject], float64(e.Value[0]))
+			usuals[e.Subject] = append(usuals[e.Subject], float64(e.Value[1]))
 		}
 	})
-	for c, list := range heard {
-		if len(list) < h.set.Observers || v.Learned[c].Weight > ownWeight {
+	enough := max(leastTeachers, min(len(h.copies.Members())/2, mostTeachers))
+	for c := range ratios {
+		if len(ratios[c]) < enough || v.Learned[c].Weight > ownWeight {
 			continue
 		}
-		middle := func(of func(sample) float64) float64 {
-			slices.SortFunc(list, func(a, b sample) int {
-				switch {
-				case of(a) < of(b):
-					return -1
-				case of(a) > of(b):
-					return 1
-				}
-				return 0
-			})
-			cut := len(list) / 4
-			sum, weight := 0.0, 0.0
-			for _, s := range list[cut : len(list)-cut] {
-				sum += of(s) * s.weight
-				weight += s.weight
-			}
-			return sum / weight
-		}
-		out = append(out, rules.Taught{Class: c, Ratio: middle(func(s sample) float64 { return s.ratio }), Usual: middle(func(s sample) float64 { return s.usual })})
+		out = append(out, rules.Taught{Class: c, Ratio: median(ratios[c]), Usual: median(usuals[c])})
 		h.counts.Taught++
 	}
-	if len(out) == len(heard) {
+	if len(out) > 0 {
 		h.taught = true
 	}
 	return out
 }
 
+func median(of []float64) float64 {
+	slices.Sort(of)
+	return (of[(len(of)-1)/2] + of[len(of)/2]) / 2
+}
+
+const (
+	leastTeachers = 3
+	mostTeachers  = 15
+)
+
 // ownWeight is the weight of own samples of a class from which nothing of others is wanted.
 const ownWeight = 8
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -123,7 +123,7 @@
 	c := memberlist.DefaultLANConfig()
 	if set.Fast {
 		c.ProbeInterval, c.ProbeTimeout = 300*time.Millisecond, 150*time.Millisecond
-		c.SuspicionMult, c.GossipInterval, c.PushPullInterval = 3, 100*time.Millisecond, 5*time.Second
+		c.SuspicionMult, c.GossipInterval, c.PushPullInterval = 3, 200*time.Millisecond, 5*time.Second
 		c.TCPTimeout = time.Second
 	}
 	c.Name, c.Transport, c.Logger, c.LogOutput = set.Name, t, quiet, nil
--- a/internal/replica/gossip.go
+++ b/internal/replica/gossip.go
@@ -65,17 +65,37 @@
 	r.do(Effect{Kind: Send, To: to, Data: append([]byte(nil), msg...)})
 }
 
-// rounds is for how many ticks news are passed on: enough to reach all by doubling, and one more.
-func (r *Replica) rounds() int { return bits.Len(uint(len(r.members)+1)) + 1 }
+// rounds is for how many ticks news are passed on: enough to reach all by doubling, and some more for what is lost.
+func (r *Replica) rounds() int { return bits.Len(uint(len(r.members)+1)) + 3 }
 
 func (r *Replica) heat(o *origin, k Key) {
+	rounds := r.rounds()
+	if !urgent(k.Kind) {
+		rounds = restRounds
+	}
 	for i := range o.hot {
 		if o.hot[i].key == k {
-			o.hot[i].rounds = r.rounds()
+			o.hot[i].rounds = rounds
 			return
 		}
 	}
-	o.hot = append(o.hot, hot{k, r.rounds()})
+	o.hot = append(o.hot, hot{k, rounds})
+}
+
+const coolFrom = 16 // members: of fewer each one counts
+
+const restRounds = 2 // for which an origin tells what is not urgent
+
+// cooler: somebody has told us what we pass on; the more do, the fewer need it.
+func (r *Replica) cooler(o *origin, k Key) {
+	if len(r.members) < coolFrom {
+		return
+	}
+	for i := range o.hot {
+		if o.hot[i].key == k {
+			o.hot[i].rounds--
+		}
+	}
 }
 
 // cool lets news pass without anybody to tell.
@@ -94,30 +114,29 @@
 	}
 	w.begin(typeDelta, r.set.Name, r.own.life)
 	begun := len(w.b)
-	full := false
-	for _, name := range r.names {
-		o := r.origins[name]
-		if full || len(o.hot) == 0 {
-			continue
-		}
-		kept := o.hot[:0]
-		for _, h := range o.hot {
-			e := o.entries[h.key]
-			if e == nil {
-				continue
-			}
-			if full = full || len(w.b)+blockMost+entryMost > r.set.Chunk; full {
-				kept = append(kept, h)
-				continue
-			}
-			w.block(o, e.Counter-1, e.Counter, 1)
-			w.entry(e, e.sumOf(o.name), r.now)
-			if h.rounds--; h.rounds > 0 {
-				kept = append(kept, h)
+	for _, first := range []bool{true, false} {
+		for i := range r.names { // from another one each time: what finds no room has its turn
+			o := r.origins[r.names[(i+r.hotAt)%len(r.names)]]
+			kept := o.hot[:0]
+			for _, h := range o.hot {
+				e := o.entries[h.key]
+				switch {
+				case e == nil || h.rounds <= 0:
+					continue
+				case urgent(h.key.Kind) != first || len(w.b)+blockMost+entryMost > r.set.Chunk:
+					kept = append(kept, h)
+					continue
+				}
+				w.block(o, e.Counter-1, e.Counter, 1)
+				w.entry(e, e.sumOf(o.name), r.now)
+				if h.rounds--; h.rounds > 0 {
+					kept = append(kept, h)
+				}
 			}
+			o.hot = kept
 		}
-		o.hot = kept
 	}
+	r.hotAt += 7
 	if len(w.b) == begun {
 		return
 	}
@@ -513,6 +532,7 @@
 			old.Born = min(old.Born, e.Born)
 		}
 		r.stats.Old++
+		r.cooler(o, e.Key)
 		return
 	case r.now-e.Born > r.set.Keep[e.Kind]:
 		return
@@ -522,7 +542,7 @@
 	r.stats.New++
 	kept := *e
 	o.entries[e.Key] = &kept
-	if passOn {
+	if passOn && urgent(e.Kind) {
 		r.heat(o, e.Key)
 	}
 	r.do(Effect{Kind: Heard, Origin: o.name, Entry: kept})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -199,6 +199,7 @@
 	aged    rules.Time // when we last looked for what is old
 	tickAt  rules.Time
 	digest  rules.Time
+	hotAt   int  // origin whose news go first
 	rowsAt  int  // origin at which the next digest begins
 	scrubAt int  // and the next look for flipped bits
 	whole   bool // a snapshot was taken
@@ -294,10 +295,14 @@
 	r.heat(o, k)
 }
 
+// urgent answers whether others act on a kind at once: it goes first, and by all. The rest is told by its origin to some, and goes on by
+// digests.
+func urgent(k Kind) bool { return k == EngineFault || k == ZoneState || k == Promise }
+
 // quiet is for how long an entry is not told anew, however it changes: where hundreds tell, all of it must fit what one may send.
 // What others act on at once is told at once.
 func (r *Replica) quiet(k Kind) rules.Time {
-	if k == EngineFault || k == ZoneState || k == Promise {
+	if urgent(k) {
 		return 0
 	}
 	return rules.Time(float64(len(r.members)*r.set.Fanout*entrySize) / float64(r.set.Budget) * float64(rules.Second))
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -235,20 +235,21 @@
 		write()
 		c.Run(c.Now + second)
 	}
+	held := c.all[name(1)].Replica.Copies()
 	c.Freeze(name(7), false)
 	c.Remove(name(8))
 	c.start(8, 2)
 	c.Run(c.Now + 3*second)
 	for _, i := range []int{7, 8} {
 		have, all := 0, 0
-		for _, cp := range c.all[name(1)].Replica.Copies() {
+		for _, cp := range held {
 			for _, e := range cp.Entries {
-				if cp.Origin == name(i) || e.Kind != TenantUse {
+				if cp.Origin == name(7) || cp.Origin == name(8) || e.Kind != TenantUse {
 					continue
 				}
 				all++
 				c.all[name(i)].Replica.Each(TenantUse, func(origin string, o *Entry) {
-					if origin == cp.Origin && o.Subject == e.Subject && o.Counter+2 >= e.Counter {
+					if origin == cp.Origin && o.Subject == e.Subject && o.Counter >= e.Counter {
 						have++
 					}
 				})
--- a/internal/rig/books.go
+++ b/internal/rig/books.go
@@ -18,6 +18,8 @@
 	Fallen   int      // times that a cold engine was sent more than it bears
 	Attempts int      // that reached engines
 	Tries    int      // of clients, at gateways
+	RSSMB    float64  // of the gateways, the mean, before they end
+	CPU      float64  // seconds of all gateways
 	Copies   int      // most entries that a gateway held of all, by its log
 	Cross    int      // attempts that reached another zone than their gateway's
 	Ways     map[string]relay.Counts
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -512,6 +512,16 @@
 
 // finish takes the last figures, and ends all gateways as operators do.
 func (r *Rig) finish() {
+	for _, g := range r.gateways {
+		g.mu.Lock()
+		if g.cmd != nil {
+			if u, err := usageOf(g.cmd.Process.Pid); err == nil {
+				r.books.RSSMB += u.rssMB / float64(len(r.gateways))
+				r.books.CPU += u.cpu
+			}
+		}
+		g.mu.Unlock()
+	}
 	var ends sync.WaitGroup
 	for _, g := range r.gateways {
 		ends.Go(func() {
--- /dev/null
+++ b/internal/rig/usage.go
@@ -0,0 +1,39 @@
+package rig
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+)
+
+// usage is what a process holds and has used.
+type usage struct {
+	rssMB float64
+	cpu   float64 // seconds
+}
+
+const ticksASecond = 100 // USER_HZ on Linux
+
+// usageOf reads it from /proc.
+func usageOf(pid int) (u usage, err error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return u, err
+	}
+	_, rest, ok := strings.Cut(string(raw), ") ")
+	fields := strings.Fields(rest)
+	if !ok || len(fields) < 22 {
+		return u, fmt.Errorf("rig: %q is no stat of a process", raw)
+	}
+	for _, f := range fields[11:13] { // user and system time
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			return u, err
+		}
+		u.cpu += float64(n) / ticksASecond
+	}
+	pages, err := strconv.Atoi(fields[21])
+	u.rssMB = float64(pages) * float64(os.Getpagesize()) / (1 << 20)
+	return u, err
+}
