Order drains, refused classes and the limit of spill on a log replicated among voters

Directives of operators must be the same everywhere; a merge of observations is no rule for them, and a file copied about is not the same while it is copied.

internal/directives drives go.etcd.io/raft as a state machine (ticks, messages and what the disk kept in; what to keep, say and answer out), with a book that all follow, voters that have forgotten and listen before they vote, and disks that fail; wal is the disk. internal/gateway/orders.go carries it out in one place: drains of zones and engines, refused classes, the limit of spill. Block `directives`, foxlane directive set|unset|list| history|init. The rig gives orders and judges that what was said to hold does. Large messages go over connections in a ring of their own; talk ends off the reducer's goroutine (a gateway cut off from its peers did not end within 8 s of SIGTERM before).

--- a/cmd/foxlane/main.go
+++ b/cmd/foxlane/main.go
@@ -43,7 +43,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(serveCommand(), checkCommand(), planCommand(), spoolCommand(), membersCommand(), replicaCommand(), versionCommand())
+	cmd.AddCommand(serveCommand(), checkCommand(), planCommand(), spoolCommand(), membersCommand(), replicaCommand(), directiveCommand(), versionCommand())
 	return cmd
 }
 
--- a/cmd/foxlane/members.go
+++ b/cmd/foxlane/members.go
@@ -22,7 +22,7 @@
 // This file owns `foxlane members` and `foxlane replica`: what gateways that talk hold of one another. It asks them where
 // their block `members` has control, and changes nothing.
 
-const controlWithin = 3 * time.Second
+const controlWithin = 7 * time.Second // a vote may take some
 
 // control asks a gateway one question and reads its answer.
 func control(at netip.AddrPort, question string, answer any) error {
--- /dev/null
+++ b/internal/directives/wal/wal_test.go
@@ -0,0 +1,143 @@
+package wal
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"foxlane/internal/directives"
+)
+
+func entry(index, term uint64, text string) *pb.Entry {
+	return &pb.Entry{Index: proto.Uint64(index), Term: proto.Uint64(term), Data: []byte(text)}
+}
+
+func hard(term, vote, commit uint64) *pb.HardState {
+	return &pb.HardState{Term: proto.Uint64(term), Vote: proto.Uint64(vote), Commit: proto.Uint64(commit)}
+}
+
+// texts is what is kept, for comparison.
+func texts(k directives.Kept) (out []string) {
+	for _, e := range k.Entries {
+		out = append(out, string(e.GetData()))
+	}
+	return out
+}
+
+// What was kept is there after every kind of end; two processes can't have one folder; a folder is made a voter's once.
+func TestKeepAndOpen(t *testing.T) {
+	folder := t.TempDir()
+	if err := Init(folder); err != nil {
+		t.Fatal(err)
+	}
+	if err := Init(folder); !errors.Is(err, ErrExists) {
+		t.Errorf("made twice: %v", err)
+	}
+	l, kept, err := Open(folder)
+	if err != nil || !kept.Born {
+		t.Fatalf("%v, %+v", err, kept)
+	}
+	if _, _, err := Open(folder); !errors.Is(err, ErrInUse) {
+		t.Errorf("opened twice: %v", err)
+	}
+	for _, b := range []directives.Batch{{Hard: hard(2, 1, 1), Entries: []*pb.Entry{entry(2, 2, "a"), entry(3, 2, "b")}},
+		{Entries: []*pb.Entry{entry(3, 3, "c"), entry(4, 3, "d")}}, {Hard: hard(3, 2, 4)}} {
+		if err := l.Keep(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Close()
+	if l, kept, err = Open(folder); err != nil || !reflect.DeepEqual(texts(kept), []string{"a", "c", "d"}) || kept.Hard.GetTerm() != 3 || kept.Hard.GetVote() != 2 {
+		t.Fatalf("%v, %v, %v", err, texts(kept), kept.Hard)
+	}
+	snap := &pb.Snapshot{Data: []byte("book"), Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(4), Term: proto.Uint64(3)}}
+	if err := l.Keep(directives.Batch{Hard: hard(3, 2, 4), Snap: snap, Entries: []*pb.Entry{entry(5, 3, "e")}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Keep(directives.Batch{Entries: []*pb.Entry{entry(6, 3, "f")}}); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	l, kept, err = Open(folder)
+	if err != nil || !kept.Born || string(kept.Snap.GetData()) != "book" || !reflect.DeepEqual(texts(kept), []string{"e", "f"}) {
+		t.Errorf("%v, %+v, %v", err, kept, texts(kept))
+	}
+	l.Close()
+	empty, kept, err := Open(t.TempDir())
+	if err != nil || kept.Born {
+		t.Errorf("a folder that nobody made a voter's: %v, %+v", err, kept)
+	} else {
+		empty.Close()
+	}
+}
+
+// Cut at any byte the log opens with what was whole; a byte changed before the end is damage, or cuts nothing that was kept before it.
+func TestEveryByte(t *testing.T) {
+	folder := t.TempDir()
+	if err := Init(folder); err != nil {
+		t.Fatal(err)
+	}
+	l, _, err := Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(folder, fileName)
+	ends := map[int]int{}
+	for i, text := range []string{"one", "two", "three"} {
+		if err := l.Keep(directives.Batch{Entries: []*pb.Entry{entry(uint64(i+2), 2, text)}}); err != nil {
+			t.Fatal(err)
+		}
+		info, err := os.Stat(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ends[int(info.Size())] = i + 1
+	}
+	l.Close()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := 0
+	for n := len(magic); n <= len(raw); n++ {
+		if k, ok := ends[n]; ok {
+			whole = k
+		}
+		kept, _, err := Read(raw[:n])
+		if err != nil || len(kept.Entries) != whole {
+			t.Fatalf("cut at %d of %d: %v, %d entries, %d were whole", n, len(raw), err, len(kept.Entries), whole)
+		}
+	}
+	for i := range raw {
+		bad := append([]byte(nil), raw...)
+		bad[i] ^= 0x10
+		kept, _, err := Read(bad)
+		for j, text := range texts(kept) {
+			if want := []string{"one", "two", "three"}[j]; text != want {
+				t.Fatalf("byte %d changed: entry %d is %q", i, j, text)
+			}
+		}
+		if err == nil && len(kept.Entries) == 3 && kept.Born {
+			t.Fatalf("byte %d changed, and nobody noticed", i)
+		}
+	}
+}
+
+// A disk that fails is told.
+func TestDiskFails(t *testing.T) {
+	folder := t.TempDir()
+	l, _, err := Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.file.Close()
+	if l.Keep(directives.Batch{Hard: hard(2, 1, 1)}) == nil {
+		t.Error("kept on a file that is closed")
+	}
+	l.lock.Close()
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -28,6 +28,8 @@
 	fault rules.Time // when an attempt there last ended otherwise, and was not moot
 	erred rules.Time // when it last answered an error
 	broke rules.Time // when a connection with requests last broke
+
+	ordered bool // the operators' directives drain it
 }
 
 // applyList takes the whole list and tells the module what is new in it.
@@ -43,7 +45,7 @@
 		if e.entry.Addr != entry.Addr || e.entry.Started != entry.Started || e.state == rules.EngineGone {
 			g.retireLinks(e) // another process, perhaps on another machine
 		}
-		e.entry, e.state = entry, rules.EngineServing
+		e.entry, e.state, e.ordered = entry, rules.EngineServing, g.drainsEngine(entry.ID)
 		if entry.State == config.StateLeaving {
 			e.state = rules.EngineDraining
 		}
@@ -89,13 +91,17 @@
 }
 
 func (g *Gateway) translate(e *engineState) rules.Engine {
+	state := e.state
+	if e.ordered && state == rules.EngineServing {
+		state = rules.EngineDraining
+	}
 	return rules.Engine{
 		ID:        e.id,
 		Cell:      e.entry.Cell,
 		Zone:      indexOf(g.cfg.Settings.ZoneNames, e.entry.Zone),
 		Kind:      indexOf(g.cfg.Settings.KindNames, e.entry.Kind),
 		StartedAt: rules.Time(e.entry.Started) * rules.Millisecond,
-		State:     e.state,
+		State:     state,
 		Scale:     e.entry.Weight,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"net/netip"
 
 	"foxlane/internal/config"
+	"foxlane/internal/directives"
 	"foxlane/internal/dns"
 	"foxlane/internal/door"
 	"foxlane/internal/spool"
@@ -31,19 +32,21 @@
 
 // Kinds of events.
 const (
-	Accepted   EventKind = iota + 1 // a client connected
-	Data                            // bytes came on a connection
-	Closed                          // a connection ended
-	Connected                       // a dial came up
-	DialFailed                      // or did not; nothing was written
-	Datagram                        // bytes came from the name service
-	Wake                            // the time asked for has come
-	Terminate                       // the process is asked to end
-	Reload                          // the configuration was read again
-	Shelved                         // the spool's disk has done what it was asked for
-	Drained                         // a connection that was watched has taken all that was written to it
-	Peer                            // something has happened among the members
-	Inquiry                         // an operator's command asks something
+	Accepted    EventKind = iota + 1 // a client connected
+	Data                             // bytes came on a connection
+	Closed                           // a connection ended
+	Connected                        // a dial came up
+	DialFailed                       // or did not; nothing was written
+	Datagram                         // bytes came from the name service
+	Wake                             // the time asked for has come
+	Terminate                        // the process is asked to end
+	Reload                           // the configuration was read again
+	Shelved                          // the spool's disk has done what it was asked for
+	Drained                          // a connection that was watched has taken all that was written to it
+	Peer                             // something has happened among the members
+	Inquiry                          // an operator's command asks something
+	VoterOpened                      // the voter's log was read: Kept
+	KeptIt                           // what Keep asked for is on the disk, or Err
 )
 
 // Event is something that happened outside. Data is valid during the call only.
@@ -55,9 +58,10 @@
 	From netip.Addr // with Accepted: the client's address, if it is known
 	Ours bool       // with DialFailed: for want of something here, such as descriptors
 
-	Config *config.Config // with Reload: what holds from now on
-	Spool  []spool.Event  // with Shelved
-	Peer   *PeerEvent     // with Peer; Data is what a member said
+	Config *config.Config   // with Reload: what holds from now on
+	Spool  []spool.Event    // with Shelved
+	Peer   *PeerEvent       // with Peer; Data is what a member said
+	Kept   *directives.Kept // with VoterOpened
 }
 
 // EffectKind is what an Effect asks for.
@@ -79,6 +83,7 @@
 	Talk                         // begin to look for members, as the configuration has it now
 	Hush                         // leave them
 	Answer                       // Data answers the Inquiry of Conn
+	Keep                         // put Keep on the voter's disk, synced, and tell KeptIt
 )
 
 // Level is the weight of a log line.
@@ -112,6 +117,7 @@
 
 	To      string
 	Channel byte
+	Keep    directives.Batch
 }
 
 // Gateway is the reducer.
@@ -154,11 +160,12 @@
 	asked    [64]uint16 // ids of the latest queries
 	askedNum int
 
-	shelf *shelf              // nil: no spool is set, results are passed on at once
-	gate  *gate               // nil: the door is off, all requests go to the module at once
-	sites *sites              // nil: no plan for the loss of a zone is set
-	seen  []zones.EngineSight // scratch
-	peers *peers              // nil: other gateways are not talked to
+	shelf  *shelf              // nil: no spool is set, results are passed on at once
+	gate   *gate               // nil: the door is off, all requests go to the module at once
+	sites  *sites              // nil: no plan for the loss of a zone is set
+	seen   []zones.EngineSight // scratch
+	peers  *peers              // nil: other gateways are not talked to
+	orders *orders             // nil: no directives are followed
 
 	stats    stats
 	stopping bool
@@ -206,6 +213,7 @@
 	if g.sites != nil {
 		g.planZones()
 	}
+	g.beginOrders()
 	g.beginPeers()
 	g.applyList(cfg.Known.Engines, rules.ListSaved)
 	g.poll()
@@ -259,6 +267,12 @@
 		g.peer(e)
 	case Inquiry:
 		g.inquire(e)
+	case VoterOpened:
+		g.voterOpened(e.Kept)
+	case KeptIt:
+		if g.orders != nil {
+			g.carryOrders(g.orders.desk.Handle(g.now, directives.Event{Kind: directives.Persisted, OK: e.Err == nil}))
+		}
 	}
 }
 
@@ -350,6 +364,7 @@
 	timerWhole
 	timerKept
 	timerPeers
+	timerOrders
 )
 
 type timer struct {
@@ -433,6 +448,8 @@
 			g.poll()
 		case timerPeers:
 			g.tickPeers()
+		case timerOrders:
+			g.tickOrders()
 		case timerStop:
 			g.lingered = true
 		case timerStats:
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxlane/internal/config"
+	"foxlane/internal/directives"
 	"foxlane/internal/hearsay"
 	"foxlane/internal/replica"
 	"foxlane/rules"
@@ -36,7 +37,9 @@
 
 // Channels of what members say.
 const (
-	ChannelCopies byte = 1
+	ChannelCopies byte = iota + 1
+	ChannelVotes       // among the voters on directives
+	ChannelBooks       // of directives, to all
 )
 
 // peers is what is held of other gateways.
@@ -71,7 +74,7 @@
 	switch {
 	case on == (g.peers != nil):
 	case !on:
-		g.peers = nil
+		g.peers = nil // the book stays as it is, and grows old
 		g.log(Info, "members: talk ends")
 		g.do(Effect{Kind: Hush})
 	default:
@@ -102,8 +105,14 @@
 		g.log(Info, "members: left", Attr{"member", x.Name}, Attr{"members", len(p.since)})
 		g.atCopies(replica.Event{Kind: replica.Left, Member: replica.Member{Name: x.Name}})
 	case PeerCame:
-		if x.Channel == ChannelCopies {
+		switch {
+		case x.Channel == ChannelCopies:
 			g.atCopies(replica.Event{Kind: replica.Came, Member: replica.Member{Name: x.Name}, Data: e.Data})
+		case g.orders == nil:
+		case x.Channel == ChannelVotes:
+			g.carryOrders(g.orders.desk.Handle(g.now, directives.Event{Kind: directives.Came, From: x.Name, Data: e.Data}))
+		case x.Channel == ChannelBooks:
+			g.carryOrders(g.orders.desk.Said(g.now, x.Name, e.Data))
 		}
 	case PeerNamesake:
 		g.log(Warn, "members: a name comes twice", Attr{"member", x.Name}, Attr{"at", x.Text})
@@ -174,6 +183,11 @@
 func (g *Gateway) inquire(e Event) {
 	var answer any
 	switch what := string(e.Data); {
+	case len(e.Data) > 0 && e.Data[0] == '{':
+		g.takeOrder(e.Conn, e.Data)
+		return
+	case what == "book":
+		answer = g.tellBook()
 	case g.peers == nil:
 		answer = map[string]string{"error": "talk is off"}
 	case what == "members":
@@ -183,11 +197,15 @@
 	default:
 		answer = map[string]string{"error": fmt.Sprintf("unknown question %.40q", what)}
 	}
+	g.reply(e.Conn, answer)
+}
+
+func (g *Gateway) reply(conn ConnID, answer any) {
 	line, err := json.Marshal(answer)
 	if err != nil {
 		line = []byte(`{"error":"the answer can't be written"}`)
 	}
-	g.do(Effect{Kind: Answer, Conn: e.Conn, Data: append(line, '\n')})
+	g.do(Effect{Kind: Answer, Conn: conn, Data: append(line, '\n')})
 }
 
 // MemberLine is a member as `foxlane members` shows it.
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -113,7 +113,7 @@
 		ID: id, Class: class, Tenant: tenant, OrderKey: q.Fields.Key, Due: due, Work: work, HasWork: work > 0,
 		MemoryMB: q.Fields.MemoryMB, DataSet: q.Group, Repeat: q.Fields.Repeat, Write: q.Write,
 	}
-	if g.gate == nil && g.shelf == nil && g.sites == nil {
+	if g.gate == nil && g.shelf == nil && g.sites == nil && g.orders == nil {
 		r.passed = true
 		g.tell(rules.Arrival{Request: arrival})
 		return
--- a/internal/gateway/sites.go
+++ b/internal/gateway/sites.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"foxlane/internal/config"
+	"foxlane/internal/directives"
 	"foxlane/internal/zones"
 	"foxlane/rules"
 )
@@ -71,11 +72,29 @@
 		if g.sites = newSites(&g.cfg, g.rng, g.now); g.sites != nil {
 			g.planZones()
 		}
-	case on:
-		set, drained := g.cfg.Site.Sites.Resolve(g.cfg.Settings.ZoneNames)
-		g.sites.zones.Retune(set)
-		g.sites.drain(drained, g.now)
 	}
+	g.retuneZones()
+}
+
+// retuneZones goes over to what the operator's file and the directives say now.
+func (g *Gateway) retuneZones() {
+	if g.sites == nil {
+		return
+	}
+	set, drained := g.cfg.Site.Sites.Resolve(g.cfg.Settings.ZoneNames)
+	if g.orders != nil {
+		b := g.orders.desk.Book()
+		if v, ok := b.Value(directives.Spill); ok {
+			set.Spill = v
+		}
+		for _, name := range b.Of(directives.DrainZone) {
+			if i := slices.Index(g.cfg.Settings.ZoneNames, name); i >= 0 && !slices.Contains(drained, i) {
+				drained = append(drained, i)
+			}
+		}
+	}
+	g.sites.zones.Retune(set)
+	g.sites.drain(drained, g.now)
 }
 
 // sweepSites looks at all zones.
@@ -118,8 +137,12 @@
 	return out
 }
 
-// admits asks the zones whether a request is let in. One that is not has its answer already.
+// admits asks the directives and the zones whether a request is let in. One that is not has its answer already.
 func (g *Gateway) admits(r *request) bool {
+	if g.refusesClass(r.class) {
+		g.refuse(r, g.cfg.Settings.Rules.Limits.MaxRetryAfter)
+		return false
+	}
 	if g.sites == nil {
 		return true
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -60,5 +60,6 @@
 	g.logShelf()
 	g.logSites()
 	g.logPeers()
+	g.logOrders()
 	g.logBeliefs()
 }
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -51,6 +51,7 @@
 	from    func() netip.Addr    // of the next client; nil: unknown
 	retune  func(*config.Config) // what changes at a reload; nil: nothing
 	records [][]byte             // on the spool's disk
+	said    []string             // to operators' commands
 }
 
 type happening struct {
@@ -275,6 +276,10 @@
 		case Watch:
 			id := f.Conn
 			w.after(w.latency(), func() { w.step(Event{Kind: Drained, Conn: id}) })
+		case Keep:
+			w.after(w.latency(), func() { w.step(Event{Kind: KeptIt}) })
+		case Answer:
+			w.said = append(w.said, string(f.Data))
 		case Exit:
 			w.exited = true
 		}
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -127,6 +127,8 @@
 	readers  sync.WaitGroup // of UDP
 	shelf    *shelf         // nil: no spool is on a disk
 	talk     *talk          // nil: other gateways are not talked to
+	hushing  sync.WaitGroup // talk that is being ended
+	votes    *votes         // nil: this gateway does not vote on directives
 }
 
 // Run serves until the process is asked to end by a signal, and all is answered.
@@ -147,9 +149,14 @@
 		return err
 	}
 	defer e.close()
+	if err := e.openVotes(); err != nil {
+		return err
+	}
+	defer e.closeVotes()
 	if err := e.openTalk(); err != nil {
 		return err
 	}
+	defer e.hushing.Wait()
 	defer e.closeTalk()
 	log.Info("serving", zap.String("name", cfg.Name), zap.Stringer("listen", cfg.Listen),
 		zap.Int("engines", len(cfg.Known.Engines)))
@@ -350,6 +357,10 @@
 		g.Step(e.now(), gateway.Event{Kind: gateway.Shelved, Spool: e.shelf.found})
 		e.shelf.found = nil
 	}
+	if e.votes != nil {
+		kept := e.votes.kept
+		g.Step(e.now(), gateway.Event{Kind: gateway.VoterOpened, Kept: &kept})
+	}
 	var events []gateway.Event
 	var arena []byte
 	armed, turns := rules.Time(0), pace{least: e.cfg.Limits.Turn}
@@ -454,6 +465,8 @@
 		e.closeTalk()
 	case gateway.Answer:
 		e.answer(f)
+	case gateway.Keep:
+		e.keep(f.Keep)
 	case gateway.Log:
 		e.write(f)
 	}
--- a/internal/net/talk.go
+++ b/internal/net/talk.go
@@ -3,12 +3,17 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	stdnet "net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"foxlane/internal/directives"
+	"foxlane/internal/directives/wal"
 	"foxlane/internal/gateway"
 	"foxlane/internal/members"
 	"foxlane/rules"
@@ -18,8 +23,9 @@
 // ring to a goroutine of its own; when it is full, it is lost.
 type talk struct {
 	members *members.Members
-	out     chan telling
-	lost    int // what found the ring full, since the last word of it
+	out     chan telling // datagrams
+	large   chan telling // what takes a connection: it may stand still, and must not hold the others up
+	ending  atomic.Bool  // what still waits is not sent any more
 	wg      sync.WaitGroup
 	control stdnet.Listener // nil: no commands are answered
 	mu      sync.Mutex
@@ -28,6 +34,58 @@
 	closed  bool
 }
 
+// votes is the disk of a voter on directives, and the goroutine that writes to it.
+type votes struct {
+	log  *wal.Log
+	in   chan directives.Batch
+	wg   sync.WaitGroup
+	kept directives.Kept // at the start, until the reducer has it
+}
+
+// openVotes reads the voter's log, if we are one, before anything else: another process that uses its folder ends this one.
+func (e *Edge) openVotes() error {
+	if e.cfg.Site == nil || e.cfg.Site.Directives == nil || e.cfg.Site.Members == nil || e.cfg.Site.Directives.Folder == "" ||
+		!slices.Contains(e.cfg.Site.Directives.Voters, e.cfg.Name) {
+		return nil
+	}
+	l, kept, err := wal.Open(e.cfg.Site.Directives.Folder)
+	if err != nil {
+		return err
+	}
+	v := &votes{log: l, in: make(chan directives.Batch, keeps), kept: kept}
+	v.wg.Go(func() {
+		for b := range v.in {
+			e.box.put(gateway.Event{Kind: gateway.KeptIt, Err: v.log.Keep(b)})
+		}
+	})
+	e.votes = v
+	e.log.Info("directives: voter's log opened", zap.Bool("made", kept.Born), zap.Int("entries", len(kept.Entries)), zap.Bool("snapshot", kept.Snap != nil))
+	return nil
+}
+
+func (e *Edge) closeVotes() {
+	if v := e.votes; v != nil {
+		close(v.in)
+		v.wg.Wait()
+		v.log.Close()
+	}
+}
+
+// keep hands a batch to the disk's goroutine. Few are ever on their way: one, and a snapshot.
+func (e *Edge) keep(b directives.Batch) {
+	if e.votes == nil {
+		e.box.put(gateway.Event{Kind: gateway.KeptIt, Err: errNoFolder})
+		return
+	}
+	select {
+	case e.votes.in <- b:
+	default:
+		e.box.put(gateway.Event{Kind: gateway.KeptIt, Err: errNoFolder})
+	}
+}
+
+var errNoFolder = errors.New("directives: no disk to keep a vote on")
+
 type telling struct {
 	to      string
 	channel byte
@@ -35,10 +93,13 @@
 }
 
 const (
-	tellings     = 512 // that wait to be sent
-	hearInTurn   = 256 // events of members in one turn of the reducer
-	askers       = 8   // operators' commands at a time
-	askWithin    = 2 * time.Second
+	tellings     = 512  // that wait to be sent
+	largeOnes    = 16   // of what takes a connection
+	largeFrom    = 1200 // bytes
+	hearInTurn   = 256  // events of members in one turn of the reducer
+	askers       = 8    // operators' commands at a time
+	askWithin    = 6 * time.Second
+	keeps        = 64       // batches that wait for the voter's disk
 	questionMost = 64 << 10 // bytes of a question
 )
 
@@ -56,7 +117,8 @@
 	if i := e.cfg.Settings.Rules.Zone; i >= 0 && i < len(e.cfg.Settings.ZoneNames) {
 		zone = e.cfg.Settings.ZoneNames[i]
 	}
-	t := &talk{out: make(chan telling, tellings), asking: map[gateway.ConnID]stdnet.Conn{}}
+	e.hushing.Wait()
+	t := &talk{out: make(chan telling, tellings), large: make(chan telling, largeOnes), asking: map[gateway.ConnID]stdnet.Conn{}}
 	poke := func() {
 		select {
 		case e.box.ready <- struct{}{}:
@@ -74,22 +136,33 @@
 		}
 		t.wg.Go(func() { e.serveControl(t) })
 	}
-	t.wg.Go(func() {
-		for x := range t.out {
-			_ = t.members.Send(x.to, x.channel, x.data) // whoever has gone hears nothing
-		}
-	})
+	for _, ring := range []chan telling{t.out, t.large} {
+		t.wg.Go(func() {
+			for x := range ring {
+				if !t.ending.Load() {
+					_ = t.members.Send(x.to, x.channel, x.data) // whoever has gone hears nothing
+				}
+			}
+		})
+	}
 	e.talk = t
 	return nil
 }
 
+// closeTalk leaves the members. It takes a while, for which the reducer does not wait: hushing ends with it.
 func (e *Edge) closeTalk() {
 	t := e.talk
 	if t == nil {
 		return
 	}
 	e.talk = nil
+	t.ending.Store(true)
 	close(t.out)
+	close(t.large)
+	e.hushing.Go(t.close)
+}
+
+func (t *talk) close() {
 	t.mu.Lock()
 	t.closed = true
 	if t.control != nil {
@@ -109,10 +182,13 @@
 	if t == nil {
 		return
 	}
+	ring := t.out
+	if len(f.Data) > largeFrom {
+		ring = t.large
+	}
 	select {
-	case t.out <- telling{f.To, f.Channel, bytes.Clone(f.Data)}:
-	default:
-		t.lost++
+	case ring <- telling{f.To, f.Channel, bytes.Clone(f.Data)}:
+	default: // it is lost, as on the network
 	}
 }
 
--- a/internal/rig/books.go
+++ b/internal/rig/books.go
@@ -20,6 +20,8 @@
 	Tries    int      // of clients, at gateways
 	RSSMB    float64  // of the gateways, the mean, before they end
 	CPU      float64  // seconds of all gateways
+	Ordered  []string // directives that a gateway said to hold
+	Unheld   int      // orders that got another answer
 	Copies   int      // most entries that a gateway held of all, by its log
 	Cross    int      // attempts that reached another zone than their gateway's
 	Ways     map[string]relay.Counts
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -37,6 +37,8 @@
 	case "slow":
 		r.slow(f.Of, f.Factor)
 		back = func() error { r.slow(f.Of, 1); return nil }
+	case "order":
+		r.each(f.Of, func(g *gateway) { r.order(g, f.Text) })
 	case "hush": // the operator's file switches the talk off
 		set := func(off bool) error {
 			r.hushed.Store(off)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -23,6 +23,7 @@
 	"syscall"
 	"time"
 
+	"foxlane/internal/directives/wal"
 	"foxlane/internal/relay"
 	"foxlane/internal/standin"
 )
@@ -57,6 +58,9 @@
 	drains map[string]bool
 	hushed atomic.Bool // talk is switched off
 	next   int         // engine ids given
+	orders int         // given
+
+	answers sync.WaitGroup // that orders wait for
 }
 
 type way struct {
@@ -181,6 +185,11 @@
 			return err
 		}
 	}
+	for _, g := range r.gateways[:r.Voters] {
+		if err := wal.Init(g.path("votes")); err != nil {
+			return err
+		}
+	}
 	r.news(0)
 	for _, g := range r.gateways {
 		if err := g.begin(); err != nil {
@@ -234,7 +243,15 @@
 			text += fmt.Sprintf("  via %q {\n    at = %q\n  }\n", g.rig.gateways[i].talk, p.Addr())
 		}
 	}
-	return text + "}\n"
+	text += "}\n"
+	if n := g.rig.Voters; n > 0 {
+		text += "directives {\n  voters = ["
+		for i := range n {
+			text += fmt.Sprintf("\"n%d\", ", i)
+		}
+		text += fmt.Sprintf("]\n  folder = %q\n  tick = \"50ms\"\n}\n", g.path("votes"))
+	}
+	return text
 }
 
 func (r *Rig) newID() string {
@@ -512,6 +529,7 @@
 
 // finish takes the last figures, and ends all gateways as operators do.
 func (r *Rig) finish() {
+	r.judgeOrders()
 	for _, g := range r.gateways {
 		g.mu.Lock()
 		if g.cmd != nil {
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -38,6 +38,7 @@
 	Loss     float64   `hcl:"loss,optional"`
 	Rate     int       `hcl:"rate,optional"`
 	Factor   float64   `hcl:"factor,optional"`
+	Text     string    `hcl:"text,optional"`     // of an order: its kind and subject
 	Unlisted string    `hcl:"unlisted,optional"` // from a loss until the list says so
 
 	At, For time.Duration
@@ -57,6 +58,7 @@
 	"drain":   {of: true},   // the operator's file drains a zone
 	"burst":   {of: true},   // clients of a zone ask `factor` times as much
 	"slow":    {of: true},   // engines take `factor` times as long
+	"order":   {of: true},   // a gateway is asked for a directive: `text` is its kind and subject
 	"hush":    {},           // the operator's file switches the gateways' talk off
 	"dark":    {},           // the name service says nothing
 	"late":    {},           // what it says is late by `delay`
@@ -75,6 +77,7 @@
 	ColdFrom   float64 `hcl:"cold_from,optional"`
 	Operator   string  `hcl:"operator,optional"` // text of the operator's file
 	Talk       bool    `hcl:"talk,optional"`     // gateways talk to one another, through relays by pair
+	Voters     int     `hcl:"voters,optional"`   // of these, the first ones vote on directives
 	Faults     []Fault `hcl:"fault,block"`
 
 	Length time.Duration
@@ -135,6 +138,8 @@
 		return fmt.Errorf("%s: length must be over 0 and at most %v", name, mostLength)
 	case gateways == 0 || engines == 0 || gateways+engines > mostParties:
 		return fmt.Errorf("%s: %d gateways and %d engines; at least one of each and %d in all are possible", name, gateways, engines, mostParties)
+	case s.Voters != 0 && (!s.Talk || s.Voters > gateways):
+		return fmt.Errorf("%s: voters need talk, and as many gateways", name)
 	case s.Cores < 1 || !(s.Load > 0 && s.Load <= 10) || !(s.ColdFrom > 0 && s.ColdFrom <= 1):
 		return fmt.Errorf("%s: cores must be at least 1, load within 0 and 10, cold_from within 0 and 1", name)
 	}
--- a/internal/rig/talk_test.go
+++ b/internal/rig/talk_test.go
@@ -72,3 +72,55 @@
 		t.Errorf("%d entries of others at the most: nothing was shared", b.Copies)
 	}
 }
+
+// Three of six gateways vote: a directive holds at all six; the leader's site is cut off, voters are killed, and a majority still takes
+// orders; what was said to hold holds everywhere in the end, and an engine that is drained gets nothing.
+func TestDirectivesThroughFaults(t *testing.T) {
+	t.Parallel()
+	b := play(t, talking+plan+`
+voters = 3
+load   = 0.25
+length = "17s"
+fault "order" {
+  of   = "hall-a/g0"
+  at   = "3s"
+  text = "drain-engine s-00000003"
+}
+fault "kill" {
+  of  = "hall-a/g1"
+  at  = "5s"
+  for = "2s"
+}
+fault "order" {
+  of   = "hall-b/g0"
+  at   = "6s"
+  text = "refuse-class load"
+}
+fault "cut" {
+  from = "hall-a/g0"
+  to   = "gateways"
+  both = true
+  at   = "9s"
+  for  = "4s"
+}
+fault "order" {
+  of   = "hall-a/g0"
+  at   = "10s"
+  text = "drain-zone hall-c"
+}
+fault "order" {
+  of   = "hall-b/g0"
+  at   = "11s"
+  text = "drain-engine s-00000001"
+}
+`)
+	if n := len(b.Ordered); n < 3 {
+		t.Errorf("%d of 4 orders were said to hold: %v", n, b.Ordered)
+	}
+	if refused := b.Classes[2].Refused; refused < 10 {
+		t.Errorf("%d requests of the class that is refused were", refused)
+	}
+	if got := b.Share(1, 6); got < 0.95 {
+		t.Errorf("%.3f of the worth served with one engine drained", got)
+	}
+}
--- a/internal/site/members_test.go
+++ b/internal/site/members_test.go
@@ -21,6 +21,10 @@
     at = "192.0.2.6:9000"
   }
 }
+directives {
+  voters = ["n0", "n1", "n2"]
+  folder = "/var/lib/foxlane"
+}
 `
 
 func TestMembers(t *testing.T) {
@@ -33,6 +37,9 @@
 		m.Hearsay.Fresh != 2*rules.Second || m.Via[netip.MustParseAddrPort("10.0.0.6:7946")].Port() != 9000 {
 		t.Errorf("got %+v", m)
 	}
+	if d := s.Directives; len(d.Voters) != 3 || d.Folder != "/var/lib/foxlane" || d.Tick != 100*rules.Millisecond {
+		t.Errorf("got %+v", d)
+	}
 	set, err := m.Set()
 	if err != nil || !set.Contains(netip.MustParseAddr("10.0.0.9")) || set.Contains(netip.MustParseAddr("10.0.1.9")) {
 		t.Errorf("%v, %v", set, err)
@@ -54,6 +61,9 @@
 		"members {\n  bind = \"10.0.0.4:1\"\n  may = [\"10.0.1.0\"]\n}":               "\"10.0.1.0\" is no prefix",
 		"members {\n  bind = \"10.0.0.4:1\"\n  budget = 5\n}":                         "5 is not within 1000",
 		"members {\n  bind = \"10.0.0.4:1\"\n  via \"x\" {\n    at = \"y:1\"\n  }\n}": "\"x\" is no address",
+		"directives {\n  voters = [\"a\"]\n}":                                         "directives needs the block members",
+		"directives {\n  voters = [\"a\", \"b\"]\n}":                                  "2 are named; 1, 3 or 5",
+		"directives {\n  voters = [\"a\", \"a\", \"b\"]\n}":                           "\"a\" comes twice",
 		"members {\n  bind = \"10.0.0.4:1\"\n  seed = []\n}":                          "3:3: Unsupported argument",
 	} {
 		if _, err := Parse([]byte(text), "x.hcl"); err == nil || !strings.Contains(err.Error(), want) {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -26,7 +26,8 @@
 	Spool *Spool
 	Sites *Sites
 
-	Members *Members
+	Members    *Members
+	Directives *Directives
 }
 
 // Fair are the settings of the door.
@@ -40,7 +41,8 @@
 	Spool *spoolBlock `hcl:"spool,block"`
 	Sites *sitesBlock `hcl:"sites,block"`
 
-	Members *membersBlock `hcl:"members,block"`
+	Members    *membersBlock    `hcl:"members,block"`
+	Directives *directivesBlock `hcl:"directives,block"`
 }
 
 // LoadFile reads the operator's file.
@@ -98,6 +100,13 @@
 		}
 		s.Members = m
 	}
+	if d.Directives != nil {
+		x, diags := d.Directives.decode(s.Members)
+		if diags.HasErrors() {
+			return nil, problem(diags)
+		}
+		s.Directives = x
+	}
 	return s, nil
 }
 
@@ -152,5 +161,10 @@
 	} else {
 		s.Members.write(&b)
 	}
+	if s == nil || s.Directives == nil {
+		b.WriteString("# directives: off\n")
+	} else {
+		s.Directives.write(&b)
+	}
 	return b.String()
 }
