--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -527,3 +527,34 @@
 		}
 	}
 }
+
+// What the module leaves out for faults from before a return does not make the zone lost once more; faults from after it do.
+func TestFaultsFromBeforeAReturn(t *testing.T) {
+	z := New(Defaults(), Fleet{Zones: 2, Gateways: 2}, 0)
+	look := func(from, length rules.Time, fault rules.Time, answers bool) rules.Time {
+		for now := from; now < from+length; now += 200 * ms {
+			list := engines(0, 1)
+			for i := range list {
+				list[i].Fault = fault
+			}
+			for _, id := range z.Look(now, list, rules.Standing{}, true).Ask {
+				if id < 10 {
+					z.Answered(0, answers)
+				}
+			}
+		}
+		return from + length
+	}
+	now := look(second, 3*second, second, false)
+	if s := z.Status(now)[0].State; s != Lost {
+		t.Fatalf("all left out for 3 s: %v", s)
+	}
+	now = look(now, 7*second, second, true)
+	if s := z.Status(now)[0]; s.State != Returning || s.Losses != 1 {
+		t.Fatalf("its engines answer probes, and are still left out for what was before: %+v", s)
+	}
+	now = look(now, 2*second, now, true)
+	if s := z.Status(now)[0]; s.State != Lost || s.Losses != 2 {
+		t.Errorf("they have failed again since: %+v", s)
+	}
+}
