Hold the doubt of silent zones by tests that fail without it

Two tests now hold it: a zone with two late engines and no word is asked and lost within 1.5 s, one late engine is no doubt, a word from any engine or an answer ends it; hearsay has a zone asked, and nothing else.

--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -558,3 +558,81 @@
 		t.Errorf("they have failed again since: %+v", s)
 	}
 }
+
+// Two engines of a zone that owe what is late, and none that has said a word since: the zone is asked, and lost within a second and a
+// half if nobody answers, long before any of its engines is left out. One late engine is no doubt; a word from any ends it.
+func TestSilentZoneIsDoubted(t *testing.T) {
+	type run struct {
+		late   int // engines of the first zone that owe something late
+		answer bool
+		word   rules.Time // when another engine there says something; 0: never
+	}
+	play := func(r run) (asked int, lostAt rules.Time) {
+		z := New(Defaults(), Fleet{Zones: 2, Gateways: 2}, 0)
+		const start = 10 * second
+		due := map[rules.Time]bool{}
+		for now := rules.Time(start); now < start+4*second; now += 50 * ms {
+			if answer, ok := due[now]; ok {
+				z.Answered(0, answer)
+			}
+			if now%(200*ms) != 0 {
+				continue
+			}
+			list := engines(1, 1)
+			for i := range list[:4] {
+				list[i].Heard = start - second
+				if i < r.late {
+					list[i].Asked, list[i].Late = start-100*ms, now > start
+				}
+			}
+			if r.word != 0 && now >= start+r.word {
+				list[3].Heard = start + r.word
+			}
+			for _, id := range z.Look(now, list, rules.Standing{}, true).Ask {
+				if id < 10 {
+					asked++
+					due[now+250*ms] = r.answer
+				}
+			}
+			if z.Status(now)[0].State == Lost && lostAt == 0 {
+				lostAt = now - start
+			}
+		}
+		return asked, lostAt
+	}
+	if asked, lostAt := play(run{late: 2}); asked < 2 || lostAt == 0 || lostAt > 1500*ms {
+		t.Errorf("silent: asked %d times, lost after %d ms", asked, lostAt/ms)
+	}
+	if asked, lostAt := play(run{late: 1}); asked != 0 || lostAt != 0 {
+		t.Errorf("one late engine: asked %d times, lost after %d ms", asked, lostAt/ms)
+	}
+	if asked, lostAt := play(run{late: 2, answer: true}); asked == 0 || lostAt != 0 {
+		t.Errorf("it answers: asked %d times, lost after %d ms", asked, lostAt/ms)
+	}
+	if asked, lostAt := play(run{late: 2, word: 300 * ms}); asked > 2 || lostAt != 0 {
+		t.Errorf("another engine speaks: asked %d times, lost after %d ms", asked, lostAt/ms)
+	}
+}
+
+// A zone that others say is lost is asked, and stays as it is while it answers.
+func TestDoubtOnHearsay(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		z := New(Defaults(), Fleet{Zones: 2, Gateways: 2}, 0)
+		asked := 0
+		for now := rules.Time(second); now < 4*second; now += 250 * ms {
+			if now == 2*second {
+				z.Doubt(0)
+				z.Doubt(7) // no such zone
+			}
+			for _, id := range z.Look(now, engines(1, 1), rules.Standing{}, true).Ask {
+				if id < 10 {
+					asked++
+					z.Answered(0, answers)
+				}
+			}
+		}
+		if s := z.Status(4 * second)[0].State; asked == 0 || (s == Lost) == answers {
+			t.Errorf("answers %v: asked %d times, then %v", answers, asked, s)
+		}
+	}
+}
