--- a/internal/emu/books.go
+++ b/internal/emu/books.go
@@ -10,22 +10,24 @@
 
 // Books are what came of a run. Worth counts by the second in which a client first asked.
 type Books struct {
-	Refused    int // answers that promise that a retry is harmless
-	Failed     int
-	Unanswered int // requests without a final answer in time
-	Fallen     int // cold engines that were sent more than they bear
-	ColdWorst  float64
-	Sends      int
-	Again      int // of these, further attempts
-	Cross      int // of these, to another zone
-	Dials      int // connections that attempts had to make
-	Probes     int
-	Said       int // bytes among gateways
-	Moves      int // states that zones have entered, over all gateways
-	MovedAt    []Move
-	Shed       int // of the refused, for the sake of what earns more
-	Lost       [rules.VerdictMoot + 1]int
-	Seconds    []Second
+	Refused      int // answers that promise that a retry is harmless
+	Failed       int
+	Unanswered   int // requests without a final answer in time
+	Fallen       int // cold engines that were sent more than they bear
+	ColdWorst    float64
+	Sends        int
+	Again        int // of these, further attempts
+	Cross        int // of these, to another zone
+	Dials        int // connections that attempts had to make
+	Probes       int
+	ShedSeconds  int // of gateways, in which the ladder shed some and let some in
+	WrongSeconds int // of these, in which something was shed that earns more than what was let in
+	Said         int // bytes among gateways
+	Moves        int // states that zones have entered, over all gateways
+	MovedAt      []Move
+	Shed         int // of the refused, for the sake of what earns more
+	Lost         [rules.VerdictMoot + 1]int
+	Seconds      []Second
 
 	start   rules.Time
 	zones   int
--- a/internal/emu/fleet.go
+++ b/internal/emu/fleet.go
@@ -103,6 +103,7 @@
 	order    []*request                    // in the order of arrival, some of them over
 	links    map[rules.EngineID]rules.Time // when a connection was last used
 	zones    *zones.Zones
+	letIn    letIn
 	copies   *replica.Replica
 	hearsay  *hearsay.Hearsay
 	seen     map[rules.EngineID]*seen
--- a/internal/emu/sites.go
+++ b/internal/emu/sites.go
@@ -81,6 +81,9 @@
 		return true
 	}
 	refuse, after := g.zones.Arrive(g.f.now, zones.Ask{Class: a.class, Work: a.told, Repeat: a.tries > 1})
+	if a.tries == 1 {
+		g.bookShed(zones.WorthRung(r.class.Worth, a.told), refuse)
+	}
 	if refuse {
 		g.f.Books.Shed++
 		g.f.Books.first(r.at, r.class.Worth, a, shed)
@@ -89,6 +92,35 @@
 	return !refuse
 }
 
+// letIn is what a gateway let in and shed within one second, of first tries, by what they earn for their told work.
+type letIn struct {
+	second           rules.Time
+	least, most      int // least that was let in, most that was shed
+	someIn, someShed bool
+}
+
+// bookShed books a second of a gateway in which something was shed that earns more than what was let in: of neighbouring rungs one is
+// shed in part.
+func (g *gateway) bookShed(rung int, shed bool) {
+	l := &g.letIn
+	if s := g.f.now / rules.Second; s != l.second {
+		if l.someIn && l.someShed {
+			g.f.Books.ShedSeconds++
+			if l.most > l.least+1 {
+				g.f.Books.WrongSeconds++
+			}
+		}
+		*l = letIn{second: s}
+	}
+	switch {
+	case shed && (!l.someShed || rung > l.most):
+		l.most = rung
+	case !shed && (!l.someIn || rung < l.least):
+		l.least = rung
+	}
+	l.someShed, l.someIn = l.someShed || shed, l.someIn || !shed
+}
+
 func (g *gateway) probe(e *engine) { g.probeFor(e, false) }
 
 func (g *gateway) probeFor(e *engine, doubt bool) {
