--- a/cmd/foxlab/main.go
+++ b/cmd/foxlab/main.go
@@ -81,17 +81,12 @@
 			if err != nil {
 				return err
 			}
-			gateway, _ := cmd.Flags().GetString("gateway")
-			if gateway == "" {
-				dir, err := os.MkdirTemp("", "foxlab")
-				if err != nil {
-					return err
-				}
-				defer os.RemoveAll(dir)
-				if gateway, err = lab.Build(cmd.Context(), dir); err != nil {
-					return err
-				}
+			named, _ := cmd.Flags().GetString("gateway")
+			gateway, remove, err := lab.Program(cmd.Context(), named)
+			if err != nil {
+				return err
 			}
+			defer remove()
 			books, err := rig.Run(cmd.Context(), gateway, *script, logs)
 			if err != nil {
 				return err
@@ -134,6 +129,10 @@
 		func(ctx context.Context, gateway string, _ int, progress io.Writer) (*lab.Report, error) {
 			return lab.MeasureReplica(ctx, gateway, progress)
 		}},
+	{"cost-sites", "the same with the plan for zones on", 12,
+		func(ctx context.Context, gateway string, seconds int, progress io.Writer) (*lab.Report, error) {
+			return lab.MeasureCost(ctx, gateway, "sites {\n}\n", seconds, progress)
+		}},
 	{"cost-fair", "the same with the door on", 12,
 		func(ctx context.Context, gateway string, seconds int, progress io.Writer) (*lab.Report, error) {
 			return lab.MeasureCost(ctx, gateway, "fair {\n}\n", seconds, progress)
--- a/internal/lab/replica.go
+++ b/internal/lab/replica.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
 	"runtime"
 	"slices"
 	"sync"
@@ -363,16 +362,11 @@
 
 // talkCost is what talk costs six processes: processor time and memory, over the same without.
 func talkCost(ctx context.Context, gateway string, r *Report, progress io.Writer) error {
-	if gateway == "" {
-		dir, err := os.MkdirTemp("", "foxlab")
-		if err != nil {
-			return err
-		}
-		defer os.RemoveAll(dir)
-		if gateway, err = Build(ctx, dir); err != nil {
-			return err
-		}
+	gateway, remove, err := Program(ctx, gateway)
+	if err != nil {
+		return err
 	}
+	defer remove()
 	var books [2]*rig.Books
 	for on := range books {
 		text := fmt.Sprintf("cores = 8\nload = 0.6\nlength = \"20s\"\ntalk = %v\n", on == 1)
--- a/internal/lab/sites.go
+++ b/internal/lab/sites.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math"
-	"os"
 	"runtime"
 	"slices"
 	"sync"
@@ -307,16 +306,11 @@
 
 // conduct holds the plan against what processes do: a zone of three is lost and comes back.
 func conduct(ctx context.Context, gateway string, r *Report, progress io.Writer) error {
-	if gateway == "" {
-		dir, err := os.MkdirTemp("", "foxlab")
-		if err != nil {
-			return err
-		}
-		defer os.RemoveAll(dir)
-		if gateway, err = Build(ctx, dir); err != nil {
-			return err
-		}
+	gateway, remove, err := Program(ctx, gateway)
+	if err != nil {
+		return err
 	}
+	defer remove()
 	const at, away, length, unlisted = 4, 6, 24, 2
 	text := ""
 	for _, name := range []string{"hall-a", "hall-b", "hall-c"} {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -15,11 +15,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
+	"foxlane/internal/rig"
 	"foxlane/internal/standin"
 )
 
@@ -62,6 +61,22 @@
 	return out, nil
 }
 
+// Program is the gateway's program: the one that is named, or one built from this module, which remove takes away.
+func Program(ctx context.Context, named string) (path string, remove func(), err error) {
+	if named != "" {
+		return named, func() {}, nil
+	}
+	dir, err := os.MkdirTemp("", "foxlab")
+	if err != nil {
+		return "", nil, err
+	}
+	remove = func() { os.RemoveAll(dir) }
+	if path, err = Build(ctx, dir); err != nil {
+		remove()
+	}
+	return path, remove, err
+}
+
 // Start starts a world; Close ends it.
 func Start(s Setup) (w *World, err error) {
 	w = &World{Setup: s}
@@ -196,39 +211,14 @@
 
 // CPU is the processor time that the gateway has used so far.
 func (w *World) CPU() (time.Duration, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", w.gateway.Process.Pid))
-	if err != nil {
-		return 0, err
-	}
-	_, rest, ok := strings.Cut(string(raw), ") ")
-	fields := strings.Fields(rest)
-	if !ok || len(fields) < 13 {
-		return 0, fmt.Errorf("lab: %q is no stat of a process", raw)
-	}
-	ticks := 0
-	for _, f := range fields[11:13] { // user and system time
-		n, err := strconv.Atoi(f)
-		if err != nil {
-			return 0, err
-		}
-		ticks += n
-	}
-	return time.Duration(ticks) * time.Second / 100, nil // USER_HZ is 100 on Linux
+	u, err := rig.UsageOf(w.gateway.Process.Pid)
+	return time.Duration(u.CPU * float64(time.Second)), err
 }
 
 // RSS is the memory that the gateway holds now, in MB.
 func (w *World) RSS() (float64, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.gateway.Process.Pid))
-	if err != nil {
-		return 0, err
-	}
-	for _, line := range strings.Split(string(raw), "\n") {
-		if kb, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			n, err := strconv.Atoi(strings.Fields(kb)[0])
-			return float64(n) / 1024, err
-		}
-	}
-	return 0, errors.New("lab: no VmRSS")
+	u, err := rig.UsageOf(w.gateway.Process.Pid)
+	return u.RSSMB, err
 }
 
 // Close ends the world and waits for the gateway: its exit is part of what is checked.
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -533,9 +533,9 @@
 	for _, g := range r.gateways {
 		g.mu.Lock()
 		if g.cmd != nil {
-			if u, err := usageOf(g.cmd.Process.Pid); err == nil {
-				r.books.RSSMB += u.rssMB / float64(len(r.gateways))
-				r.books.CPU += u.cpu
+			if u, err := UsageOf(g.cmd.Process.Pid); err == nil {
+				r.books.RSSMB += u.RSSMB / float64(len(r.gateways))
+				r.books.CPU += u.CPU
 			}
 		}
 		g.mu.Unlock()
--- a/internal/rig/usage.go
+++ b/internal/rig/usage.go
@@ -7,16 +7,16 @@
 	"strings"
 )
 
-// usage is what a process holds and has used.
-type usage struct {
-	rssMB float64
-	cpu   float64 // seconds
+// Usage is what a process holds and has used.
+type Usage struct {
+	RSSMB float64
+	CPU   float64 // seconds
 }
 
 const ticksASecond = 100 // USER_HZ on Linux
 
-// usageOf reads it from /proc.
-func usageOf(pid int) (u usage, err error) {
+// UsageOf reads it from /proc.
+func UsageOf(pid int) (u Usage, err error) {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return u, err
@@ -31,9 +31,9 @@
 		if err != nil {
 			return u, err
 		}
-		u.cpu += float64(n) / ticksASecond
+		u.CPU += float64(n) / ticksASecond
 	}
 	pages, err := strconv.Atoi(fields[21])
-	u.rssMB = float64(pages) * float64(os.Getpagesize()) / (1 << 20)
+	u.RSSMB = float64(pages) * float64(os.Getpagesize()) / (1 << 20)
 	return u, err
 }
