--- a/cmd/foxlane/main.go
+++ b/cmd/foxlane/main.go
@@ -55,6 +55,7 @@
 		Short: "Serve clients, as " + config.EnvConfig + " says, until SIGTERM; SIGHUP reads it again",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			signals := listen() // a SIGHUP before that would end the process
 			cfg, err := config.Load()
 			if err != nil {
 				return err
@@ -62,7 +63,7 @@
 			if cfg, err = cfg.WithSite(sitePath); err != nil {
 				return err
 			}
-			return serve(cfg, verbose)
+			return serve(cfg, verbose, signals)
 		},
 	}
 	cmd.Flags().BoolVarP(&verbose, "verbose", "v", false, "log at debug level")
@@ -77,15 +78,22 @@
 	debug.SetMemoryLimit(l.MemoryBytes)
 }
 
-func serve(cfg config.Config, verbose bool) error {
+// listen takes the process's signals. Each kind has a channel of its own, with room for one: a second of the same
+// kind asks for nothing more.
+func listen() net.Signals {
+	reload, end := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	signal.Notify(end, syscall.SIGTERM, os.Interrupt)
+	return net.Signals{Reload: reload, End: end}
+}
+
+func serve(cfg config.Config, verbose bool, signals net.Signals) error {
 	setRuntime(cfg.Limits)
 	log, err := newLog(verbose)
 	if err != nil {
 		return err
 	}
 	defer log.Sync()
-	signals := make(chan os.Signal, 4) // no SIGTERM may be lost behind a SIGHUP
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
 	return net.Run(cfg, log, signals)
 }
 
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -20,6 +20,7 @@
 	Clients     int        // connections
 	ClientShare int        // of these, what clients use at most, one request on each at a time
 	AcceptAhead int        // connections accepted over Clients before the reducer has closed others
+	Lingering   int        // of these, connections that were closed and are read to their end
 	Login       int        // bytes of a packet before the login
 	Statement   int        // bytes of a packet behind it
 	ClientOut   int        // bytes that wait for a client that does not read
@@ -49,9 +50,11 @@
 	ProbeWithin rules.Time
 
 	// The name service.
-	PollEvery rules.Time
-	Datagram  int
-	Polls     int // queries that an answer may still come to
+	PollEvery  rules.Time
+	Datagram   int
+	Polls      int        // queries that an answer may still come to
+	ListTold   rules.Time // after it everything that the name service has to tell counts as told
+	ListSilent rules.Time // of the name service until it is asked from a new socket
 
 	// Life.
 	Mailbox     int        // bytes that wait for the reducer before reading stops
@@ -61,7 +64,7 @@
 	Sweep       rules.Time // how often connections are looked over
 	StopWithin  rules.Time // after SIGTERM all is answered
 	StopLinger  rules.Time // and connections are taken for at least this
-	FlushWithin rules.Time // how long the last bytes may take
+	FlushWithin rules.Time // how long the last bytes may take, and the other side to close behind them
 }
 
 const (
@@ -88,6 +91,7 @@
 		Clients:     free / 2,
 		ClientShare: sockets / 3,
 		AcceptAhead: reserve / 2,
+		Lingering:   reserve / 4,
 		Login:       4096,
 		Statement:   64 << 10,        // those seen are a few hundred bytes
 		ClientOut:   128 << 10,       // two results
@@ -114,9 +118,10 @@
 		Connect:     s.Rules.Limits.ConnectTimeout,
 		ProbeWithin: s.Rules.Limits.ConnectTimeout,
 		PollEvery:   100 * rules.Millisecond,
+		ListTold:    7 * rules.Second,
+		ListSilent:  rules.Second,
 		Datagram:    9000,
-		Polls:       16,
-		Mailbox:     int(memory / 32),
+		Mailbox:     int(min(memory/32, mb)), // what one turn of the reducer works off
 		Arena:       int(memory / 256),
 		Turn:        2 * rules.Millisecond,
 		StatsEvery:  10 * rules.Second,
@@ -125,6 +130,7 @@
 		StopLinger:  900 * rules.Millisecond,
 		FlushWithin: 300 * rules.Millisecond,
 	}
+	l.Polls = int(l.ListTold / l.PollEvery)
 	if s.ConnIdle <= 0 {
 		l.LinkIdle = 60 * rules.Second // engines are not said to close idle connections
 	}
--- a/internal/gateway/bad_test.go
+++ b/internal/gateway/bad_test.go
@@ -18,6 +18,7 @@
 	now   rules.Time
 	sent  map[ConnID][]byte
 	shut  map[ConnID]bool
+	taken map[ConnID]int64 // bytes that were written
 	dials []ConnID
 	exit  bool
 }
@@ -26,7 +27,7 @@
 	Addr: netip.MustParseAddrPort("127.8.1.1:7001")}
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, now: 1_700_000_000 * rules.Second, sent: map[ConnID][]byte{}, shut: map[ConnID]bool{}}
+	b := &bench{t: t, now: 1_700_000_000 * rules.Second, sent: map[ConnID][]byte{}, shut: map[ConnID]bool{}, taken: map[ConnID]int64{}}
 	b.g = New(worldConfig(t, []standin.Host{oneHost}), b.now)
 	b.flush()
 	return b
@@ -37,6 +38,7 @@
 		switch f.Kind {
 		case Write:
 			b.sent[f.Conn] = append(b.sent[f.Conn], f.Data...)
+			b.taken[f.Conn] += int64(len(f.Data))
 		case Close:
 			b.shut[f.Conn] = true
 		case Dial:
@@ -48,7 +50,7 @@
 }
 
 func (b *bench) step(kind EventKind, conn ConnID, data string) {
-	b.g.Step(b.now, Event{Kind: kind, Conn: conn, Data: []byte(data)})
+	b.g.Step(b.now, Event{Kind: kind, Conn: conn, Data: []byte(data), Taken: b.taken[conn]})
 	b.flush()
 }
 
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -17,6 +17,8 @@
 
 const serverVersion = "8.0.0-foxlane"
 
+var errUnread = &mysql.Error{Code: mysql.CodeTooLarge, Text: "answers are not read"}
+
 const (
 	clientUser     = "app"
 	clientDatabase = "main"
@@ -24,26 +26,29 @@
 
 type client struct {
 	pipe
-	slot    int // at the door
-	greeted bool
-	session uint32
-	dec     mysql.Decoder
-	login   bool // still to come
-	request *request
-	killed  bool // its query was killed: no answer follows, so the session is of no more use
-	seen    rules.Time
-	partial int        // bytes of an unfinished packet
-	began   rules.Time // when that packet did
-	faults  int        // commands that could not be used
-	fresh   *list.Element
-	idle    *list.Element
-	reading *reading // a result is on its way to it
+	slot     int // at the door
+	greeted  bool
+	session  uint32
+	dec      mysql.Decoder
+	login    bool // still to come
+	request  *request
+	killed   bool // its query was killed: no answer follows, so the session is of no more use
+	seen     rules.Time
+	opened   rules.Time
+	asked    int        // commands
+	answered rules.Time // when a request of it was last over
+	partial  int        // bytes of an unfinished packet
+	began    rules.Time // when that packet did
+	faults   int        // commands that could not be used
+	fresh    *list.Element
+	idle     *list.Element
+	reading  *reading // a result is on its way to it
 }
 
 func (g *Gateway) accept(id ConnID, from netip.Addr) {
-	c := &client{pipe: pipe{id: id}, login: true, seen: g.now, dec: mysql.Decoder{Max: g.lim.Login}}
-	if g.gate == nil && len(g.clients) >= g.lim.Clients && !g.giveWay() {
-		g.log(Warn, "client: too many connections", Attr{"clients", len(g.clients)})
+	c := &client{pipe: pipe{id: id}, login: true, seen: g.now, opened: g.now, dec: mysql.Decoder{Max: g.lim.Login}}
+	if g.stopped || g.gate == nil && len(g.clients) >= g.lim.Clients && !g.giveWay() {
+		g.log(Warn, "client: too many connections", Attr{"clients", len(g.clients)}, Attr{"stopped", g.stopped})
 		c.out = mysql.AppendErr(nil, 0, mysql.CodeTooMany, "Too many connections")
 		g.shut(&c.pipe)
 		return
@@ -205,6 +210,10 @@
 		} else {
 			g.command(c, payload, seq)
 		}
+		if len(c.out) > g.lim.ClientOut && !c.ended { // commands without end, and their answers unread
+			c.out = c.out[:0]
+			g.breach(c, 1, errUnread)
+		}
 	}
 }
 
@@ -281,6 +290,7 @@
 		return
 	}
 	g.unlist(c)
+	c.asked++
 	switch com := mysql.Command(payload[0]); com {
 	case mysql.ComQuit:
 		g.closeClient(c)
@@ -355,7 +365,8 @@
 	g.unusable(c, mysql.CodeParse, "no comment with fields ahead of the statement")
 }
 
-// kill ends another session's query, without an answer to it, or the session.
+// kill ends another session's query, without an answer to it, or the session. Who opened a connection to kill while
+// the session's last query was still open means that one: it must not hit the next.
 func (g *Gateway) kill(c *client, session uint32, query bool) {
 	target := g.sessions[session]
 	if target == nil {
@@ -363,12 +374,13 @@
 		return
 	}
 	g.answerOK(c)
+	late := c.asked == 1 && target.answered >= c.opened
 	if !query {
 		g.closeClient(target)
-	} else if r := target.request; r != nil {
+	} else if r := target.request; r != nil && !late {
 		target.killed, target.seen = true, g.now
 		g.abandon(r)
-	} else if target.reading != nil { // nothing more of the answer
+	} else if target.reading != nil && !late { // nothing more of the answer
 		target.out = nil
 		g.closeClient(target)
 	}
--- /dev/null
+++ b/internal/gateway/crossings_test.go
@@ -0,0 +1,483 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"foxlane/internal/config"
+	"foxlane/internal/standin"
+	"foxlane/rules"
+)
+
+// crossing is a gateway with two engines, one client's request open, and whatever comes next in any order. It judges
+// by what was written alone.
+type crossing struct {
+	*bench
+	class   string
+	asks    int  // times that the request came whole to an engine
+	unsure  int  // of these, times that it may have run
+	late    bool // it came there after its client had left
+	answers int  // final ones
+	left    bool // its client has gone, or has killed it
+	seen    map[ConnID]int
+	down    map[ConnID]bool // links that have come up, or never will
+}
+
+const crossingKill = 3 // the connection that kills
+
+func newCrossing(t *testing.T, class string) *crossing {
+	b := &bench{t: t, now: 1_700_000_000 * rules.Second, sent: map[ConnID][]byte{}, shut: map[ConnID]bool{}, taken: map[ConnID]int64{}}
+	two := []standin.Host{oneHost, oneHost}
+	two[1].ID, two[1].Addr = "s-00000002", netip.MustParseAddrPort("127.8.1.2:7001")
+	b.g = New(worldConfig(t, two), b.now)
+	b.flush()
+	x := &crossing{bench: b, class: class, seen: map[ConnID]int{}, down: map[ConnID]bool{}}
+	b.client(1)
+	b.client(crossingKill)
+	b.after(1)
+	return x
+}
+
+// look reads what was written since the last look.
+func (x *crossing) look() {
+	x.t.Helper()
+	for id, out := range x.sent {
+		text := string(out[x.seen[id]:])
+		x.seen[id] = len(out)
+		switch {
+		case id == 1:
+			x.answers += strings.Count(text, "the query") + strings.Count(text, "\x011\x01a\x01b")
+		case id&dialled != 0:
+			if n := strings.Count(text, "ASK "+idA); n > 0 {
+				x.asks += n
+				x.unsure += n
+				x.late = x.late || x.left
+			}
+		}
+	}
+}
+
+func (x *crossing) link() ConnID {
+	if len(x.dials) == 0 {
+		return 0
+	}
+	return x.dials[len(x.dials)-1]
+}
+
+func (x *crossing) list(serial uint32, change func(h []standin.Host)) {
+	two := []standin.Host{oneHost, oneHost}
+	two[1].ID, two[1].Addr = "s-00000002", netip.MustParseAddrPort("127.8.1.2:7001")
+	change(two)
+	x.step(Datagram, 0, string(standin.Answer(x.g.asked[(x.g.askedNum-1)%len(x.g.asked)], listName, serial, two)))
+}
+
+// moments are all that may come, by name.
+var moments = []struct {
+	name string
+	do   func(x *crossing)
+}{
+	{"request", func(x *crossing) {
+		if !x.shut[1] && !x.left && x.g.requests[idA] == nil && x.answers == 0 {
+			x.step(Data, 1, ask(x.class, idA))
+		}
+	}},
+	{"first byte", func(x *crossing) {
+		if !x.shut[1] && !x.left && x.g.requests[idA] == nil && x.answers == 0 {
+			x.step(Data, 1, ask(x.class, idA)[:9])
+		}
+	}},
+	{"last byte", func(x *crossing) {
+		if c := x.g.clients[1]; c != nil && c.partial > 0 && !x.left {
+			x.step(Data, 1, ask(x.class, idA)[9:])
+		}
+	}},
+	{"close", func(x *crossing) {
+		x.left = true
+		x.step(Closed, 1, "")
+	}},
+	{"kill", func(x *crossing) {
+		if c := x.g.clients[1]; c != nil && c.request != nil {
+			x.left = true
+			x.step(Data, crossingKill, string(query(fmt.Sprintf("KILL QUERY %d", c.session))))
+		}
+	}},
+	{"connection up", func(x *crossing) {
+		if id := x.link(); id != 0 && !x.down[id] {
+			x.down[id] = true
+			x.step(Connected, id, "")
+		}
+	}},
+	{"dial failed", func(x *crossing) {
+		if id := x.link(); id != 0 && !x.down[id] {
+			x.down[id] = true
+			x.g.Step(x.now, Event{Kind: DialFailed, Conn: id, Err: errors.New("refused")})
+			x.flush()
+		}
+	}},
+	{"answer", func(x *crossing) { x.step(Data, x.link(), idA+" served total=1 6\r\n1\ta\tb\n\r\n") }},
+	{"second answer", func(x *crossing) {
+		x.step(Data, x.link(), strings.Repeat(idA+" served total=1 6\r\n1\ta\tb\n\r\n", 2))
+	}},
+	{"half an answer", func(x *crossing) { x.step(Data, x.link(), idA+" served total=1 6\r\n1\ta") }},
+	{"overload", func(x *crossing) {
+		if x.asks > 0 {
+			x.unsure--
+		}
+		x.step(Data, x.link(), idA+" overload - 0\r\n\r\n")
+		if x.asks == 0 {
+			return
+		}
+		if r := x.g.requests[idA]; r != nil && len(r.attempts) > 0 && r.attempts[0].sent && !r.attempts[0].done {
+			x.unsure++ // it said so on a connection that carried nothing of it
+		}
+	}},
+	{"reset", func(x *crossing) {
+		if id := x.link(); id != 0 && x.g.links[id] != nil {
+			x.down[id] = true
+			x.step(Closed, id, "")
+		}
+	}},
+	{"drain told", func(x *crossing) {
+		x.list(7, func(h []standin.Host) { h[0].Draining, h[1].Draining = true, true })
+	}},
+	{"another address", func(x *crossing) {
+		x.list(8, func(h []standin.Host) { h[0].Addr, h[1].Addr = h[1].Addr, h[0].Addr })
+	}},
+	{"reload", func(x *crossing) {
+		cfg := x.g.cfg
+		cfg.DNS = netip.MustParseAddrPort("127.0.0.9:5301")
+		x.g.Step(x.now, Event{Kind: Reload, Config: &cfg})
+		x.flush()
+	}},
+	{"terminate", func(x *crossing) { x.step(Terminate, 0, "") }},
+	{"deadline", func(x *crossing) { x.pass(2 * rules.Second) }},
+	{"a while", func(x *crossing) { x.pass(260 * rules.Millisecond) }},
+}
+
+// Whatever comes in whatever order, two and three of all that may: one final answer at most, and one unless the
+// client has gone; what must not run twice doesn't; nothing goes to an engine once the client has left; nothing is left
+// behind, and the process ends.
+func TestAllOrders(t *testing.T) {
+	cases := 0
+	for _, class := range []string{"point", "note", "load"} {
+		play := func(order ...int) {
+			cases++
+			x := newCrossing(t, class)
+			names := ""
+			if order[0] != 0 && order[0] != 1 { // or the request itself is among what crosses
+				moments[0].do(x)
+			}
+			for _, i := range order {
+				names += " | " + moments[i].name
+				moments[i].do(x)
+				x.look()
+			}
+			asked := x.g.requests[idA] != nil || x.answers > 0 || x.left
+			x.step(Terminate, 0, "")
+			x.pass(5 * rules.Second)
+			x.look()
+			fault := ""
+			switch {
+			case x.answers > 1:
+				fault = fmt.Sprintf("%d final answers", x.answers)
+			case asked && x.answers == 0 && !x.left && !x.shut[1]:
+				fault = "no answer"
+			case class != "point" && x.unsure > 1:
+				fault = fmt.Sprintf("it came to engines %d times", x.asks)
+			case x.late:
+				fault = "it came to an engine after its client had left"
+			case len(x.g.requests) != 0 || x.g.unanswered != 0 || x.g.inputHeld != 0 || x.g.resultHeld != 0 || x.g.partial != 0:
+				fault = fmt.Sprintf("left: %d requests, %d unanswered, %d, %d and %d bytes", len(x.g.requests), x.g.unanswered, x.g.inputHeld,
+					x.g.resultHeld, x.g.partial)
+			case !x.exit:
+				fault = "the process has not ended"
+			}
+			if fault != "" {
+				t.Errorf("%s%s: %s", class, names, fault)
+			}
+		}
+		for i := range moments {
+			for j := range moments {
+				if i == j {
+					continue
+				}
+				play(i, j)
+				for k := range moments {
+					if k != i && k != j {
+						play(i, j, k)
+					}
+				}
+			}
+		}
+	}
+	t.Logf("%d orders", cases)
+}
+
+// A connection that breaks ahead of what was written to it proves that this never ran: a load is sent again, where
+// a load of which every byte was taken may have run and is not.
+func TestUntakenNeverRan(t *testing.T) {
+	for name, c := range map[string]struct {
+		missing int64
+		again   bool
+	}{"all was taken": {0, false}, "all but a byte": {1, true}, "nothing": {1 << 20, true}} {
+		b := newBench(t)
+		b.client(1)
+		b.step(Data, 1, ask("load", idA))
+		link := b.dials[0]
+		b.step(Connected, link, "")
+		b.after(1)
+		b.taken[link] = max(b.taken[link]-c.missing, 0)
+		b.step(Closed, link, "")
+		if again := b.g.requests[idA] != nil && len(b.dials) == 2; again != c.again {
+			t.Errorf("%s: sent again %v, want %v; the client got %q", name, again, c.again, b.after(1))
+		}
+	}
+}
+
+// An engine's connection ends in the same turn in which a load is put on it: the load was never written.
+func TestLinkEndsInTheTurnOfASend(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, ask("point", idA))
+	link := b.dials[0]
+	b.step(Connected, link, "")
+	b.step(Data, link, idA+" served total=1 0\r\n\r\n")
+	b.pass(10 * rules.Millisecond)
+	taken := b.taken[link]
+	b.g.Step(b.now, Event{Kind: Data, Conn: 1, Data: []byte(ask("load", idB))})
+	b.g.Step(b.now, Event{Kind: Closed, Conn: link, Taken: taken})
+	b.flush()
+	if r := b.g.requests[idB]; r == nil || len(b.dials) != 2 {
+		t.Errorf("a load that was never written was given up: %q", b.after(1))
+	}
+}
+
+// An engine gets another address while a dial to the old one is under way: nothing is written there, and the request
+// goes on at once.
+func TestDialToAnOldAddressIsGivenUp(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, ask("load", idA))
+	old := b.dials[0]
+	moved := oneHost
+	moved.Addr = netip.MustParseAddrPort("127.8.1.9:7001")
+	b.step(Datagram, 0, string(standin.Answer(b.g.asked[0], listName, 2, []standin.Host{moved})))
+	if len(b.dials) != 2 || !b.shut[old] {
+		t.Fatalf("%d dials, the old one given up: %v", len(b.dials), b.shut[old])
+	}
+	b.step(Connected, old, "") // it crossed
+	b.step(Connected, b.dials[1], "")
+	if got := b.after(old); got != "" {
+		t.Errorf("the old address got %q", got)
+	}
+	if got := b.after(b.dials[1]); !strings.HasPrefix(got, "ASK "+idA) {
+		t.Errorf("the new address got %q", got)
+	}
+}
+
+// A connection that comes up later than a dial may take carries nothing that waited for it: the process stood still.
+func TestLateConnectionCarriesNothing(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, ask("note", idA))
+	b.now += b.g.lim.Connect + rules.Millisecond // frozen: no timer rang
+	b.step(Connected, b.dials[0], "")
+	if r := b.g.requests[idA]; r == nil || !r.attempts[0].done || r.attempts[0].sent {
+		t.Errorf("sent on %d ms after it was decided: %q", (b.g.lim.Connect+rules.Millisecond)/rules.Millisecond, b.after(b.dials[0]))
+	}
+}
+
+// No connection is left for an attempt: that tells nothing of its engine.
+func TestWantOfConnectionsBlamesNobody(t *testing.T) {
+	b := newBench(t)
+	b.g.lim.AllLinks = 0
+	b.client(1)
+	for i := range 12 {
+		b.step(Data, 1, string(query(fmt.Sprintf("/* kind=point,req=%016x,timeout=300 */ SELECT 1 FROM sales_1.x", i))))
+		b.pass(400 * rules.Millisecond)
+	}
+	if b.g.module.Beliefs()[0].LeftOut {
+		t.Error("the engine is left out for our want of connections")
+	}
+}
+
+// A KILL on a connection that was opened while the session's last query was still open, and comes behind its answer,
+// leaves the next one alone. One that was opened later means the next.
+func TestKillBehindTheAnswer(t *testing.T) {
+	for _, openedLate := range []bool{false, true} {
+		b := newBench(t)
+		b.client(1)
+		session := b.g.clients[1].session
+		b.step(Data, 1, ask("point", idA))
+		link := b.dials[0]
+		b.step(Connected, link, "")
+		if !openedLate {
+			b.client(2)
+		}
+		b.now += rules.Millisecond
+		b.step(Data, link, idA+" served total=1 0\r\n\r\n")
+		b.now += rules.Millisecond
+		b.step(Data, 1, ask("point", idB))
+		if openedLate {
+			b.client(2)
+		}
+		b.after(link)
+		b.step(Data, 2, string(query(fmt.Sprintf("KILL QUERY %d", session))))
+		if hit := b.g.requests[idB] == nil; hit != openedLate {
+			t.Errorf("opened behind the answer %v: the next query was killed %v", openedLate, hit)
+		}
+	}
+}
+
+// At the end: who has asked for nothing hears a refusal, newcomers too; who rests is left to the last close; and a
+// request that is read while the end is under way is answered ahead of it.
+func TestEndAnswersWhatComesMeanwhile(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, string(packet(0, []byte{14}))) // a ping: it rests
+	b.step(Terminate, 0, "")
+	b.pass(b.g.lim.StopLinger - 10*rules.Millisecond)
+	b.client(2) // asks for nothing
+	b.step(Accepted, 3, "")
+	b.after(2)
+	b.after(3)
+	b.pass(20 * rules.Millisecond)
+	if !b.exit {
+		t.Fatal("not ended")
+	}
+	for _, id := range []ConnID{2, 3} {
+		if got := b.after(id); !strings.Contains(got, "this gateway ends") || !b.shut[id] {
+			t.Errorf("connection %d got %q, closed %v", id, got, b.shut[id])
+		}
+	}
+	b.step(Accepted, 4, "")
+	if got := b.after(4); !strings.Contains(got, "Too many") || !b.shut[4] {
+		t.Errorf("a newcomer got %q, closed %v", got, b.shut[4])
+	}
+	if b.shut[1] {
+		t.Error("the resting one was closed from the reducer, over what it may be sending")
+	}
+	b.after(1)
+	b.exit = false
+	b.step(Data, 1, ask("point", idA))
+	if b.exit {
+		t.Fatal("ended with a request open")
+	}
+	b.step(Connected, b.dials[0], "")
+	b.step(Data, b.dials[0], idA+" served total=1 6\r\n1\ta\tb\n\r\n")
+	if got := b.after(1); !strings.Contains(got, "\x011\x01a") || !b.exit {
+		t.Errorf("the request got %q, ended %v", got, b.exit)
+	}
+}
+
+// A client that sends commands without end and reads nothing is closed before its answers fill the memory.
+func TestAnswersUnread(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, strings.Repeat(string(packet(0, []byte{14})), 200_000))
+	if got := len(b.sent[1]); !b.shut[1] || got > b.g.lim.ClientOut {
+		t.Errorf("closed %v, %d bytes were written to it", b.shut[1], got)
+	}
+}
+
+// renamed counts how often the gateway asks from a new socket while time goes by.
+func renamed(b *bench, d rules.Time, each func()) (at []rules.Time) {
+	from := b.now
+	for end := b.now + d; b.now < end; {
+		next, _ := b.g.timers.next()
+		b.now = max(b.now, next)
+		b.g.Step(b.now, Event{Kind: Wake})
+		for _, f := range b.g.Flush() {
+			if f.Kind == Names {
+				at = append(at, (b.now-from)/rules.Millisecond)
+			}
+		}
+		if each != nil {
+			each()
+		}
+	}
+	return at
+}
+
+// A name service that falls silent is asked from a new socket after a second, and then after twice as long each time;
+// one that answers never is, however late it does.
+func TestSilentSourceIsAskedFromANewSocket(t *testing.T) {
+	b := newBench(t)
+	at := renamed(b, 20*rules.Second, nil)
+	if len(at) < 3 || at[0] < 900 || at[0] > 1300 || at[1]-at[0] < 1900 || at[2]-at[1] < 3900 || len(at) > 5 {
+		t.Errorf("asked from a new socket at %v ms", at)
+	}
+	b = newBench(t)
+	type late struct {
+		id uint16
+		at rules.Time
+	}
+	var line []late
+	n := 0
+	at = renamed(b, 20*rules.Second, func() {
+		if b.g.askedNum > n {
+			n = b.g.askedNum
+			line = append(line, late{b.g.asked[(n-1)%len(b.g.asked)], b.now + 6*rules.Second})
+		}
+		for len(line) > 0 && line[0].at <= b.now {
+			b.g.Step(b.now, Event{Kind: Datagram, Data: standin.Answer(line[0].id, listName, 1, nil)})
+			line = line[1:]
+		}
+	})
+	for _, ms := range at {
+		if ms > 7000 {
+			t.Errorf("answers come, 6 s late, and it is asked from a new socket at %d ms", ms)
+		}
+	}
+}
+
+// An answer that is seconds late still counts: what it tells counts as told. Numbers of lists go round.
+func TestLateListAndWrap(t *testing.T) {
+	b := newBench(t)
+	id := b.g.asked[0]
+	b.pass(6500 * rules.Millisecond)
+	drained := oneHost
+	drained.Draining = true
+	b.step(Datagram, 0, string(standin.Answer(id, listName, 2, []standin.Host{drained})))
+	if b.g.order[0].state != rules.EngineDraining {
+		t.Error("a drain in an answer that is 6.5 s late was not heard")
+	}
+	for _, c := range []struct {
+		held, told uint32
+		newer      bool
+	}{{5, 5, false}, {5, 6, true}, {5, 4, false}, {1<<32 - 1, 0, true}, {1<<32 - 2, 3, true}, {3, 1<<32 - 2, false}, {0, 1, true}, {1, 1<<31 + 5, false}} {
+		if newer(c.told, c.held) != c.newer {
+			t.Errorf("%d behind %d counts as newer: %v", c.told, c.held, !c.newer)
+		}
+	}
+}
+
+// A reload that moves the name service: an older list in the file changes nothing, a newer one counts, and going back
+// to the first address asks there again, on a new socket each time.
+func TestReloadBackAndForth(t *testing.T) {
+	b := newBench(t)
+	b.g.serial = 9
+	first := b.g.cfg.DNS
+	second := netip.MustParseAddrPort("127.0.0.9:5301")
+	for i, c := range []struct {
+		dns     netip.AddrPort
+		seq     uint32
+		engines int
+	}{{second, 4, 1}, {first, 12, 0}, {second, 11, 0}} {
+		cfg := b.g.cfg
+		cfg.DNS, cfg.Known = c.dns, config.Known{Seq: c.seq}
+		b.g.Step(b.now, Event{Kind: Reload, Config: &cfg})
+		moved := 0
+		for _, f := range b.g.Flush() {
+			if f.Kind == Names && f.Addr == c.dns {
+				moved++
+			}
+		}
+		if serving := len(b.g.order); moved != 1 || serving != c.engines {
+			t.Errorf("step %d: moved %d times, %d engines, want %d", i, moved, serving, c.engines)
+		}
+	}
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -36,6 +36,7 @@
 func (g *Gateway) applyList(entries []config.Engine, mode rules.ListMode) {
 	listed := make(map[rules.EngineID]bool, len(entries))
 	var news []rules.Engine
+	var stale []*attempt
 	for _, entry := range entries {
 		e := g.engineOf(entry.ID)
 		listed[e.id] = true
@@ -43,7 +44,7 @@
 			continue
 		}
 		if e.entry.Addr != entry.Addr || e.entry.Started != entry.Started || e.state == rules.EngineGone {
-			g.retireLinks(e) // another process, perhaps on another machine
+			stale = append(stale, g.retireLinks(e)...) // another process, perhaps on another machine
 		}
 		e.entry, e.state, e.ordered = entry, rules.EngineServing, g.drainsEngine(entry.ID)
 		if entry.State == config.StateLeaving {
@@ -54,7 +55,7 @@
 	for _, e := range g.order {
 		if !listed[e.id] && e.state != rules.EngineGone {
 			e.state = rules.EngineGone
-			g.retireLinks(e)
+			stale = append(stale, g.retireLinks(e)...)
 			news = append(news, g.translate(e))
 		}
 	}
@@ -68,6 +69,9 @@
 	if len(news) > 0 || mode != rules.ListDelta {
 		g.tell(rules.FleetChange{Mode: mode, Engines: news})
 	}
+	for _, a := range stale {
+		g.conclude(a, rules.VerdictMoot)
+	}
 }
 
 // engineOf finds the engine of a name. Its number is a hash of the name, so
--- a/internal/gateway/gate_test.go
+++ b/internal/gateway/gate_test.go
@@ -89,7 +89,7 @@
 
 // fairBench is a bench with the door on, whose engine answers nothing by itself.
 func fairBench(t *testing.T, text string, conns, asks int) *bench {
-	b := &bench{t: t, now: 1_700_000_000 * rules.Second, sent: map[ConnID][]byte{}, shut: map[ConnID]bool{}}
+	b := &bench{t: t, now: 1_700_000_000 * rules.Second, sent: map[ConnID][]byte{}, shut: map[ConnID]bool{}, taken: map[ConnID]int64{}}
 	cfg := worldConfig(t, []standin.Host{oneHost})
 	fair(t, text, conns, asks)(&cfg)
 	b.g = New(cfg, b.now)
@@ -158,7 +158,7 @@
 // A refusal names the time of return where the site allows it, and none where it does not.
 func TestRefusalsAtTheDoorNameATime(t *testing.T) {
 	for _, allowed := range []bool{true, false} {
-		b := &bench{t: t, now: 1_700_000_000 * rules.Second, sent: map[ConnID][]byte{}, shut: map[ConnID]bool{}}
+		b := &bench{t: t, now: 1_700_000_000 * rules.Second, sent: map[ConnID][]byte{}, shut: map[ConnID]bool{}, taken: map[ConnID]int64{}}
 		cfg := worldConfig(t, []standin.Host{oneHost})
 		fair(t, "fair {\n longest = \"400ms\"\n}", 60, 10)(&cfg)
 		cfg.Settings.Rules.Limits.RetryAfter = allowed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,10 @@
 	From netip.Addr // with Accepted: the client's address, if it is known
 	Ours bool       // with DialFailed: for want of something here, such as descriptors
 
+	// With Closed: how many bytes of all that was written on the connection the system has taken. What lies behind
+	// them has never left, whatever broke.
+	Taken int64
+
 	Config *config.Config   // with Reload: what holds from now on
 	Spool  []spool.Event    // with Shelved
 	Peer   *PeerEvent       // with Peer; Data is what a member said
@@ -70,13 +74,13 @@
 // Kinds of effects.
 const (
 	Write  EffectKind = iota + 1 // send Data on a connection
-	Close                        // close a connection once what was written is sent
+	Close                        // close a connection once what was written is sent, or give up its dial
 	Dial                         // connect to Addr within Wait
 	Query                        // send Data to the name service
-	Names                        // the name service is at Addr now
+	Names                        // ask the name service at Addr from now on, from a new socket
 	Arm                          // wake the reducer at At, and at no earlier time
 	Log                          // note Text
-	Exit                         // all is answered: end the process
+	Exit                         // all is answered: end the process, unless more has come meanwhile
 	Disk                         // carry Spool out on the spool's disk; its data stays as it is until it is answered
 	Watch                        // tell Drained once all that was written on a connection is taken
 	Tell                         // send Data to the member To on Channel; it may be lost
@@ -157,8 +161,9 @@
 	lastTag  uint64
 
 	serial   uint32
-	asked    [64]uint16 // ids of the latest queries
+	asked    [128]uint16 // ids of the latest queries
 	askedNum int
+	source   source // of the list: the name service
 
 	shelf  *shelf              // nil: no spool is set, results are passed on at once
 	gate   *gate               // nil: the door is off, all requests go to the module at once
@@ -182,6 +187,7 @@
 type pipe struct {
 	id    ConnID
 	out   []byte
+	given int64 // bytes of it that were handed out to be written, in all
 	dirty bool
 	ended bool // closed, by us or by the other side
 }
@@ -203,6 +209,7 @@
 		engines:  map[rules.EngineID]*engineState{},
 		links:    map[ConnID]*link{},
 		serial:   cfg.Known.Seq,
+		source:   source{heard: now, pause: cfg.Limits.ListSilent},
 	}
 	g.session = g.rng.Uint32() >> 1
 	for i, name := range cfg.Settings.ClassNames {
@@ -239,7 +246,7 @@
 		if c := g.clients[e.Conn]; c != nil {
 			g.dropClient(c)
 		} else if l := g.links[e.Conn]; l != nil {
-			g.dropLink(l, e.Err, false)
+			g.dropLink(l, e.Err, e.Taken, false)
 		}
 	case Connected:
 		if l := g.links[e.Conn]; l != nil {
@@ -247,7 +254,7 @@
 		}
 	case DialFailed:
 		if l := g.links[e.Conn]; l != nil {
-			g.dropLink(l, e.Err, e.Ours)
+			g.dropLink(l, e.Err, 0, e.Ours)
 		}
 	case Datagram:
 		g.datagram(e.Data)
@@ -281,6 +288,7 @@
 	for _, p := range g.dirty {
 		p.dirty = false
 		if !p.ended && len(p.out) > 0 {
+			p.given += int64(len(p.out))
 			g.effects = append(g.effects, Effect{Kind: Write, Conn: p.id, Data: p.out})
 		}
 		g.reuse(p)
@@ -334,6 +342,7 @@
 // writeNow sends what is in a pipe ahead of what others hold.
 func (g *Gateway) writeNow(p *pipe) {
 	if len(p.out) > 0 {
+		p.given += int64(len(p.out))
 		g.do(Effect{Kind: Write, Conn: p.id, Data: p.out})
 		p.out = nil
 	}
@@ -527,12 +536,20 @@
 	g.tell(rules.Stopping{By: g.now + g.lim.StopWithin})
 }
 
+// maybeExit ends the process once all is answered. It asks for that again and again: what is read while the end is
+// under way is answered too, and the end comes behind that. Who has asked for nothing yet hears that it is refused.
 func (g *Gateway) maybeExit() {
-	if g.lingered && !g.stopped && g.unanswered == 0 {
+	if !g.lingered || g.unanswered > 0 {
+		return
+	}
+	if !g.stopped {
 		g.stopped = true
+		for e := g.fresh.Front(); e != nil; e = g.fresh.Front() {
+			g.turnOut(e.Value.(*client), "this gateway ends")
+		}
 		g.log(Info, "stopped")
-		g.do(Effect{Kind: Exit})
 	}
+	g.do(Effect{Kind: Exit})
 }
 
 // ---- the name service
@@ -550,16 +567,46 @@
 		budget := cfg.Site.Spool.Budget
 		g.atShelf(spool.Event{Kind: spool.Retune, Budget: &budget})
 	}
-	g.do(Effect{Kind: Names, Addr: cfg.DNS})
-	if cfg.Known.Seq > g.serial {
+	g.turnTo(cfg.DNS)
+	if newer(cfg.Known.Seq, g.serial) {
 		g.serial = cfg.Known.Seq
 		g.applyList(cfg.Known.Engines, rules.ListDelta)
 	}
 	g.query()
 }
 
+// source is what is remembered of the name service as a way, whatever it says.
+type source struct {
+	heard  rules.Time // when an answer last came, usable or not
+	turned rules.Time // when it was last asked from a new socket
+	pause  rules.Time // of silence until that is done again
+}
+
+// turnTo asks the name service at an address from a new socket.
+func (g *Gateway) turnTo(addr netip.AddrPort) {
+	g.source.turned = g.now
+	g.do(Effect{Kind: Names, Addr: addr})
+}
+
+// listenAnew asks from a new socket where the name service has said nothing for a while: what lies between may
+// have forgotten the old one, and it would stay silent for good. Each time the pause is twice as long, so that
+// answers that are late by seconds still find the socket that asked.
+func (g *Gateway) listenAnew() {
+	s := &g.source
+	if g.now-max(s.heard, s.turned) < s.pause {
+		return
+	}
+	g.log(Warn, "name service: silent, asked from a new socket", Attr{"silent_ms", int64((g.now - s.heard) / rules.Millisecond)})
+	s.pause = min(2*s.pause, g.lim.ListTold)
+	g.turnTo(g.cfg.DNS)
+}
+
+// newer compares numbers of lists as RFC 1982 does serials: they go round.
+func newer(a, b uint32) bool { return int32(a-b) > 0 }
+
 // poll asks the name service, again and again.
 func (g *Gateway) poll() {
+	g.listenAnew()
 	g.query()
 	g.timers.add(timer{at: g.now + g.lim.PollEvery, kind: timerPoll})
 }
@@ -578,12 +625,13 @@
 		g.log(Warn, "name service: answer to nothing that was asked", Attr{"bytes", len(msg)})
 		return
 	}
+	g.source.heard, g.source.pause = g.now, g.lim.ListSilent
 	a, err := dns.Parse(msg, id, listName)
 	if err != nil {
 		g.log(Warn, "name service: unusable answer", Attr{"error", err.Error()})
 		return
 	}
-	if a.Serial <= g.serial {
+	if !newer(a.Serial, g.serial) {
 		return
 	}
 	engines := make([]config.Engine, 0, len(a.Hosts))
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -112,6 +112,7 @@
 	switch {
 	case a.link == nil:
 		g.log(Warn, "engine: no connection left", Attr{"engine", a.engine.entry.ID})
+		a.spoilt = true // our want, not the engine's
 		g.conclude(a, rules.VerdictConnectFailed)
 	case a.link.up:
 		g.ask(a)
@@ -127,13 +128,14 @@
 		ID: string(r.id), Class: g.cfg.Settings.ClassNames[r.class], TTL: max(int64((a.deadline-g.now)/rules.Millisecond), 1),
 		MemoryMB: r.memoryMB, Priority: a.priority, Statement: r.statement,
 	})
-	a.sent = true
+	a.sent, a.end = true, l.given+int64(len(l.out))
 	l.open[string(r.id)] = a
 	l.used = g.now
 	g.touch(&l.pipe)
 }
 
-// linkUp writes what has waited for the connection. The list may have changed meanwhile.
+// linkUp writes what has waited for the connection. The list may have changed meanwhile, and what has waited for
+// longer than a dial may take is older than the module reckons with: the window for its repeat may be over.
 func (g *Gateway) linkUp(l *link) {
 	l.up, l.used = true, g.now
 	waiting := l.waiting
@@ -141,7 +143,7 @@
 	for _, a := range waiting {
 		switch {
 		case a.done:
-		case a.request.answered || l.engine.state != rules.EngineServing:
+		case a.request.answered || l.engine.state != rules.EngineServing || g.now-a.at > g.lim.Connect:
 			g.conclude(a, rules.VerdictMoot)
 		default:
 			g.ask(a)
@@ -193,7 +195,8 @@
 // their engine, and one may carry dozens of requests: only the oldest of these tells of the engine, and
 // only if that has answered nothing since another connection to it broke. A process that died breaks
 // all of its connections at once, and refuses the next. With spoilt, nothing tells of the engine.
-func (g *Gateway) dropLink(l *link, err error, spoilt bool) {
+// What was written beyond the bytes that the system has taken never came whole to the engine: it did not run.
+func (g *Gateway) dropLink(l *link, err error, taken int64, spoilt bool) {
 	g.removeLink(l)
 	if l.load() > 0 {
 		text := ""
@@ -223,19 +226,27 @@
 	slices.SortFunc(lost, func(a, b *attempt) int { return int(a.at - b.at) })
 	for i, a := range lost {
 		a.spoilt = spoilt || i > 0
-		g.conclude(a, rules.VerdictReset)
+		if a.end > taken {
+			g.conclude(a, rules.VerdictMoot)
+		} else {
+			g.conclude(a, rules.VerdictReset)
+		}
 	}
 	for _, p := range l.probes {
 		g.endProbe(p, verdict, nil)
 	}
 }
 
-// retireLinks: the process behind them is another one now, or has gone.
-func (g *Gateway) retireLinks(e *engineState) {
+// retireLinks: the process behind them is another one now, or has gone. What waits for a dial to where it was must
+// not be written there, since somebody else may have the address: it is returned, to be concluded once the module
+// knows of the list.
+func (g *Gateway) retireLinks(e *engineState) (stale []*attempt) {
 	for _, l := range slices.Clone(e.links) {
 		l.retired = true
+		stale = append(stale, l.waiting...)
 		g.maybeShut(l)
 	}
+	return stale
 }
 
 func (g *Gateway) closeIdle(e *engineState) {
@@ -295,8 +306,9 @@
 func (g *Gateway) spoil(l *link, err error) {
 	g.log(Warn, "engine: broken protocol", Attr{"engine", l.engine.entry.ID}, Attr{"requests", l.load()},
 		Attr{"error", err.Error()})
+	l.out = nil // with what was not written yet nothing has run
 	g.shut(&l.pipe)
-	g.dropLink(l, err, true)
+	g.dropLink(l, err, l.given, true)
 }
 
 var errUnfinished = errors.New("engine: an answer never ends")
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -46,6 +46,7 @@
 	engine   *engineState
 	link     *link // nil: never had one
 	sent     bool  // written to a connection that was up
+	end      int64 // where it ends in what is written on its link
 	done     bool
 	spoilt   bool       // how it ends says nothing of its engine
 	at       rules.Time // when the module sent it
@@ -159,6 +160,9 @@
 	r.statement = nil
 	if c := r.client; c != nil {
 		r.client, c.request = nil, nil
+		if c.reading == nil {
+			c.answered = g.now
+		}
 		g.clientIdle(c)
 	}
 	g.forget(r)
--- a/internal/gateway/shelf.go
+++ b/internal/gateway/shelf.go
@@ -415,7 +415,7 @@
 func (g *Gateway) stopReading(c *client) {
 	if c.reading != nil {
 		g.shelf.readers.drop(c.reading.slot)
-		c.reading = nil
+		c.reading, c.answered = nil, g.now
 	}
 }
 
--- a/internal/gateway/shelf_test.go
+++ b/internal/gateway/shelf_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"regexp"
 	"slices"
 	"strings"
@@ -60,7 +61,7 @@
 }
 
 func newSpoolBench(t *testing.T, text string) *spoolBench {
-	b := &spoolBench{bench: &bench{t: t, now: 1_700_000_000 * rules.Second, sent: map[ConnID][]byte{}, shut: map[ConnID]bool{}},
+	b := &spoolBench{bench: &bench{t: t, now: 1_700_000_000 * rules.Second, sent: map[ConnID][]byte{}, shut: map[ConnID]bool{}, taken: map[ConnID]int64{}},
 		watched: map[ConnID]bool{}}
 	cfg := worldConfig(t, []standin.Host{oneHost})
 	keepResults(t, text)(&cfg)
@@ -441,7 +442,7 @@
 	b.connect(1)
 	link := b.begin(1, "point", idA, "", 30)
 	b.after(link)
-	b.run(Event{Kind: Closed, Conn: link})
+	b.run(Event{Kind: Closed, Conn: link, Taken: math.MaxInt64})
 	if out := b.after(1); out != "" {
 		t.Fatalf("the client has %q", out)
 	}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -88,6 +88,7 @@
 	engine  *wengine
 	open    map[string]*wattempt
 	dead    bool
+	taken   int64 // bytes that came to it
 }
 
 type wengine struct {
@@ -256,6 +257,7 @@
 				continue
 			}
 			c.in = append(c.in, f.Data...)
+			c.taken += int64(len(f.Data))
 			if c.client {
 				w.clientReads(c)
 			} else {
@@ -551,5 +553,5 @@
 			w.breach(1, "the connection of %s ended with no answer", r.id)
 		}
 	}
-	w.after(w.latency(), func() { w.step(Event{Kind: Closed, Conn: c.id}) })
+	w.after(w.latency(), func() { w.step(Event{Kind: Closed, Conn: c.id, Taken: c.taken}) })
 }
--- /dev/null
+++ b/internal/net/close_test.go
@@ -0,0 +1,484 @@
+package net
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	stdnet "net"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"foxlane/internal/config"
+	"foxlane/internal/gateway"
+	"foxlane/internal/standin"
+)
+
+// bareEdge is an edge without a reducer: what happens stays in the mailbox until the test takes it.
+func bareEdge(t *testing.T) *Edge {
+	t.Helper()
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	cfg, err := config.Parse([]byte(`{"name":"n0","listen":"` + addr + `","seed":"01","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"dns":"127.0.0.1:9","known":{"seq":0},"settings":` + testSettings + `}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := newEdge(cfg, zap.NewNop())
+	if err := e.open(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.close)
+	return e
+}
+
+// join connects a client to a bare edge.
+func (e *Edge) join(t *testing.T) (client stdnet.Conn, c *conn) {
+	t.Helper()
+	e.mu.Lock()
+	had := e.accepted
+	e.mu.Unlock()
+	client, err := stdnet.Dial("tcp", e.cfg.Listen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	waitFor(t, "the connection", func() bool {
+		c = e.get(had + 1)
+		return c != nil
+	})
+	return client, c
+}
+
+// The poller works off a batch of events by descriptor. A connection that is ended from elsewhere within the batch,
+// with its descriptor given to a new one, must not have its old event end the new one.
+func TestOldEventEndsNoNewConnection(t *testing.T) {
+	e := bareEdge(t)
+	low, err := syscall.Dup(0) // the system gives out the lowest number that is free
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, _ := e.join(t)
+	second, c2 := e.join(t)
+	third, _ := e.join(t)
+	room := func(most, bytes int) {
+		e.box.mu.Lock()
+		e.box.most, e.box.bytes = most, bytes
+		e.box.room.Broadcast()
+		e.box.mu.Unlock()
+	}
+	most := e.box.most
+	room(0, 1) // the poller waits in a batch, on the first connection's bytes
+	send := func(nc stdnet.Conn) {
+		if _, err := nc.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	send(first)
+	send(third)
+	second.Close()
+	time.Sleep(50 * time.Millisecond)
+	room(0, 0) // and now in its next, on the third's bytes, with the end of the second behind them
+	waitFor(t, "the first's bytes", func() bool {
+		e.box.mu.Lock()
+		defer e.box.mu.Unlock()
+		return e.box.bytes > 0
+	})
+	time.Sleep(50 * time.Millisecond)
+	// New connections wait at the accepting goroutine, which holds one.
+	e.mu.Lock()
+	e.clients += 1000
+	had := e.accepted
+	e.mu.Unlock()
+	var fillers []int
+	for fd := 0; fd < c2.nb.Hash(); {
+		if fd, err = syscall.Dup(0); err != nil {
+			t.Fatal(err)
+		}
+		fillers = append(fillers, fd)
+	}
+	const fresh = 3
+	for range fresh {
+		nc, err := stdnet.Dial("tcp", e.cfg.Listen.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+	}
+	time.Sleep(50 * time.Millisecond)
+	// The second ends from here: by a write that finds it broken, and by a close.
+	e.mu.Lock()
+	c2.client = false
+	e.clients--
+	e.mu.Unlock()
+	for range 3 {
+		e.carryOut(&gateway.Effect{Kind: gateway.Write, Conn: c2.id, Data: bytes.Repeat([]byte("x"), 64)})
+		time.Sleep(10 * time.Millisecond)
+	}
+	e.carryOut(&gateway.Effect{Kind: gateway.Close, Conn: c2.id})
+	time.Sleep(50 * time.Millisecond)
+	syscall.Close(low)
+	e.mu.Lock()
+	e.clients -= 1000
+	e.fewer.Broadcast()
+	e.mu.Unlock()
+	waitFor(t, "the new connections", func() bool { return e.get(had+fresh) != nil })
+	room(most, 0)
+	waitFor(t, "the second to be gone", func() bool { return e.get(c2.id) == nil })
+	time.Sleep(50 * time.Millisecond)
+	for i := range gateway.ConnID(fresh) {
+		if e.get(had+1+i) == nil {
+			t.Errorf("new connection %d was ended by the old event of another", i)
+		}
+	}
+	for _, fd := range fillers {
+		syscall.Close(fd)
+	}
+}
+
+// A client that is refused while it still sends reads the refusal and an end, no reset: a close over its unread bytes
+// would take the refusal with it.
+func TestRefusalOutlivesTheClose(t *testing.T) {
+	s := newStage(t)
+	defer s.end()
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			nc, err := stdnet.Dial("tcp", s.addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer nc.Close()
+			_ = nc.SetDeadline(time.Now().Add(3 * time.Second))
+			login := append([]byte{0, 0x82, 8, 0, 0, 0, 0, 1, 45}, make([]byte, 23)...)
+			login = append(login, "app\x00\x00"...)
+			// A packet that is too large, and a body of it that goes on coming.
+			ahead := append(append([]byte{byte(len(login)), 0, 0, 1}, login...), 0xff, 0xff, 0xfe, 0)
+			if _, err := nc.Write(append(ahead, bytes.Repeat([]byte{3}, 4<<20)...)); err != nil {
+				t.Errorf("the client could not send to the end: %v", err)
+			}
+			time.Sleep(50 * time.Millisecond) // it is slow to read
+			got, err := io.ReadAll(nc)
+			if err != nil || !strings.Contains(string(got), "packet of") {
+				t.Errorf("the client read %.200q, then %v", got, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Small writes are not held back, on accepted connections and dialled ones.
+func TestNoDelay(t *testing.T) {
+	e := bareEdge(t)
+	_, accepted := e.join(t)
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	e.beginDial(1<<63|1, netip.MustParseAddrPort(ln.Addr().String()), e.lim.Connect)
+	waitFor(t, "the dial", func() bool { return e.get(1<<63|1) != nil })
+	for name, c := range map[string]*conn{"accepted": accepted, "dialled": e.get(1<<63 | 1)} {
+		if on, err := syscall.GetsockoptInt(c.nb.Hash(), syscall.IPPROTO_TCP, syscall.TCP_NODELAY); err != nil || on == 0 {
+			t.Errorf("%s: TCP_NODELAY is %d, %v", name, on, err)
+		}
+	}
+}
+
+// A dial that is given up ends at once, and a connection that comes up in that moment is closed: nobody would use it.
+func TestDialGivenUp(t *testing.T) {
+	e := bareEdge(t)
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	const id = gateway.ConnID(1<<63 | 7)
+	e.mu.Lock() // it comes up while the close is on its way
+	e.dialling[id] = func() {}
+	e.mu.Unlock()
+	e.giveUpDial(id)
+	e.dial(t.Context(), id, netip.MustParseAddrPort(ln.Addr().String()))
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	_ = nc.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := nc.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the other side read %v, want the end", err)
+	}
+	if e.get(id) != nil || len(e.dialling) != 0 {
+		t.Error("the edge still knows it")
+	}
+	// One that never comes up: a listener whose line is full.
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	full := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(name.(*syscall.SockaddrInet4).Port))
+	for i := range gateway.ConnID(4) {
+		e.beginDial(1<<63|(100+i), full, 60_000_000)
+	}
+	time.Sleep(50 * time.Millisecond)
+	for i := range gateway.ConnID(4) {
+		e.carryOut(&gateway.Effect{Kind: gateway.Close, Conn: 1<<63 | (100 + i)})
+	}
+	done := make(chan struct{})
+	go func() { e.dials.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Error("a dial that was given up goes on")
+	}
+}
+
+// With no descriptor left the gateway still turns to another name service: the old socket's serves.
+func TestNamesAtTheLimitOfDescriptors(t *testing.T) {
+	e := bareEdge(t)
+	var old syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &old); err != nil {
+		t.Fatal(err)
+	}
+	probe, err := syscall.Dup(0) // the lowest number that is free
+	if err != nil {
+		t.Fatal(err)
+	}
+	syscall.Close(probe)
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(probe), Max: old.Max}); err != nil {
+		t.Fatal(err)
+	}
+	_, full := syscall.Dup(0)
+	first := e.openUDP(netip.MustParseAddrPort("127.0.0.1:10"))
+	second := e.openUDP(netip.MustParseAddrPort("127.0.0.1:10"))
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old); err != nil {
+		t.Fatal(err)
+	}
+	if full == nil {
+		t.Skip("descriptors were free below the limit")
+	}
+	if first != nil || second != nil || e.udp == nil || e.udp.RemoteAddr().String() != "127.0.0.1:10" {
+		t.Errorf("moved with %v, again with %v", first, second)
+	}
+}
+
+// Dials that fail for want of something here are told apart from those that the engine refuses.
+func TestOurWant(t *testing.T) {
+	for err, ours := range map[error]bool{syscall.EMFILE: true, syscall.ENFILE: true, syscall.EADDRNOTAVAIL: true, syscall.ENOBUFS: true,
+		syscall.ENOMEM: true, syscall.ECONNREFUSED: false, syscall.ETIMEDOUT: false, syscall.EHOSTUNREACH: false} {
+		wrapped := &stdnet.OpError{Op: "dial", Err: fmt.Errorf("connect: %w", err)}
+		if ourWant(wrapped) != ours {
+			t.Errorf("%v counts as ours: %v", err, !ours)
+		}
+	}
+}
+
+// At the end a connection with bytes that nobody has read, in its socket or in the mailbox, is left open until the
+// reducer had them; one that rests is ended cleanly, and what comes on it behind that counts no more.
+func TestEndLeavesWhatIsUnread(t *testing.T) {
+	e := bareEdge(t)
+	resting, rest := e.join(t)
+	asking, ask := e.join(t)
+	if _, err := asking.Write([]byte("a request")); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the bytes in the mailbox", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return ask.queued > 0
+	})
+	s := ending{}.next(true)
+	if e.end(&s) {
+		t.Fatal("over with a request in the mailbox")
+	}
+	e.mu.Lock()
+	if ask.hungUp || !rest.hungUp {
+		t.Errorf("hung up: the one that asks %v, the one that rests %v", ask.hungUp, rest.hungUp)
+	}
+	e.mu.Unlock()
+	if _, err := stdnet.DialTimeout("tcp", e.cfg.Listen.String(), time.Second); err == nil {
+		t.Error("a new connection was taken")
+	}
+	events, _ := e.box.take(nil, nil)
+	e.unqueue(events)
+	if s = s.next(false).next(true); e.end(&s) {
+		t.Error("over with two clients that have not closed yet")
+	}
+	e.mu.Lock()
+	if !ask.hungUp {
+		t.Error("what was read and answered is not hung up")
+	}
+	e.mu.Unlock()
+	_ = resting.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := resting.Write([]byte("a request that crosses")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if _, err := resting.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the resting client read %v, want the end", err)
+	}
+	events, _ = e.box.take(nil, nil)
+	for _, ev := range events {
+		if ev.Kind == gateway.Data {
+			t.Errorf("the reducer hears %q of a connection that was hung up", ev.Data)
+		}
+	}
+	resting.Close()
+	asking.Close()
+	waitFor(t, "both to be gone", func() bool { return e.end(&s) })
+}
+
+// Requests that cross the end of the process, one by one from well ahead of it to well behind: each is answered, or its
+// connection ends with not a byte of an answer and no engine has seen it. None is reset.
+func TestRequestsAcrossTheEnd(t *testing.T) {
+	goroutines, files := runtime.NumGoroutine(), descriptors(t)
+	s := newStage(t, served(5*time.Millisecond, "a\tb\tc\n"))
+	const clients = 60
+	type outcome struct {
+		id     string
+		answer bool
+		err    error
+	}
+	outcomes := make(chan outcome, clients)
+	linger := 900 * time.Millisecond
+	from := netip.Addr{}
+	all := make([]*standin.Client, clients)
+	for i := range all {
+		c, err := standin.Connect(s.addr, from, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Rows("SET x = 1", time.Second, nil); err != nil {
+			t.Fatal(err)
+		}
+		all[i] = c
+	}
+	began := time.Now()
+	s.stop <- syscall.SIGTERM
+	for i, c := range all {
+		go func() {
+			defer c.Close()
+			time.Sleep(time.Until(began.Add(linger + time.Duration(i-10)*10*time.Millisecond)))
+			o := outcome{id: fmt.Sprintf("%016x", 0xabc000+i)}
+			var n int
+			n, o.err = c.Query(fields("point", o.id, 1500), 3*time.Second)
+			var refusal *standin.Refusal
+			o.answer = n > 0 || errors.As(o.err, &refusal)
+			outcomes <- o
+		}()
+	}
+	ids := map[string]bool{}
+	answered, ended := 0, 0
+	for range clients {
+		switch o := <-outcomes; {
+		case o.answer:
+			answered++
+		case errors.Is(o.err, io.EOF), errors.Is(o.err, syscall.EPIPE):
+			ended++
+			ids[o.id] = true
+		case errors.Is(o.err, syscall.ECONNRESET):
+			ended++ // its bytes came behind the end of the process, not only of the connection
+			ids[o.id] = true
+		default:
+			t.Errorf("%s: %v", o.id, o.err)
+		}
+	}
+	select {
+	case err := <-s.ended:
+		s.ended <- err
+	case <-time.After(5 * time.Second):
+		t.Fatal("not ended")
+	}
+	for _, a := range s.engines[0].Asks() {
+		if ids[a.ID] {
+			t.Errorf("%s went to an engine, and its client has no answer", a.ID)
+		}
+	}
+	if answered == 0 || ended == 0 {
+		t.Logf("%d answered, %d ended: the end was not crossed on this machine", answered, ended)
+	}
+	s.end() // a second SIGTERM, and the rest
+	s.stillThere(goroutines, files)
+}
+
+// A client that never closes, one that sends without end and reads nothing, half a login and a login with nothing
+// behind it: the process ends in time all the same.
+func TestEndWithClientsThatNeverClose(t *testing.T) {
+	s := newStage(t, served(5*time.Millisecond, "a\tb\tc\n"))
+	for i := range 4 {
+		nc, err := stdnet.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		switch i {
+		case 1:
+			go func() { _, _ = nc.Write(bytes.Repeat([]byte{1, 0, 0, 0, 14}, 4<<20)) }()
+		case 2:
+			_, _ = nc.Write([]byte{60, 0, 0, 1, 3})
+		case 3:
+			login := append([]byte{0, 0x82, 8, 0, 0, 0, 0, 1, 45}, make([]byte, 23)...)
+			login = append(login, "app\x00\x00"...)
+			_, _ = nc.Write(append([]byte{byte(len(login)), 0, 0, 1}, login...))
+		}
+	}
+	s.end()
+}
+
+// A name service that answers each socket for a while only: the gateway comes again from a new one, and hears of a
+// drain within the time after which it counts as told.
+func TestDrainBehindASilentSocket(t *testing.T) {
+	s := newStage(t, served(time.Millisecond, "a\tb\tc\n"), served(time.Millisecond, "a\tb\tc\n"))
+	defer s.end()
+	var mu sync.Mutex
+	heard := map[string]int{}
+	s.names.From(func(from string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		heard[from]++
+		return heard[from] <= 3
+	})
+	time.Sleep(600 * time.Millisecond) // its socket is silent by now, for good
+	s.hosts[0].Draining = true
+	s.names.Set(2, s.hosts)
+	told := time.Now()
+	waitFor(t, "a query from a new socket", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(heard) > 1
+	})
+	time.Sleep(300 * time.Millisecond)
+	if took := time.Since(told); took > 5*time.Second {
+		t.Errorf("heard %v after the drain", took)
+	}
+	before := len(s.engines[0].Asks())
+	for i := range 12 {
+		if _, err := rows(t.Context(), s.db, fields("point", fmt.Sprintf("%016x", 0xd00+i), 1500)); err != nil {
+			t.Error(err)
+		}
+	}
+	if n := len(s.engines[0].Asks()); n != before {
+		t.Errorf("%d attempts went to an engine that drains", n-before)
+	}
+}
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -5,12 +5,14 @@
 package net
 
 import (
+	"context"
 	"crypto/rand"
 	"errors"
 	stdnet "net"
 	"net/netip"
 	"os"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -102,13 +104,20 @@
 	closing atomic.Bool  // to be closed once they are
 	watched atomic.Bool  // the reducer is to be told once they are
 	client  bool         // accepted, not dialled
+	taken   atomic.Int64 // bytes that the system has taken
+
+	// Under the edge's lock.
+	queued int   // times that bytes of it wait in the mailbox
+	hungUp bool  // our half is closed: what comes is read, and counts no more
+	err    error // why we have cut it; nil: we have not
 }
 
 var errNotRead = errors.New("the other side does not read")
 
 // Edge is the outside of one gateway.
 type Edge struct {
-	cfg    config.Config
+	cfg    config.Config // the reducer's goroutine has it
+	lim    config.Limits
 	log    *zap.Logger
 	box    *mailbox
 	engine *nbio.Engine
@@ -122,22 +131,29 @@
 	conns    map[gateway.ConnID]*conn
 	byNB     map[*nbio.Conn]*conn
 	accepted gateway.ConnID
+	dialling map[gateway.ConnID]context.CancelFunc
 	dials    sync.WaitGroup
+	listener stdnet.Listener
+	lingers  []*conn // hung up, oldest first
 	ending   atomic.Bool
-	readers  sync.WaitGroup // of UDP
+	readers  sync.WaitGroup  // of UDP
+	former   *stdnet.UDPConn // asked before this one: late answers may still come to it; nil: none
+	reloads  sync.WaitGroup
 	shelf    *shelf         // nil: no spool is on a disk
 	talk     *talk          // nil: other gateways are not talked to
 	hushing  sync.WaitGroup // talk that is being ended
 	votes    *votes         // nil: this gateway does not vote on directives
 }
 
+// Signals are those that a process gets, each kind on a channel of its own: none may be lost behind another.
+type Signals struct {
+	Reload <-chan os.Signal // the configuration is to be read again; several that come meanwhile count as one
+	End    <-chan os.Signal
+}
+
 // Run serves until the process is asked to end by a signal, and all is answered.
-// SIGHUP makes it read its configuration again; any other signal asks it to end.
-func Run(cfg config.Config, log *zap.Logger, signals <-chan os.Signal) error {
-	e := &Edge{cfg: cfg, log: log, box: newMailbox(cfg.Limits), conns: map[gateway.ConnID]*conn{},
-		byNB: map[*nbio.Conn]*conn{}, start: time.Now()}
-	e.unix = e.start.UnixMicro()
-	e.fewer.L = &e.mu
+func Run(cfg config.Config, log *zap.Logger, signals Signals) error {
+	e := newEdge(cfg, log)
 	if _, err := rand.Read(e.cfg.Entropy[:]); err != nil {
 		return err
 	}
@@ -164,6 +180,14 @@
 	return nil
 }
 
+func newEdge(cfg config.Config, log *zap.Logger) *Edge {
+	e := &Edge{cfg: cfg, lim: cfg.Limits, log: log, box: newMailbox(cfg.Limits), conns: map[gateway.ConnID]*conn{},
+		byNB: map[*nbio.Conn]*conn{}, dialling: map[gateway.ConnID]context.CancelFunc{}, start: time.Now()}
+	e.unix = e.start.UnixMicro()
+	e.fewer.L = &e.mu
+	return e
+}
+
 // now is the Unix time in microseconds, carried on by the monotonic clock.
 func (e *Edge) now() rules.Time {
 	return rules.Time(e.unix + time.Since(e.start).Microseconds())
@@ -171,26 +195,31 @@
 
 func (e *Edge) open() error {
 	logging.SetLogger(quiet{})
-	nbio.MaxOpenFiles = max(e.cfg.Limits.Sockets, 4096) // numbers of descriptors that its table holds
+	nbio.MaxOpenFiles = max(e.lim.Sockets, 4096) // numbers of descriptors that its table holds
 	if err := e.openUDP(e.cfg.DNS); err != nil {
 		return err
 	}
 	e.engine = nbio.NewEngine(nbio.Config{
 		Network: "tcp", Addrs: []string{e.cfg.Listen.String()}, NPoller: 1, ReadBufferSize: readBuffer,
 		MaxConnReadTimesPerEventLoop: readsInTurn,
+		Listen: func(network, addr string) (ln stdnet.Listener, err error) {
+			ln, err = stdnet.Listen(network, addr)
+			e.listener = ln
+			return ln, err
+		},
 	})
 	e.engine.OnOpen(e.onOpen)
 	e.engine.OnData(func(nb *nbio.Conn, data []byte) {
-		if c := e.of(nb); c != nil {
+		if c := e.reads(nb); c != nil {
 			e.box.put(gateway.Event{Kind: gateway.Data, Conn: c.id, Data: data})
 		}
 	})
 	e.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
 		if c := e.of(nb); c != nil {
-			c.pending.Add(-int64(n))
-			if c.pending.Load() <= 0 {
+			c.taken.Add(int64(n))
+			if c.pending.Add(-int64(n)) <= 0 {
 				if c.closing.Load() {
-					go nb.Close() // this runs under the connection's lock
+					go e.hangUp(c) // this runs under the connection's lock
 				}
 				e.tellDrained(c)
 			}
@@ -198,16 +227,17 @@
 	})
 	e.engine.OnClose(func(nb *nbio.Conn, err error) {
 		if c := e.of(nb); c != nil {
-			e.forget(c)
-			e.box.put(gateway.Event{Kind: gateway.Closed, Conn: c.id, Err: err})
+			if ours := e.forget(c); ours != nil {
+				err = ours
+			}
+			e.box.put(gateway.Event{Kind: gateway.Closed, Conn: c.id, Err: err, Taken: c.taken.Load()})
 		}
 	})
 	e.engine.OnAcceptError(func(err error) {
-		if e.ending.Load() {
-			return
+		if !e.ending.Load() {
+			e.log.Warn("accept failed", zap.Error(err))
 		}
-		e.log.Warn("accept failed", zap.Error(err))
-		time.Sleep(10 * time.Millisecond) // descriptors ran out: they come back when something closes
+		time.Sleep(10 * time.Millisecond) // descriptors ran out: they come back when something closes; or nothing more is accepted
 	})
 	if err := e.engine.Start(); err != nil {
 		e.udp.Close()
@@ -217,14 +247,29 @@
 	return nil
 }
 
-// openUDP goes over to a name service. Only what comes from there is read from then on.
+// openUDP asks a name service from a new socket. Only what comes from there is read from then on; where it is the
+// one that was asked before, what it still says to the last socket counts too. Where descriptors have run out, those
+// of the old sockets serve.
 func (e *Edge) openUDP(addr netip.AddrPort) error {
-	udp, err := stdnet.DialUDP("udp", nil, stdnet.UDPAddrFromAddrPort(addr))
+	dial := func() (*stdnet.UDPConn, error) {
+		return stdnet.DialUDP("udp", nil, stdnet.UDPAddrFromAddrPort(addr))
+	}
+	udp, err := dial()
+	if err != nil && e.udp != nil {
+		e.closeUDP()
+		udp, err = dial()
+	}
 	if err != nil {
 		return err
 	}
-	if e.udp != nil {
-		e.udp.Close()
+	if e.former != nil {
+		e.former.Close()
+		e.former = nil
+	}
+	if old := e.udp; old != nil && old.RemoteAddr().String() == udp.RemoteAddr().String() {
+		e.former = old
+	} else if old != nil {
+		old.Close()
 	}
 	e.udp = udp
 	e.readers.Add(1)
@@ -232,27 +277,45 @@
 	return nil
 }
 
+func (e *Edge) closeUDP() {
+	for _, udp := range []*stdnet.UDPConn{e.udp, e.former} {
+		if udp != nil {
+			udp.Close()
+		}
+	}
+	e.udp, e.former = nil, nil
+}
+
 func (e *Edge) close() {
 	e.mu.Lock()
 	e.ending.Store(true)
 	e.fewer.Broadcast()
+	for _, giveUp := range e.dialling {
+		giveUp()
+	}
 	e.mu.Unlock()
 	e.box.close()
-	e.udp.Close()
+	e.closeUDP()
 	e.readers.Wait()
+	e.reloads.Wait()
 	e.dials.Wait()
 	e.engine.Stop()
 }
 
-func (e *Edge) forget(c *conn) {
+// forget drops what is remembered of a connection. It answers why we have cut it, if we have.
+func (e *Edge) forget(c *conn) error {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	delete(e.conns, c.id)
 	delete(e.byNB, c.nb)
+	if c.hungUp {
+		e.lingers = slices.DeleteFunc(e.lingers, func(o *conn) bool { return o == c })
+	}
 	if c.client {
 		e.clients--
 		e.fewer.Signal()
 	}
-	e.mu.Unlock()
+	return c.err
 }
 
 func (e *Edge) get(id gateway.ConnID) *conn {
@@ -269,6 +332,18 @@
 	return e.byNB[nb]
 }
 
+// reads finds the connection on which bytes have come that count: those of one that was hung up don't.
+func (e *Edge) reads(nb *nbio.Conn) *conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.byNB[nb]
+	if c == nil || c.hungUp {
+		return nil
+	}
+	c.queued++
+	return c
+}
+
 // onOpen takes in a connection that a client has opened, or that a dial has. Where clients come
 // faster than the reducer can close others for them, the accepting goroutine waits here: descriptors
 // must not run out, or dials to engines fail with them.
@@ -276,12 +351,12 @@
 	e.mu.Lock()
 	c, kind := e.byNB[nb], gateway.Connected
 	if c == nil {
-		for e.clients >= e.cfg.Limits.Clients+e.cfg.Limits.AcceptAhead && !e.ending.Load() {
+		for e.clients >= e.lim.Clients+e.lim.AcceptAhead && !e.ending.Load() {
 			e.fewer.Wait()
 		}
 		e.accepted++
 		e.clients++
-		c, kind = &conn{id: e.accepted, nb: nb, most: int64(e.cfg.Limits.ClientOut), client: true}, gateway.Accepted
+		c, kind = &conn{id: e.accepted, nb: nb, most: int64(e.lim.ClientOut), client: true}, gateway.Accepted
 		e.byNB[nb] = c
 	}
 	e.conns[c.id] = c
@@ -301,30 +376,65 @@
 	return netip.Addr{}
 }
 
-// dial connects by the standard library, which tells a refusal from a silence.
-func (e *Edge) dial(id gateway.ConnID, addr netip.AddrPort, wait rules.Time) {
-	defer e.dials.Done()
-	std, err := stdnet.DialTimeout("tcp", addr.String(), time.Duration(wait)*time.Microsecond)
+// beginDial connects in a goroutine of its own, for so long at most and until the reducer closes the connection.
+func (e *Edge) beginDial(id gateway.ConnID, addr netip.AddrPort, wait rules.Time) {
+	ctx, giveUp := context.WithTimeout(context.Background(), time.Duration(wait)*time.Microsecond)
+	e.mu.Lock()
+	e.dialling[id] = giveUp
+	e.mu.Unlock()
+	e.dials.Go(func() {
+		defer giveUp()
+		e.dial(ctx, id, addr)
+	})
+}
+
+// dial connects by the standard library, which tells a refusal from a silence. A connection that was given up
+// meanwhile is closed even if it came up: nobody would ever use it.
+func (e *Edge) dial(ctx context.Context, id gateway.ConnID, addr netip.AddrPort) {
+	var dialer stdnet.Dialer
+	std, err := dialer.DialContext(ctx, "tcp", addr.String())
+	var nb *nbio.Conn
 	if err == nil {
-		var nb *nbio.Conn
-		if nb, err = nbio.NBConn(std); err == nil {
-			c := &conn{id: id, nb: nb, most: int64(e.cfg.Limits.LinkOut)}
-			e.mu.Lock()
-			e.byNB[nb] = c
-			e.mu.Unlock()
-			if _, err = e.engine.AddConn(nb); err == nil {
-				return
-			}
-			e.forget(c)
+		if nb, err = nbio.NBConn(std); err != nil {
+			std.Close()
 		}
 	}
-	ours := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL)
-	e.box.put(gateway.Event{Kind: gateway.DialFailed, Conn: id, Err: err, Ours: ours})
+	e.mu.Lock()
+	_, wanted := e.dialling[id]
+	delete(e.dialling, id)
+	c := &conn{id: id, nb: nb, most: int64(e.lim.LinkOut)}
+	if wanted && err == nil {
+		e.byNB[nb] = c
+	}
+	e.mu.Unlock()
+	switch {
+	case !wanted:
+		if err == nil {
+			nb.Close()
+		}
+		return
+	case err == nil:
+		if _, err = e.engine.AddConn(nb); err == nil {
+			return
+		}
+		_ = e.forget(c)
+	}
+	e.box.put(gateway.Event{Kind: gateway.DialFailed, Conn: id, Err: err, Ours: ourWant(err)})
+}
+
+// ourWant answers whether a dial failed for want of something on this machine.
+func ourWant(err error) bool {
+	for _, want := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, want) {
+			return true
+		}
+	}
+	return false
 }
 
 func (e *Edge) readUDP(udp *stdnet.UDPConn) {
 	defer e.readers.Done()
-	buf := make([]byte, e.cfg.Limits.Datagram)
+	buf := make([]byte, e.lim.Datagram)
 	for {
 		n, err := udp.Read(buf)
 		switch {
@@ -349,7 +459,7 @@
 }
 
 // loop is the reducer's goroutine.
-func (e *Edge) loop(signals <-chan os.Signal) {
+func (e *Edge) loop(signals Signals) {
 	g := gateway.New(e.cfg, e.now())
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
@@ -363,32 +473,49 @@
 	}
 	var events []gateway.Event
 	var arena []byte
-	armed, turns := rules.Time(0), pace{least: e.cfg.Limits.Turn}
+	var end ending
+	read, reading := make(chan config.Config, 1), false
+	armed, turns := rules.Time(0), pace{least: e.lim.Turn}
 	for {
+		over := false
 		for _, f := range g.Flush() {
 			switch f.Kind {
 			case gateway.Arm:
 				armed = f.At
 				wake.Reset(time.Duration(f.At-e.now()) * time.Microsecond)
 			case gateway.Exit:
-				e.drain()
-				return
+				over = true
 			default:
 				e.carryOut(&f)
 			}
 		}
+		if end = end.next(over); over && e.end(&end) {
+			return
+		}
+		again := signals.Reload
+		if reading {
+			again = nil // one at a time: what is asked for meanwhile comes behind
+		}
 		select {
 		case <-e.box.ready:
 		case <-wake.C:
-		case s := <-signals:
-			if ev, ok := e.signal(s); ok {
-				g.Step(e.now(), ev)
+		case <-end.tick:
+		case <-signals.End:
+			g.Step(e.now(), gateway.Event{Kind: gateway.Terminate})
+		case <-again:
+			reading = true
+			e.reload(read)
+		case cfg := <-read:
+			if reading = false; cfg.Name != "" {
+				e.cfg = cfg
+				g.Step(e.now(), gateway.Event{Kind: gateway.Reload, Config: &cfg})
 			}
 		}
 		if rest := turns.rest(e.now()); rest > 0 {
 			time.Sleep(time.Duration(rest) * time.Microsecond)
 		}
 		events, arena = e.box.take(events, arena)
+		e.unqueue(events)
 		now := e.now()
 		turns.last = now
 		for _, ev := range events {
@@ -401,44 +528,43 @@
 	}
 }
 
-// signal is what a signal means to the reducer. A configuration that can't be used changes nothing.
-func (e *Edge) signal(s os.Signal) (ev gateway.Event, ok bool) {
-	if s != syscall.SIGHUP {
-		return gateway.Event{Kind: gateway.Terminate}, true
-	}
-	cfg, err := e.cfg.Reload()
-	if err != nil {
-		e.log.Warn("configuration kept as it was", zap.Error(err))
-		return ev, false
-	}
-	e.cfg = cfg // Reload has kept the entropy
-	return gateway.Event{Kind: gateway.Reload, Config: &cfg}, true
+// reload reads the configuration again, off the reducer's goroutine, and hands it over. One that can't be used
+// changes nothing: then it has no name.
+func (e *Edge) reload(read chan<- config.Config) {
+	old := e.cfg
+	e.reloads.Go(func() {
+		cfg, err := old.Reload() // keeps the entropy
+		if err != nil {
+			e.log.Warn("configuration kept as it was", zap.Error(err))
+			cfg = config.Config{}
+		}
+		read <- cfg
+	})
 }
 
 func (e *Edge) carryOut(f *gateway.Effect) {
 	switch f.Kind {
 	case gateway.Write:
 		if c := e.get(f.Conn); c != nil {
-			c.pending.Add(int64(len(f.Data)))
-			if _, err := c.nb.Write(f.Data); err != nil {
-				_ = c.nb.CloseWithError(err)
-			} else if c.pending.Load() > c.most {
-				_ = c.nb.CloseWithError(errNotRead)
-			}
+			e.send(c, f.Data)
 		}
 	case gateway.Close:
 		if c := e.get(f.Conn); c != nil {
 			c.closing.Store(true)
 			if c.pending.Load() <= 0 {
-				_ = c.nb.Close()
+				e.hangUp(c)
 				return
 			}
-			_ = c.nb.SetWriteDeadline(time.Now().Add(time.Duration(e.cfg.Limits.FlushWithin) * time.Microsecond))
+			e.after(e.lim.FlushWithin, func() { e.cut(c, errNotRead) })
+		} else {
+			e.giveUpDial(f.Conn)
 		}
 	case gateway.Dial:
-		e.dials.Add(1)
-		go e.dial(f.Conn, f.Addr, f.Wait)
+		e.beginDial(f.Conn, f.Addr, f.Wait)
 	case gateway.Query:
+		if e.udp == nil {
+			return // it is asked from a new socket before long
+		}
 		if _, err := e.udp.Write(f.Data); err != nil {
 			e.log.Warn("name service: query not sent", zap.Error(err))
 		}
@@ -488,25 +614,6 @@
 	entry.Write(fields...)
 }
 
-// drain waits until all that was written has left, within bounds.
-func (e *Edge) drain() {
-	until := time.Now().Add(time.Duration(e.cfg.Limits.FlushWithin) * time.Microsecond)
-	for time.Now().Before(until) && e.unsent() {
-		time.Sleep(time.Millisecond)
-	}
-}
-
-func (e *Edge) unsent() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, c := range e.conns {
-		if c.pending.Load() > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // quiet keeps nbio from a log of its own.
 type quiet struct{}
 
--- a/internal/net/edge_test.go
+++ b/internal/net/edge_test.go
@@ -41,6 +41,7 @@
 	hosts   []standin.Host
 	config  string
 	stop    chan os.Signal
+	hup     chan os.Signal
 	ended   chan error
 	db      *sql.DB
 }
@@ -53,7 +54,7 @@
 // newStageOf has a gateway with other limits.
 func newStageOf(t *testing.T, limits string, answers ...func(standin.Ask) standin.Reply) *stage {
 	t.Helper()
-	s := &stage{t: t, stop: make(chan os.Signal, 1), ended: make(chan error, 1)}
+	s := &stage{t: t, stop: make(chan os.Signal, 1), hup: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	var err error
 	if s.names, err = standin.NewNames("127.0.0.1:0", "_data._tcp.farm.lan"); err != nil {
 		t.Fatal(err)
@@ -82,7 +83,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { s.ended <- Run(cfg, zap.NewNop(), s.stop) }()
+	go func() { s.ended <- Run(cfg, zap.NewNop(), Signals{Reload: s.hup, End: s.stop}) }()
 	if s.db, err = sql.Open("mysql", "app@tcp("+s.addr+")/main?interpolateParams=true"); err != nil {
 		t.Fatal(err)
 	}
@@ -305,7 +306,7 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		s.stop <- syscall.SIGHUP
+		s.hup <- syscall.SIGHUP
 	}
 	open := make(chan error, 1)
 	go func() {
@@ -360,7 +361,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := Run(cfg, zap.NewNop(), nil); err == nil {
+	if err := Run(cfg, zap.NewNop(), Signals{}); err == nil {
 		t.Error("serving on an address that is taken")
 	}
 }
--- a/internal/standin/names.go
+++ b/internal/standin/names.go
@@ -29,6 +29,7 @@
 	serial uint32
 	hosts  []Host
 	mangle func([]byte) []byte
+	listen func(from string) bool
 }
 
 // NewNames starts a name service that answers for the list under a name.
@@ -59,6 +60,13 @@
 	n.mu.Unlock()
 }
 
+// From says to whom it answers from now on, by the address that asks; nil: to all.
+func (n *Names) From(f func(from string) bool) {
+	n.mu.Lock()
+	n.listen = f
+	n.mu.Unlock()
+}
+
 // Close ends it.
 func (n *Names) Close() {
 	n.conn.Close()
@@ -81,6 +89,9 @@
 		if n.mangle != nil {
 			msg = n.mangle(msg)
 		}
+		if n.listen != nil && !n.listen(from.String()) {
+			msg = nil
+		}
 		n.mu.Unlock()
 		if msg != nil {
 			_, _ = n.conn.WriteTo(msg, from)
