--- a/internal/emu/fleet.go
+++ b/internal/emu/fleet.go
@@ -59,6 +59,7 @@
 	Spread   []int           // zones of engines and gateways, in turn; nil: evenly over Zones
 	Sites    *zones.Settings // what gateways do when a zone is lost; nil: nothing of its own
 	Talk     *HearsayModel   // how gateways talk; nil: they don't
+	Believed float64         // times the budget of cold engines that gateways believe in; 0: 1
 	Static   *float64        // instead: the part of each gateway's load that stays in its zone, whatever happens; a baseline
 }
 
@@ -334,6 +335,9 @@
 	s.Me, s.Zone, s.Siblings = g.index, g.zone, g.f.scene.Gateways
 	g.life++
 	g.up, g.stopping = true, false
+	if by := g.f.scene.Believed; by > 0 {
+		s.Duties.OverloadFactor *= by
+	}
 	g.module = rules.New(s, g.f.rng.Uint64())
 	g.requests, g.links, g.order = map[rules.RequestID]*request{}, map[rules.EngineID]rules.Time{}, nil
 	g.inbox, g.telling = nil, false
--- /dev/null
+++ b/internal/emu/ramp_test.go
@@ -0,0 +1,90 @@
+package emu
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"foxlane/rules"
+)
+
+var rampSeeds = flag.Uint64("ramp.seeds", 2, "seeds of each ramp")
+
+// ramp is a fleet of which half of the engines are replaced by cold ones, under load, judged by the sum of what all
+// gateways send them. The operators let twice the root of N and 2 pass for chance; here N itself must hold.
+func ramp(gateways int, seed uint64, change func(s *Scene)) *Books {
+	s := Warehouse(gateways, min(max(4, gateways/2), 16), 0.85, seed)
+	s.Length = 20 * second
+	s.Faults = []Fault{Replace(4*second, 0.5, 5*second, 2*second)}
+	change(&s)
+	return New(s).Run()
+}
+
+// planned is what we plan to spend of a budget, 0.6, and two deviations of chance with 60 queries whose work
+// scatters by its mean.
+const planned = 0.8
+
+var ramps = []struct {
+	name   string
+	most   float64 // of a budget
+	change func(s *Scene)
+}{
+	{"even traffic", 1, func(s *Scene) { s.Clients.Skew = 0 }},
+	{"uneven traffic", 1, func(s *Scene) { s.Clients.Skew = 1 }},
+	{"all gateways restart in the ramp", 1, func(s *Scene) {
+		s.Faults = append(s.Faults, Restart(6*second, 0.25, 1500*rules.Millisecond, second))
+	}},
+	{"the list comes late to some", 1, func(s *Scene) { s.Ways.ListMost = 6 * second }},
+	{"clients come again and again", 1, func(s *Scene) {
+		s.Load, s.Clients.Tries, s.Clients.Backoff, s.Clients.Honour = 1.1, 4, 100*rules.Millisecond, 0
+	}},
+	{"queries in no hurry, and a small budget", planned, hurryless},
+}
+
+// hurryless has every gateway spend all it may on cold engines, all the time: nothing that runs there is late.
+func hurryless(s *Scene) {
+	s.Load = 1.2
+	s.Settings.Duties.OverloadFactor, s.Settings.Duties.TipAfter = 1, second
+	for i := range s.Classes {
+		s.Classes[i] = ClassModel{Share: 1, Work: 200 * rules.Millisecond, CV: 1, Rough: 0.3}
+		c := &s.Settings.Classes[i]
+		c.Aim, c.GiveUp, c.Threads, c.Effect, c.IsLoad = 15*second, 20*second, 1, rules.EffectSafe, false
+	}
+}
+
+// The ramp holds for the fleet: whatever number of gateways there are, however their traffic lies, all together
+// stay within what a cold engine bears.
+func TestRampHoldsForTheFleet(t *testing.T) {
+	for _, gateways := range []int{2, 20, 30, 300} {
+		seeds := *rampSeeds
+		if gateways > 30 {
+			seeds = max(1, seeds/2)
+		}
+		for _, r := range ramps {
+			t.Run(fmt.Sprintf("%d gateways, %s", gateways, r.name), func(t *testing.T) {
+				t.Parallel()
+				worst := 0.0
+				for seed := range seeds {
+					b := ramp(gateways, seed+1, r.change)
+					worst = max(worst, b.ColdWorst)
+					if b.Fallen > 0 || b.ColdWorst > r.most {
+						t.Errorf("seed %d: %d cold engines fell, %.2f of a budget was spent, %.2f at most", seed+1, b.Fallen, b.ColdWorst, r.most)
+					}
+				}
+				t.Logf("%d gateways, %s: at most %.2f of a budget was spent", gateways, r.name, worst)
+			})
+		}
+	}
+}
+
+// The test above can fail: with a budget believed to be half as much again, more than planned is spent.
+func TestRampWithTooLargeABudget(t *testing.T) {
+	t.Parallel()
+	worst := 0.0
+	for seed := range *rampSeeds {
+		worst = max(worst, ramp(20, seed+1, func(s *Scene) { hurryless(s); s.Believed = 1.5 }).ColdWorst)
+	}
+	if t.Logf("%.2f of a budget was spent", worst); worst <= planned {
+		t.Errorf("under a budget half as much again %.2f of it was spent, no more than planned", worst)
+	}
+}
