--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"os"
 	"reflect"
 	"strconv"
+	"strings"
 
 	"foxlane/internal/settings"
 	"foxlane/internal/site"
@@ -228,6 +229,8 @@
 	if c.Limits, err = newLimits(f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets, c.Settings); err != nil {
 		return c, err
 	}
+	// What the module reckons with is what a dial may take here.
+	c.Settings.Rules.Limits.ConnectTimeout = c.Limits.Connect
 	// On sockets, clients can have no more requests open than they have connections.
 	open := &c.Settings.Rules.Limits.MaxOpen
 	if *open <= 0 || *open > c.Limits.ClientShare {
@@ -239,8 +242,11 @@
 func uniqueNames(names []string) error {
 	seen := map[string]bool{}
 	for i, name := range names {
-		if name == "" || seen[name] {
+		switch {
+		case name == "" || seen[name]:
 			return fmt.Errorf("settings: class %d has no name of its own: %q", i, name)
+		case strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c >= 0x7f || strings.ContainsRune(",=*/", c) }):
+			return fmt.Errorf("settings: class %d: its name %q can't be carried in a list of fields", i, name)
 		}
 		seen[name] = true
 	}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -145,6 +145,9 @@
 	for _, c := range s.Rules.Classes {
 		longest = max(longest, c.GiveUp)
 	}
-	l.StopWithin = min(l.StopWithin, longest) + 300*rules.Millisecond
+	if longest > 0 { // else no class names how long its clients wait
+		l.StopWithin = min(l.StopWithin, longest)
+	}
+	l.StopWithin += l.FlushWithin
 	return l, nil
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -33,10 +33,11 @@
 	Rows
 	Green
 	Red
+	Update // how a request that runs gets on; no end of it
 )
 
 var words = map[string]Word{
-	"served": Served, "overload": Overload, "crashed": Crashed, "nobody": Nobody, "rows": Rows, "green": Green, "red": Red,
+	"served": Served, "overload": Overload, "crashed": Crashed, "nobody": Nobody, "rows": Rows, "green": Green, "red": Red, "update": Update,
 }
 
 // Answer is one answer. Its bytes are valid until the next Feed.
@@ -203,6 +204,7 @@
 	TTL       int64 // milliseconds
 	MemoryMB  int64 // 0: the engine chooses
 	Priority  int
+	Once      string // the key by which engines drop repeats, as the client sent it; empty: none
 	Statement []byte
 }
 
@@ -220,6 +222,9 @@
 	if a.Priority != DefaultPriority {
 		dst = strconv.AppendInt(append(dst, ",band="...), int64(a.Priority), 10)
 	}
+	if a.Once != "" {
+		dst = append(append(dst, ",dedupe="...), a.Once...)
+	}
 	dst = strconv.AppendInt(append(dst, ' '), int64(len(a.Statement)), 10)
 	dst = append(append(dst, crlf...), a.Statement...)
 	return append(dst, crlf...)
--- a/internal/gateway/crossings_test.go
+++ b/internal/gateway/crossings_test.go
@@ -481,3 +481,82 @@
 		}
 	}
 }
+
+// The key by which engines drop repeats, and notes of progress: deployments have both that the first one had not. The
+// key goes on as it came, with every attempt; one that would break the list of fields is refused; a note ends nothing.
+func TestRepeatKeyAndNotes(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, string(query("/* kind=note,req="+idA+",timeout=1900,opkey=d3523c54572be3e1 */ SELECT 1 FROM sales_1.x")))
+	link := b.dials[0]
+	b.step(Connected, link, "")
+	if got := b.after(link); !strings.Contains(got, ",dedupe=d3523c54572be3e1 ") {
+		t.Errorf("the engine got %q", got)
+	}
+	b.step(Data, link, idA+" update why=share,datum=0.25 0\r\n\r\n"+idA+" update - 3\r\nabc\r\n"+idB+" update - 0\r\n\r\n")
+	if b.shut[link] || b.g.requests[idA] == nil || b.g.requests[idA].out != 1 {
+		t.Fatal("a note of progress ended the attempt, or its connection")
+	}
+	b.pass(20 * rules.Millisecond)
+	b.step(Closed, link, "")
+	b.step(Connected, b.dials[len(b.dials)-1], "")
+	if got := b.after(b.dials[len(b.dials)-1]); len(b.dials) < 2 || !strings.Contains(got, ",dedupe=d3523c54572be3e1 ") {
+		t.Errorf("the further attempt: %d dials, the engine got %q", len(b.dials), got)
+	}
+	b.client(2)
+	for _, key := range []string{"", "a b", "a=b", strings.Repeat("k", 200), "k\x01"} {
+		b.after(2)
+		b.step(Data, 2, string(query("/* kind=note,req="+idB+",timeout=1900,opkey="+key+" */ SELECT 1 FROM sales_1.x")))
+		if got := b.after(2); !strings.Contains(got, "opkey") {
+			t.Errorf("key %.20q: answered %q", key, got)
+		}
+	}
+}
+
+// An attempt that was written a moment ago is not given up before it has surely come to its engine: another one, at a
+// nearer engine, could come ahead of it, and two would be out at once.
+func TestCancelWaitsForTheWay(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, ask("point", idA))
+	b.now += 40 * rules.Millisecond // so long the dial takes
+	b.step(Connected, b.dials[0], "")
+	b.after(b.dials[0])
+	cancel := func() {
+		b.g.act(rules.Cancel{ID: idA, Attempt: 0})
+		b.flush()
+	}
+	b.now += 5 * rules.Millisecond
+	cancel()
+	if got := b.after(b.dials[0]); got != "" || b.g.requests[idA].attempts[0].done {
+		t.Errorf("given up 5 ms after it was written, on a way of up to 40: %q", got)
+	}
+	b.pass(36 * rules.Millisecond)
+	if got := b.after(b.dials[0]); !strings.HasPrefix(got, "QUIT "+idA) {
+		t.Errorf("not given up behind that: %q", got)
+	}
+	b = newBench(t)
+	b.client(1)
+	b.step(Data, 1, ask("point", idA))
+	b.now += 40 * rules.Millisecond
+	b.step(Connected, b.dials[0], "")
+	b.after(b.dials[0])
+	b.step(Closed, 1, "") // its client has gone: nothing follows
+	if got := b.after(b.dials[0]); !strings.HasPrefix(got, "QUIT "+idA) {
+		t.Errorf("the request of a client that has gone goes on: %q", got)
+	}
+}
+
+// Answers that can't be read end their connection; what was asked on it is given up there first, by name.
+func TestSpoiltConnectionGivesUpByName(t *testing.T) {
+	b := newBench(t)
+	b.client(1)
+	b.step(Data, 1, ask("point", idA))
+	link := b.dials[0]
+	b.step(Connected, link, "")
+	b.after(link)
+	b.step(Data, link, "\x00\x01\x02")
+	if got := b.after(link); got != "QUIT "+idA+"\r\n" || !b.shut[link] {
+		t.Errorf("the engine got %q, closed %v", got, b.shut[link])
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -372,6 +372,7 @@
 	timerStats
 	timerWhole
 	timerKept
+	timerCancel
 	timerPeers
 	timerOrders
 )
@@ -446,6 +447,10 @@
 			if !t.attempt.done {
 				g.giveUp(t.attempt, rules.VerdictTimeout)
 			}
+		case timerCancel:
+			if !t.attempt.done {
+				g.giveUp(t.attempt, rules.VerdictCancelled)
+			}
 		case timerProbe:
 			g.endProbe(t.probe, rules.VerdictTimeout, nil)
 		case timerSweep:
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"strconv"
 
@@ -26,6 +27,8 @@
 	used    rules.Time // when something was last written or read
 	heard   rules.Time // when something was last read
 	watched bool       // a timer looks whether an answer is whole by then
+	dialled rules.Time // when its dial began
+	took    rules.Time // how long that took
 }
 
 type probe struct {
@@ -94,7 +97,7 @@
 	}
 	g.lastLink++
 	l := &link{pipe: pipe{id: dialled | g.lastLink}, engine: e, class: class, open: map[string]*attempt{}, probes: map[string]*probe{},
-		dec: engine.Decoder{MaxLine: g.lim.Line, MaxBody: g.lim.Page}, used: g.now}
+		dec: engine.Decoder{MaxLine: g.lim.Line, MaxBody: g.lim.Page}, used: g.now, dialled: g.now}
 	e.links = append(e.links, l)
 	g.links[l.id] = l
 	g.do(Effect{Kind: Dial, Conn: l.id, Addr: e.entry.Addr, Wait: g.lim.Connect})
@@ -126,9 +129,9 @@
 	r, l := a.request, a.link
 	l.out = engine.AppendAsk(l.out, engine.Ask{
 		ID: string(r.id), Class: g.cfg.Settings.ClassNames[r.class], TTL: max(int64((a.deadline-g.now)/rules.Millisecond), 1),
-		MemoryMB: r.memoryMB, Priority: a.priority, Statement: r.statement,
+		MemoryMB: r.memoryMB, Priority: a.priority, Once: r.once, Statement: r.statement,
 	})
-	a.sent, a.end = true, l.given+int64(len(l.out))
+	a.sent, a.end, a.asked = true, l.given+int64(len(l.out)), g.now
 	l.open[string(r.id)] = a
 	l.used = g.now
 	g.touch(&l.pipe)
@@ -137,7 +140,7 @@
 // linkUp writes what has waited for the connection. The list may have changed meanwhile, and what has waited for
 // longer than a dial may take is older than the module reckons with: the window for its repeat may be over.
 func (g *Gateway) linkUp(l *link) {
-	l.up, l.used = true, g.now
+	l.up, l.used, l.took = true, g.now, g.now-l.dialled
 	waiting := l.waiting
 	l.waiting = nil
 	for _, a := range waiting {
@@ -307,8 +310,14 @@
 	g.log(Warn, "engine: broken protocol", Attr{"engine", l.engine.entry.ID}, Attr{"requests", l.load()},
 		Attr{"error", err.Error()})
 	l.out = nil // with what was not written yet nothing has run
+	for _, id := range slices.Sorted(maps.Keys(l.open)) {
+		if l.open[id].end <= l.given { // given up here, whatever becomes of the close
+			l.out = engine.AppendQuit(l.out, id)
+		}
+	}
+	given := l.given
 	g.shut(&l.pipe)
-	g.dropLink(l, err, l.given, true)
+	g.dropLink(l, err, given, true)
 }
 
 var errUnfinished = errors.New("engine: an answer never ends")
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -33,6 +33,7 @@
 	at        rules.Time
 	due       rules.Time
 	statement []byte // nil once answered
+	once      string // by which engines drop its repeats
 	answered  bool   // the final answer was given, or is owed no more
 	attempts  []*attempt
 	out       int // attempts without an outcome
@@ -44,9 +45,10 @@
 	request  *request
 	index    int
 	engine   *engineState
-	link     *link // nil: never had one
-	sent     bool  // written to a connection that was up
-	end      int64 // where it ends in what is written on its link
+	link     *link      // nil: never had one
+	sent     bool       // written to a connection that was up
+	end      int64      // where it ends in what is written on its link
+	asked    rules.Time // when it was written
 	done     bool
 	spoilt   bool       // how it ends says nothing of its engine
 	at       rules.Time // when the module sent it
@@ -54,7 +56,7 @@
 	priority int
 
 	served  bool // page 0 is here
-	asked   bool // the other pages are asked for
+	paged   bool // the other pages are asked for
 	took    rules.Time
 	pages   [][]byte
 	total   int    // where results are kept: pages
@@ -102,7 +104,7 @@
 	// more where machines are busy, so its answer must leave earlier.
 	due := g.now + patience - min(patience/g.lim.WayPart, g.lim.WayMost)
 	r := &request{id: id, client: c, class: class, stats: &g.stats.classes[class], at: g.now, due: due,
-		statement: bytes.Clone(q.Statement), priority: engine.DefaultPriority}
+		statement: bytes.Clone(q.Statement), once: q.Fields.Once, priority: engine.DefaultPriority}
 	g.requests[id] = r
 	g.unanswered++
 	r.stats.taken++
@@ -274,7 +276,16 @@
 	if r == nil || c.Attempt < 0 || c.Attempt >= len(r.attempts) || r.attempts[c.Attempt].done {
 		return
 	}
-	g.giveUp(r.attempts[c.Attempt], rules.VerdictCancelled)
+	a := r.attempts[c.Attempt]
+	if a.sent && !r.answered {
+		// Written this moment it may not have come to its engine when another attempt comes to one that is nearer, and
+		// two would be out at once. No way takes longer than its connection took to come up.
+		if until := a.asked + a.link.took; g.now < until {
+			g.timers.add(timer{at: until, kind: timerCancel, attempt: a})
+			return
+		}
+	}
+	g.giveUp(a, rules.VerdictCancelled)
 }
 
 // giveUp ends an attempt from our side.
@@ -355,6 +366,7 @@
 		a.report = bytes.Clone(m.Report)
 	}
 	switch m.Word {
+	case engine.Update: // the module asks for no notes of progress
 	case engine.Overload:
 		g.conclude(a, rules.VerdictFull)
 	case engine.Nobody:
@@ -422,7 +434,7 @@
 				return
 			}
 			g.resultHeld += g.lim.Result
-			a.asked = true
+			a.paged = true
 			for n := 1; n < len(a.pages); n++ {
 				a.link.out = engine.AppendNext(a.link.out, string(a.request.id), n)
 			}
@@ -437,8 +449,8 @@
 // freePages gives back the room of an attempt's pages.
 func (g *Gateway) freePages(a *attempt) {
 	a.pages = nil
-	if a.asked {
-		a.asked = false
+	if a.paged {
+		a.paged = false
 		g.resultHeld -= g.lim.Result
 		g.askPages()
 	}
--- a/internal/mysql/sql.go
+++ b/internal/mysql/sql.go
@@ -29,6 +29,7 @@
 	Repeat    bool
 	Tenant    string // empty: none
 	Key       string // of a class that keeps its order; empty: none
+	Once      string // by which engines drop repeats; empty: none
 	Spool     bool   // a handle to the result is asked for
 }
 
@@ -109,6 +110,8 @@
 		f.Tenant, ok = value, true
 	case "subject":
 		f.Key, ok = value, true
+	case "opkey":
+		f.Once, ok = value, sendable(value)
 	case "spool":
 		f.Spool, ok = value == "1", value == "0" || value == "1"
 	case "resent":
@@ -119,6 +122,19 @@
 	return ok
 }
 
+// mostWord is more than any key or name has.
+const mostWord = 128
+
+// sendable answers whether a value can go on to an engine as it is: a word of its own, in a list of fields.
+func sendable(value string) bool {
+	for _, c := range []byte(value) {
+		if c <= ' ' || c >= 0x7f || c == ',' || c == '=' {
+			return false
+		}
+	}
+	return value != "" && len(value) <= mostWord
+}
+
 // Resume is a client's wish to read a spooled result again.
 type Resume struct {
 	Handle string
--- a/internal/net/close_test.go
+++ b/internal/net/close_test.go
@@ -8,6 +8,7 @@
 	stdnet "net"
 	"net/netip"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -460,8 +461,9 @@
 		return heard[from] <= 3
 	})
 	time.Sleep(600 * time.Millisecond) // its socket is silent by now, for good
-	s.hosts[0].Draining = true
-	s.names.Set(2, s.hosts)
+	drained := slices.Clone(s.hosts)
+	drained[0].Draining = true
+	s.names.Set(2, drained)
 	told := time.Now()
 	waitFor(t, "a query from a new socket", func() bool {
 		mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -206,6 +206,25 @@
 			s.Duties.FreeResends = *w.Rules.FreeResends
 		}
 	}
+	for _, f := range []struct {
+		key   string
+		value float64
+	}{
+		{"rules.coldFrom", w.Rules.ColdFrom}, {"rules.cold", float64(w.Rules.Cold)}, {"rules.tipAfter", float64(w.Rules.TipAfter)},
+		{"rules.overloadFactor", w.Rules.OverloadFactor}, {"rules.answerSlack", float64(w.Rules.AnswerSlack)},
+		{"rules.stopSendingWithin", float64(w.Rules.StopSendingWithin)}, {"rules.lookBack", float64(w.Rules.LookBack)},
+		{"rules.keyRest", float64(w.Rules.KeyRest)}, {"limits.connectTimeout", float64(w.Limits.ConnectTimeout)},
+		{"limits.connIdle", float64(w.Limits.ConnIdle)}, {"limits.maxAttempts", float64(w.Limits.MaxAttempts)},
+		{"limits.maxOpen", float64(w.Limits.MaxOpen)}, {"limits.multiplex", float64(w.Limits.Multiplex)},
+		{"tick", float64(w.Tick)}, {"extra.mostGrant", w.Extra.MostGrant},
+	} {
+		if math.IsNaN(f.value) || f.value < 0 {
+			return s, fmt.Errorf("settings: %s is %v, at least 0 is needed", f.key, f.value)
+		}
+	}
+	if w.Rules.ColdFrom > 1 {
+		return s, fmt.Errorf("settings: rules.coldFrom is %v, at most 1 is a part", w.Rules.ColdFrom)
+	}
 	var err error
 	if s.Report, err = choice[rules.ReportMode]("report.how", w.Report.How, "silent", "piggyback", "pull"); err != nil {
 		return s, err
@@ -247,14 +266,25 @@
 		WaitsOnLoad: at(w.Extra.YieldsToLoads, i),
 	}
 	var err error
+	if c.Effect == "" { // what may not be known to be safe must not pass for it
+		return class, fmt.Errorf("class %d (%q): settings: effect is missing", i, c.Name)
+	}
 	if class.Effect, err = choice[rules.Effect]("effect", c.Effect, "pure", "token", "side_effect"); err != nil {
-		return class, fmt.Errorf("class %d: %w", i, err)
+		return class, fmt.Errorf("class %d (%q): %w", i, c.Name, err)
 	}
 	if class.Group, err = choice[rules.Group]("group", c.Group, "all", "zone", "cell"); err != nil {
 		return class, fmt.Errorf("class %d: %w", i, err)
 	}
-	if math.IsNaN(c.Worth) || c.Worth < 0 {
-		return class, fmt.Errorf("class %d: settings: worth %v is out of range", i, c.Worth)
+	for _, f := range []struct {
+		key   string
+		value float64
+	}{
+		{"worth", c.Worth}, {"aim", float64(c.Aim)}, {"aimStretch", c.AimStretch}, {"giveUp", float64(c.GiveUp)},
+		{"lateValue", c.LateValue}, {"dedupWindow", float64(c.DedupWindow)},
+	} {
+		if math.IsNaN(f.value) || f.value < 0 {
+			return class, fmt.Errorf("class %d (%q): settings: %s is %v, at least 0 is needed", i, c.Name, f.key, f.value)
+		}
 	}
 	return class, nil
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -301,7 +301,8 @@
 		if a.done && a.verdict.NeverRan() || r.class.Effect == EffectSafe {
 			continue
 		}
-		if r.class.Effect == EffectUnsafe || m.now-a.at >= r.class.DedupWindow || !r.class.sameGroup(a, e) {
+		by := m.now + m.s.Limits.ConnectTimeout // it may have to wait for a connection until then
+		if r.class.Effect == EffectUnsafe || by-a.at >= r.class.DedupWindow || !r.class.sameGroup(a, e) {
 			return false
 		}
 	}
@@ -340,7 +341,7 @@
 // window, lets so many send one that together they ask for a safe part of it. If all of three do, it holds.
 func (m *Module) coldRoom(r *request, e *engine) bool {
 	d := m.s.Duties
-	if !m.cold(e) {
+	if !m.cold(e) || d.TipAfter <= 0 || d.OverloadFactor <= 0 { // warm, or no budget is named
 		e.sent = nil
 		return true
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1436,3 +1436,53 @@
 		t.Error("not sent to a cold engine with half of its budget left")
 	}
 }
+
+// A repeat of a keyed request is sent only where it comes to its engine within the window even if it has to wait for a
+// connection for as long as that may take; with a window shorter than that it is never repeated.
+func TestKeyedRepeatStaysWithinItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		window, after Time
+		again         bool
+	}{
+		{900 * Millisecond, 600 * Millisecond, true}, {900 * Millisecond, 650 * Millisecond, false}, {900 * Millisecond, 800 * Millisecond, false},
+		{200 * Millisecond, 1 * Millisecond, false}, {0, 1 * Millisecond, false},
+	} {
+		keyed := quick
+		keyed.Effect, keyed.DedupWindow, keyed.Aim = EffectKeyed, c.window, 3*Second
+		f := site(t, plain(keyed), 3)
+		id := f.ask(0, nil)
+		f.advance(c.after)
+		f.resolve(f.pending()[0], VerdictReset)
+		if again := f.sent(id) > 1; again != c.again {
+			t.Errorf("a window of %d ms, broken after %d: sent again %v, want %v", c.window/Millisecond, c.after/Millisecond, again, c.again)
+		}
+		f.check("keyed")
+	}
+}
+
+// A site that names no budget for cold engines, or no speed to begin with, has them used.
+func TestColdWithoutABudget(t *testing.T) {
+	for _, change := range []func(*Duties){
+		func(d *Duties) { d.TipAfter = 0 },
+		func(d *Duties) { d.OverloadFactor = 0 },
+		func(d *Duties) { d.ColdFrom, d.TipAfter = 0, 0 },
+	} {
+		s := plain(quick)
+		change(&s.Duties)
+		s.Classes[0].Aim = 3 * Second
+		m := New(s, 1)
+		now := 1000 * Second
+		m.Handle(now, FleetChange{Mode: ListSaved, Engines: []Engine{{ID: 1, StartedAt: now + 5*Millisecond}}}) // by a clock ahead of ours
+		sent := 0
+		for i := range 3 {
+			for _, a := range m.Handle(now, Arrival{Request: Request{ID: RequestID(fmt.Sprint(i)), Due: now + 3*Second, Work: 1000, HasWork: true}}) {
+				if _, ok := a.(Send); ok {
+					sent++
+				}
+			}
+		}
+		if sent == 0 {
+			t.Errorf("%+v: nothing was sent to the only engine", s.Duties)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -288,11 +288,14 @@
 // warmth is the part of its speed that an engine has, along a straight warm-up.
 func (m *Module) warmth(e *engine) float64 {
 	if d := m.s.Duties; m.cold(e) {
-		return d.ColdFrom + (1-d.ColdFrom)*float64(m.now-e.StartedAt)/float64(d.ColdFor)
+		return max(d.ColdFrom+(1-d.ColdFrom)*max(float64(m.now-e.StartedAt), 0)/float64(d.ColdFor), leastWarm)
 	}
 	return 1
 }
 
+// leastWarm keeps divisions by the warmth finite where the settings name no speed to begin with.
+const leastWarm = 1e-3
+
 // capacity sums up the engines that serve, the cold ones by what they can do now.
 func (m *Module) capacity() (all Kind) {
 	for _, e := range m.engines {
