--- /dev/null
+++ b/cmd/foxlane/signals_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A burst of SIGHUPs that nobody reads hides no SIGTERM, and one of them is left to be read.
+func TestBurstHidesNoEnd(t *testing.T) {
+	signals := listen()
+	for range 32 {
+		if err := syscall.Kill(syscall.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	for range 2 {
+		if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+	}
+	select {
+	case <-signals.End:
+	case <-time.After(5 * time.Second):
+		t.Error("the SIGTERM is lost behind the SIGHUPs")
+	}
+	select {
+	case <-signals.Reload:
+	case <-time.After(5 * time.Second):
+		t.Error("no SIGHUP is left")
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"foxlane/internal/settings"
 	"foxlane/rules"
 )
 
@@ -197,3 +198,38 @@
 		}
 	}
 }
+
+// Whatever the machine allows, all that may hold a descriptor at a time fits: clients and those accepted ahead, with the
+// ones that linger among them, connections to engines, and what the process needs for itself, a reload included.
+func TestDescriptorsAddUp(t *testing.T) {
+	const own = 3 + 4 + 1 + 2 + 1 + 2 // streams, pollers and their wakes, listener, name service, a file, connections being handed over
+	for sockets := minFDs; sockets <= 1024; sockets++ {
+		l, err := newLimits(0.25, minMemory, sockets, settings.Settings{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := l.Clients + l.AcceptAhead + l.AllLinks + own; n > sockets {
+			t.Fatalf("%d descriptors at a time, %d are allowed", n, sockets)
+		}
+		if l.Lingering >= l.AcceptAhead || l.Polls < int(l.ListTold/l.PollEvery) || l.ListSilent >= l.ListTold {
+			t.Fatalf("%d sockets: %+v", sockets, l)
+		}
+	}
+	for _, bad := range []struct {
+		cores, memory float64
+		sockets       int
+		key           string
+	}{{0, 64, 256, "cores"}, {1, 0, 256, "memory_mb"}, {1, 64, 0, "sockets"}} {
+		if _, err := newLimits(bad.cores, bad.memory, bad.sockets, settings.Settings{}); err == nil || !strings.Contains(err.Error(), bad.key) {
+			t.Errorf("%+v: got %v", bad, err)
+		}
+	}
+	if err := uniqueNames([]string{"served", "kind", "timeout", "active", "q|#"}); err != nil {
+		t.Errorf("names that look like words of a protocol: %v", err)
+	}
+	for _, name := range []string{"", "a b", "a,b", "a=b", "a*/b", "a\r\n", "ä"} {
+		if err := uniqueNames([]string{name}); err == nil {
+			t.Errorf("a class named %q", name)
+		}
+	}
+}
