--- a/internal/net/close.go
+++ b/internal/net/close.go
@@ -54,11 +54,12 @@
 }
 
 // send writes as much as the system takes and leaves the rest to nbio. It does not write by nbio from the start, since
-// that closes a broken connection from the goroutine that writes (see cut). What is broken ends by its event.
+// that closes a broken connection from the goroutine that writes (see cut).
 func (e *Edge) send(c *conn, data []byte) {
 	if c.pending.Load() == 0 {
-		n, known := e.writeOnce(c, data)
-		if !known {
+		n, err := e.writeOnce(c, data)
+		if err != nil { // what is missing can't be sent later, behind what follows
+			e.cut(c, err)
 			return
 		}
 		data = data[n:]
@@ -74,18 +75,18 @@
 }
 
 // writeOnce is one call of the system's write, on a descriptor that is still this connection's.
-func (e *Edge) writeOnce(c *conn, data []byte) (n int, ok bool) {
+func (e *Edge) writeOnce(c *conn, data []byte) (n int, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.conns[c.id] != c || c.hungUp || c.err != nil {
-		return 0, false
+		return 0, errDone
 	}
-	n, err := syscall.Write(c.nb.Hash(), data)
-	if n = max(n, 0); err != nil && err != syscall.EAGAIN && err != syscall.EINTR {
-		return 0, false
+	n, err = syscall.Write(c.nb.Hash(), data)
+	if err == syscall.EAGAIN || err == syscall.EINTR {
+		n, err = 0, nil
 	}
-	c.taken.Add(int64(n))
-	return n, true
+	c.taken.Add(int64(max(n, 0)))
+	return max(n, 0), err
 }
 
 func (e *Edge) after(d rules.Time, do func()) { time.AfterFunc(time.Duration(d)*time.Microsecond, do) }
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -388,40 +388,47 @@
 	})
 }
 
-// dial connects by the standard library, which tells a refusal from a silence. A connection that was given up
-// meanwhile is closed even if it came up: nobody would ever use it.
+// dial connects by the standard library, which tells a refusal from a silence.
 func (e *Edge) dial(ctx context.Context, id gateway.ConnID, addr netip.AddrPort) {
 	var dialer stdnet.Dialer
 	std, err := dialer.DialContext(ctx, "tcp", addr.String())
-	var nb *nbio.Conn
+	var c *conn
 	if err == nil {
-		if nb, err = nbio.NBConn(std); err != nil {
-			std.Close()
-		}
+		c, err = e.takeIn(id, std)
 	}
-	e.mu.Lock()
-	_, wanted := e.dialling[id]
-	delete(e.dialling, id)
-	c := &conn{id: id, nb: nb, most: int64(e.lim.LinkOut)}
-	if wanted && err == nil {
-		e.byNB[nb] = c
-	}
-	e.mu.Unlock()
-	switch {
-	case !wanted:
-		if err == nil {
-			nb.Close()
-		}
-		return
-	case err == nil:
-		if _, err = e.engine.AddConn(nb); err == nil {
+	if c != nil {
+		if _, err = e.engine.AddConn(c.nb); err == nil {
 			return
 		}
 		_ = e.forget(c)
 	}
+	e.giveUpDial(id)
 	e.box.put(gateway.Event{Kind: gateway.DialFailed, Conn: id, Err: err, Ours: ourWant(err)})
 }
 
+var errGivenUp = errors.New("given up")
+
+// takeIn makes a connection that came up one of the edge's. One that was given up meanwhile is closed: nobody would
+// ever use it.
+func (e *Edge) takeIn(id gateway.ConnID, std stdnet.Conn) (*conn, error) {
+	nb, err := nbio.NBConn(std)
+	if err != nil {
+		std.Close()
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, wanted := e.dialling[id]
+	delete(e.dialling, id)
+	if !wanted {
+		_ = nb.Close()
+		return nil, errGivenUp
+	}
+	c := &conn{id: id, nb: nb, most: int64(e.lim.LinkOut)}
+	e.byNB[nb], e.conns[id] = c, c // from here on the reducer's close finds it
+	return c, nil
+}
+
 // ourWant answers whether a dial failed for want of something on this machine.
 func ourWant(err error) bool {
 	for _, want := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
