--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -21,6 +21,7 @@
 	ClientShare int        // of these, what clients use at most, one request on each at a time
 	AcceptAhead int        // connections accepted over Clients before the reducer has closed others
 	Lingering   int        // of these, connections that were closed and are read to their end
+	Plugs       int        // numbers of closed descriptors that are held for a moment
 	Login       int        // bytes of a packet before the login
 	Statement   int        // bytes of a packet behind it
 	ClientOut   int        // bytes that wait for a client that does not read
@@ -92,6 +93,7 @@
 		ClientShare: sockets / 3,
 		AcceptAhead: reserve / 2,
 		Lingering:   reserve / 4,
+		Plugs:       reserve / 8,
 		Login:       4096,
 		Statement:   64 << 10,        // those seen are a few hundred bytes
 		ClientOut:   128 << 10,       // two results
--- a/internal/net/close.go
+++ b/internal/net/close.go
@@ -2,6 +2,9 @@
 
 import (
 	"errors"
+	stdnet "net"
+	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -39,9 +42,9 @@
 
 var errDone = errors.New("done with")
 
-// cut ends a connection at once. It shuts it down, and the poller closes it when it sees that. Nothing else closes
-// a descriptor: the poller works off events in batches, by number, and one that was closed within a batch may be a
-// new connection's before its old event has its turn, which then ends the wrong one.
+// cut ends a connection at once. It shuts it down, and the poller closes it when it sees that. The poller works off events
+// in batches, by number of the descriptor: one that is closed from elsewhere within the batch may be a new connection's
+// before its old event has its turn, which then ends the wrong one.
 func (e *Edge) cut(c *conn, why error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -49,55 +52,106 @@
 		return
 	}
 	c.err = why
-	_ = syscall.Shutdown(c.nb.Hash(), syscall.SHUT_RDWR)    // one that is not connected any more has its event already
-	e.after(e.lim.FlushWithin, func() { _ = c.nb.Close() }) // should the system tell the poller nothing
+	if c.owns() {
+		_ = syscall.Shutdown(c.nb.Hash(), syscall.SHUT_RDWR)
+	}
+	e.after(e.lim.FlushWithin, func() { // should the system tell the poller nothing
+		if e.get(c.id) == c {
+			_ = c.nb.Close()
+			e.plug(c.nb.Hash())
+		}
+	})
 }
 
-// send writes as much as the system takes and leaves the rest to nbio. It does not write by nbio from the start, since
-// that closes a broken connection from the goroutine that writes (see cut).
-func (e *Edge) send(c *conn, data []byte) {
-	if c.pending.Load() == 0 {
-		n, err := e.writeOnce(c, data)
-		if err != nil { // what is missing can't be sent later, behind what follows
-			e.cut(c, err)
-			return
-		}
-		data = data[n:]
+// owns answers whether the connection's number is still its own. Nbio tells of a close behind it, from another goroutine:
+// the number may be another connection's by then. No two connections have the same ends.
+func (c *conn) owns() bool {
+	fd := c.nb.Hash()
+	local, err := syscall.Getsockname(fd)
+	if err != nil || !same(local, c.nb.LocalAddr()) {
+		return false
 	}
-	if len(data) == 0 {
-		return
+	remote, err := syscall.Getpeername(fd)
+	return err == nil && same(remote, c.nb.RemoteAddr())
+}
+
+func same(a syscall.Sockaddr, b stdnet.Addr) bool {
+	var at netip.AddrPort
+	switch a := a.(type) {
+	case *syscall.SockaddrInet4:
+		at = netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
+	case *syscall.SockaddrInet6:
+		at = netip.AddrPortFrom(netip.AddrFrom16(a.Addr).Unmap(), uint16(a.Port))
 	}
+	tcp, ok := b.(*stdnet.TCPAddr)
+	return ok && at.IsValid() && at == netip.AddrPortFrom(tcp.AddrPort().Addr().Unmap(), tcp.AddrPort().Port())
+}
+
+// send writes to a connection. Where it turns out to be broken nbio closes it here and now, and its number must not be
+// given out while the poller may still hold an event of it (see cut).
+func (e *Edge) send(c *conn, data []byte) {
 	if c.pending.Add(int64(len(data))) > c.most {
 		e.cut(c, errNotRead)
 		return
 	}
-	_, _ = c.nb.Write(data) // an error has closed it
+	if _, err := c.nb.Write(data); err != nil && !errors.Is(err, stdnet.ErrClosed) {
+		e.plug(c.nb.Hash())
+	}
 }
 
-// writeOnce is one call of the system's write, on a descriptor that is still this connection's.
-func (e *Edge) writeOnce(c *conn, data []byte) (n int, err error) {
+// plug holds the number of a descriptor that was closed a moment ago, until the poller has done with its batch. Few are held
+// at a time: the oldest gives way.
+func (e *Edge) plug(fd int) {
+	var lower []int
+	defer func() {
+		for _, n := range lower {
+			syscall.Close(n)
+		}
+	}()
+	for range plugTries {
+		n, err := syscall.Dup(int(e.null.Fd())) // the lowest number that is free
+		switch {
+		case err != nil:
+			return
+		case n == fd:
+			e.mu.Lock()
+			e.plugs = append(e.plugs, n)
+			if len(e.plugs) > e.lim.Plugs {
+				syscall.Close(e.plugs[0])
+				e.plugs = e.plugs[1:]
+			}
+			e.mu.Unlock()
+			e.after(e.lim.FlushWithin, func() { e.unplug(n) })
+			return
+		case n > fd: // somebody has it
+			syscall.Close(n)
+			return
+		}
+		lower = append(lower, n)
+	}
+}
+
+// plugTries is how many lower numbers are passed over on the way to the one that is to be held.
+const plugTries = 8
+
+// unplug gives a number free that is still held.
+func (e *Edge) unplug(fd int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.conns[c.id] != c || c.hungUp || c.err != nil {
-		return 0, errDone
-	}
-	n, err = syscall.Write(c.nb.Hash(), data)
-	if err == syscall.EAGAIN || err == syscall.EINTR {
-		n, err = 0, nil
+	if i := slices.Index(e.plugs, fd); i >= 0 {
+		syscall.Close(fd)
+		e.plugs = slices.Delete(e.plugs, i, i+1)
 	}
-	c.taken.Add(int64(max(n, 0)))
-	return max(n, 0), err
 }
 
 func (e *Edge) after(d rules.Time, do func()) { time.AfterFunc(time.Duration(d)*time.Microsecond, do) }
 
-// shutWrite closes our half of a connection. The caller holds the lock, and the connection is known: its
-// descriptor, by which nbio names it, is closed behind forget only, and can't be another's yet.
+// shutWrite closes our half of a connection that is known. The caller holds the lock.
 func (e *Edge) shutWrite(c *conn) bool {
 	if c.hungUp {
 		return true
 	}
-	if syscall.Shutdown(c.nb.Hash(), syscall.SHUT_WR) != nil {
+	if !c.owns() || syscall.Shutdown(c.nb.Hash(), syscall.SHUT_WR) != nil {
 		return false
 	}
 	c.hungUp = true
@@ -170,7 +224,7 @@
 	return !left || !time.Now().Before(s.until)
 }
 
-// unread is how many bytes wait to be read on a connection whose descriptor is known to be its own.
+// unread is how many bytes wait to be read on a connection.
 func unread(c *conn) int {
 	n, err := unix.IoctlGetInt(c.nb.Hash(), unix.SIOCINQ)
 	if err != nil {
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -135,6 +135,8 @@
 	dials    sync.WaitGroup
 	listener stdnet.Listener
 	lingers  []*conn // hung up, oldest first
+	null     *os.File
+	plugs    []int // numbers of descriptors that are held, oldest first
 	ending   atomic.Bool
 	readers  sync.WaitGroup  // of UDP
 	former   *stdnet.UDPConn // asked before this one: late answers may still come to it; nil: none
@@ -196,9 +198,15 @@
 func (e *Edge) open() error {
 	logging.SetLogger(quiet{})
 	nbio.MaxOpenFiles = max(e.lim.Sockets, 4096) // numbers of descriptors that its table holds
+	null, err := os.Open(os.DevNull)
+	if err != nil {
+		return err
+	}
 	if err := e.openUDP(e.cfg.DNS); err != nil {
+		null.Close()
 		return err
 	}
+	e.null = null
 	e.engine = nbio.NewEngine(nbio.Config{
 		Network: "tcp", Addrs: []string{e.cfg.Listen.String()}, NPoller: 1, ReadBufferSize: readBuffer,
 		MaxConnReadTimesPerEventLoop: readsInTurn,
@@ -240,8 +248,9 @@
 		time.Sleep(10 * time.Millisecond) // descriptors ran out: they come back when something closes; or nothing more is accepted
 	})
 	if err := e.engine.Start(); err != nil {
-		e.udp.Close()
+		e.closeUDP()
 		e.readers.Wait()
+		null.Close()
 		return err
 	}
 	return nil
@@ -300,6 +309,13 @@
 	e.reloads.Wait()
 	e.dials.Wait()
 	e.engine.Stop()
+	e.mu.Lock()
+	for _, fd := range e.plugs {
+		syscall.Close(fd)
+	}
+	e.plugs = nil
+	e.mu.Unlock()
+	e.null.Close()
 }
 
 // forget drops what is remembered of a connection. It answers why we have cut it, if we have.
