--- a/internal/net/close.go
+++ b/internal/net/close.go
@@ -216,7 +216,7 @@
 			left = true
 		case c.client:
 			left = true
-			if c.queued == 0 && unread(c) == 0 {
+			if !c.hungUp && c.queued == 0 && unread(c) == 0 {
 				e.shutWrite(c)
 			}
 		}
