--- a/internal/gateway/crossings_test.go
+++ b/internal/gateway/crossings_test.go
@@ -499,6 +499,7 @@
 	}
 	b.pass(20 * rules.Millisecond)
 	b.step(Closed, link, "")
+	b.pass(rules.Millisecond)
 	b.step(Connected, b.dials[len(b.dials)-1], "")
 	if got := b.after(b.dials[len(b.dials)-1]); len(b.dials) < 2 || !strings.Contains(got, ",dedupe=d3523c54572be3e1 ") {
 		t.Errorf("the further attempt: %d dials, the engine got %q", len(b.dials), got)
@@ -513,37 +514,87 @@
 	}
 }
 
-// An attempt that was written a moment ago is not given up before it has surely come to its engine: another one, at a
-// nearer engine, could come ahead of it, and two would be out at once.
-func TestCancelWaitsForTheWay(t *testing.T) {
-	b := newBench(t)
-	b.client(1)
-	b.step(Data, 1, ask("point", idA))
-	b.now += 40 * rules.Millisecond // so long the dial takes
-	b.step(Connected, b.dials[0], "")
-	b.after(b.dials[0])
-	cancel := func() {
-		b.g.act(rules.Cancel{ID: idA, Attempt: 0})
-		b.flush()
-	}
-	b.now += 5 * rules.Millisecond
-	cancel()
-	if got := b.after(b.dials[0]); got != "" || b.g.requests[idA].attempts[0].done {
-		t.Errorf("given up 5 ms after it was written, on a way of up to 40: %q", got)
-	}
-	b.pass(36 * rules.Millisecond)
-	if got := b.after(b.dials[0]); !strings.HasPrefix(got, "QUIT "+idA) {
-		t.Errorf("not given up behind that: %q", got)
+// Where a request may have no two attempts out at once, an engine that may run one has heard of its end before another is
+// asked, however the attempt ended: on a way of up to 40 ms, as its connection took to come up. A proof that nothing ran
+// needs no wait, and neither does a site that allows second copies.
+func TestNoAttemptOvertakesAnEnd(t *testing.T) {
+	const way = 40 * rules.Millisecond
+	for name, c := range map[string]struct {
+		end  func(x *crossing)
+		wait bool
+	}{
+		"cancelled": {func(x *crossing) {
+			x.g.act(rules.Cancel{ID: idA, Attempt: 0})
+			x.flush()
+		}, true},
+		"an answer that makes no sense":   {func(x *crossing) { x.step(Data, x.link(), idA+" green - 0\r\n\r\n") }, true},
+		"a connection that can't be read": {func(x *crossing) { x.step(Data, x.link(), "\x00\x01\x02") }, true},
+		"reset":                           {func(x *crossing) { x.step(Closed, x.link(), "") }, true},
+		"full":                            {func(x *crossing) { x.step(Data, x.link(), idA+" overload - 0\r\n\r\n") }, false},
+		"never taken": {func(x *crossing) {
+			x.taken[x.link()] = 0
+			x.step(Closed, x.link(), "")
+		}, false},
+	} {
+		for _, copies := range []bool{false, true} {
+			x := newCrossing(t, "point")
+			x.g.cfg.Settings.Rules.Limits.ParallelTries = copies
+			x.step(Data, 1, ask("point", idA))
+			first := x.link()
+			x.now += way
+			x.step(Connected, first, "")
+			x.look()
+			if x.asks != 1 {
+				t.Fatalf("%s: asked %d times at first", name, x.asks)
+			}
+			x.now += 5 * rules.Millisecond
+			x.step(Wake, 0, "")
+			c.end(x)
+			again := func() bool { // another attempt has begun, whether its connection is up or not
+				x.look()
+				return x.asks > 1 || len(x.dials) > 1
+			}
+			if waits := c.wait && !copies; waits {
+				x.pass(way - rules.Millisecond)
+				if again() {
+					t.Errorf("%s: another attempt began while the end of the first was on its way", name)
+				}
+			}
+			x.pass(2 * rules.Millisecond)
+			if !again() {
+				t.Errorf("%s, copies %v: no further attempt began", name, copies)
+			}
+		}
 	}
-	b = newBench(t)
-	b.client(1)
-	b.step(Data, 1, ask("point", idA))
-	b.now += 40 * rules.Millisecond
-	b.step(Connected, b.dials[0], "")
-	b.after(b.dials[0])
-	b.step(Closed, 1, "") // its client has gone: nothing follows
-	if got := b.after(b.dials[0]); !strings.HasPrefix(got, "QUIT "+idA) {
-		t.Errorf("the request of a client that has gone goes on: %q", got)
+}
+
+// A client that goes, a deadline, or the end of the attempt's own way: none waits, and none is told twice.
+func TestPartingEndsWithItsRequest(t *testing.T) {
+	const way = 40 * rules.Millisecond
+	start := func() *crossing {
+		x := newCrossing(t, "point")
+		x.step(Data, 1, ask("point", idA))
+		x.now += way
+		x.step(Connected, x.link(), "")
+		x.after(x.link())
+		return x
+	}
+	x := start()
+	x.step(Closed, 1, "")
+	if got := x.after(x.link()); !strings.HasPrefix(got, "QUIT "+idA) || len(x.g.requests) != 0 {
+		t.Errorf("the client has gone: the engine got %q, %d requests stay", got, len(x.g.requests))
+	}
+	x = start()
+	first := x.link()
+	x.g.act(rules.Cancel{ID: idA, Attempt: 0})
+	x.flush()
+	x.step(Closed, 1, "")
+	x.pass(2 * way)
+	if got := x.after(first); strings.Count(got, "QUIT") != 1 || len(x.g.requests) != 0 || len(x.dials) > 1 {
+		t.Errorf("the client went while the end was on its way: the engine got %q, %d requests, %d dials", got, len(x.g.requests), len(x.dials))
+	}
+	if x.g.stats.classes[0].running != 0 {
+		t.Errorf("%d attempts still count as running", x.g.stats.classes[0].running)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -372,7 +372,7 @@
 	timerStats
 	timerWhole
 	timerKept
-	timerCancel
+	timerParted
 	timerPeers
 	timerOrders
 )
@@ -382,6 +382,7 @@
 	kind    timerKind
 	token   string
 	attempt *attempt
+	verdict rules.Verdict
 	probe   *probe
 	link    *link
 	request *request
@@ -447,10 +448,8 @@
 			if !t.attempt.done {
 				g.giveUp(t.attempt, rules.VerdictTimeout)
 			}
-		case timerCancel:
-			if !t.attempt.done {
-				g.giveUp(t.attempt, rules.VerdictCancelled)
-			}
+		case timerParted:
+			g.conclude(t.attempt, t.verdict)
 		case timerProbe:
 			g.endProbe(t.probe, rules.VerdictTimeout, nil)
 		case timerSweep:
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -131,7 +131,7 @@
 		ID: string(r.id), Class: g.cfg.Settings.ClassNames[r.class], TTL: max(int64((a.deadline-g.now)/rules.Millisecond), 1),
 		MemoryMB: r.memoryMB, Priority: a.priority, Once: r.once, Statement: r.statement,
 	})
-	a.sent, a.end, a.asked = true, l.given+int64(len(l.out)), g.now
+	a.sent, a.end = true, l.given+int64(len(l.out))
 	l.open[string(r.id)] = a
 	l.used = g.now
 	g.touch(&l.pipe)
@@ -232,7 +232,7 @@
 		if a.end > taken {
 			g.conclude(a, rules.VerdictMoot)
 		} else {
-			g.conclude(a, rules.VerdictReset)
+			g.part(a, rules.VerdictReset)
 		}
 	}
 	for _, p := range l.probes {
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -45,11 +45,11 @@
 	request  *request
 	index    int
 	engine   *engineState
-	link     *link      // nil: never had one
-	sent     bool       // written to a connection that was up
-	end      int64      // where it ends in what is written on its link
-	asked    rules.Time // when it was written
+	link     *link // nil: never had one
+	sent     bool  // written to a connection that was up
+	end      int64 // where it ends in what is written on its link
 	done     bool
+	parting  bool       // ended by us or by its connection: its engine may not have heard of that yet
 	spoilt   bool       // how it ends says nothing of its engine
 	at       rules.Time // when the module sent it
 	deadline rules.Time
@@ -260,7 +260,7 @@
 	}
 	r.memoryMB, r.priority = int64(math.Ceil(t.MemoryMB)), t.Priority
 	for _, a := range r.attempts {
-		if a.done || a.priority == t.Priority {
+		if a.done || a.parting || a.priority == t.Priority {
 			continue
 		}
 		a.priority = t.Priority
@@ -276,21 +276,12 @@
 	if r == nil || c.Attempt < 0 || c.Attempt >= len(r.attempts) || r.attempts[c.Attempt].done {
 		return
 	}
-	a := r.attempts[c.Attempt]
-	if a.sent && !r.answered {
-		// Written this moment it may not have come to its engine when another attempt comes to one that is nearer, and
-		// two would be out at once. No way takes longer than its connection took to come up.
-		if until := a.asked + a.link.took; g.now < until {
-			g.timers.add(timer{at: until, kind: timerCancel, attempt: a})
-			return
-		}
-	}
-	g.giveUp(a, rules.VerdictCancelled)
+	g.giveUp(r.attempts[c.Attempt], rules.VerdictCancelled)
 }
 
 // giveUp ends an attempt from our side.
 func (g *Gateway) giveUp(a *attempt, v rules.Verdict) {
-	if a.sent && !a.link.ended {
+	if a.sent && !a.parting && !a.link.ended {
 		id := string(a.request.id)
 		if a.served {
 			a.link.out = engine.AppendFree(a.link.out, id)
@@ -300,7 +291,30 @@
 		g.writeNow(&a.link.pipe) // ahead of another attempt, which may go out on a connection that was written to before
 		g.doubt(a)
 	}
-	g.conclude(a, v)
+	g.part(a, v)
+}
+
+// part ends an attempt that its engine may still run, since it hears of the end by a way of its own. Where a request may
+// have no two attempts out at once, another one could come to a nearer engine ahead of that: the module hears of the end
+// once the way is over, which takes no longer than its connection took to come up. Where nothing can follow it hears now.
+func (g *Gateway) part(a *attempt, v rules.Verdict) {
+	r, s := a.request, &g.cfg.Settings.Rules
+	if !a.sent || r.answered || v == rules.VerdictTimeout || s.Limits.ParallelTries ||
+		s.Classes[r.class].Effect == rules.EffectUnsafe {
+		g.conclude(a, v)
+		return
+	}
+	if a.parting {
+		return
+	}
+	a.parting = true
+	if !a.served {
+		a.took = g.now - a.at
+	}
+	g.leave(a.link, a)
+	g.freePages(a)
+	g.feedNoMore(a)
+	g.timers.add(timer{at: g.now + min(a.link.took, g.lim.WayMost), kind: timerParted, attempt: a, verdict: v})
 }
 
 // conclude ends an attempt and tells the module.
@@ -316,7 +330,7 @@
 	if a.link != nil {
 		g.leave(a.link, a)
 	}
-	if !a.served {
+	if !a.served && !a.parting {
 		a.took = g.now - a.at
 	}
 	g.freePages(a)
@@ -338,13 +352,18 @@
 		o.Load = engine.ParseReport(a.report)
 	}
 	g.forget(r)
-	if r.keep.feeding == a {
-		r.keep.feeding = nil
-		g.atShelf(spool.Event{Kind: spool.Broke, ID: r.keep.handle.ID})
-	}
+	g.feedNoMore(a)
 	g.tell(o)
 }
 
+// feedNoMore: the rest of a result that is kept does not come from this attempt.
+func (g *Gateway) feedNoMore(a *attempt) {
+	if k := &a.request.keep; k.feeding == a {
+		k.feeding = nil
+		g.atShelf(spool.Event{Kind: spool.Broke, ID: k.handle.ID})
+	}
+}
+
 // credible answers whether an engine of that kind can have spent the work and the memory that an answer
 // tells. Of one that was spoilt without a sign the module must not learn.
 func (g *Gateway) credible(a *attempt) bool {
@@ -419,7 +438,7 @@
 	a.served, a.took = true, g.now-a.at
 	a.work, a.memory = m.Elapsed, m.RSS
 	a.pages, a.missing = make([][]byte, total), total
-	if g.page(a, 0, m.Body); !a.done {
+	if g.page(a, 0, m.Body); !a.done && !a.parting {
 		g.pageQueue = append(g.pageQueue, a)
 		g.askPages()
 	}
@@ -429,7 +448,7 @@
 func (g *Gateway) askPages() {
 	for len(g.pageQueue) > 0 {
 		a := g.pageQueue[0]
-		if !a.done {
+		if !a.done && !a.parting {
 			if g.resultHeld+g.lim.Result > g.lim.ResultBytes {
 				return
 			}
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -309,11 +309,21 @@
 	}
 }
 
+// judgeAsked judges attempts as they are written.
+func (w *world) judgeAsked(out []byte) {
+	for line := range bytes.Lines(out) {
+		words := strings.Fields(string(line))
+		if len(words) < 2 || words[0] != "ASK" {
+			continue
+		}
+		if r := w.reqs[words[1]]; r != nil && r.over && !r.left { // that a client left takes a while to be known
+			w.breach(1, "%s is sent after its end", r.id)
+		}
+	}
+}
+
 // judgeSend judges an attempt that has come to an engine.
 func (w *world) judgeSend(r *wrequest, e *wengine) {
-	if r.over && !r.left { // that a client left takes a while to be known
-		w.breach(1, "%s is sent after its end", r.id)
-	}
 	for _, a := range r.attempts {
 		switch {
 		case !a.ended:
--- a/internal/gateway/shelf.go
+++ b/internal/gateway/shelf.go
@@ -226,7 +226,7 @@
 		return
 	}
 	for _, a := range r.attempts {
-		if a.served && !a.done {
+		if a.served && !a.done && !a.parting {
 			r.keep.feeding = a
 			first := a.first
 			a.first = nil
--- a/internal/gateway/shelf_test.go
+++ b/internal/gateway/shelf_test.go
@@ -443,6 +443,7 @@
 	link := b.begin(1, "point", idA, "", 30)
 	b.after(link)
 	b.run(Event{Kind: Closed, Conn: link, Taken: math.MaxInt64})
+	b.run(Event{Kind: Wake})
 	if out := b.after(1); out != "" {
 		t.Fatalf("the client has %q", out)
 	}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -88,7 +88,8 @@
 	engine  *wengine
 	open    map[string]*wattempt
 	dead    bool
-	taken   int64 // bytes that came to it
+	taken   int64      // bytes that the system took for it
+	way     rules.Time // to its engine; 0: of a client, whose end hears at once
 }
 
 type wengine struct {
@@ -256,17 +257,33 @@
 			if c == nil || c.dead {
 				continue
 			}
-			c.in = append(c.in, f.Data...)
 			c.taken += int64(len(f.Data))
 			if c.client {
+				c.in = append(c.in, f.Data...)
 				w.clientReads(c)
-			} else {
-				w.engineReads(c)
+				continue
 			}
+			w.judgeAsked(f.Data)
+			data := bytes.Clone(f.Data)
+			w.after(c.way, func() {
+				if !c.dead {
+					c.in = append(c.in, data...)
+					w.engineReads(c)
+				}
+			})
 		case Close:
-			if c != nil && !c.dead {
+			if c == nil || c.dead {
+				continue
+			}
+			if c.client {
 				w.ended(c, false)
+				continue
 			}
+			w.after(c.way, func() { // behind what was written
+				if !c.dead {
+					w.ended(c, false)
+				}
+			})
 		case Dial:
 			w.dial(f)
 		case Query:
@@ -370,8 +387,9 @@
 	case e.mute:
 		w.after(f.Wait, func() { w.step(Event{Kind: DialFailed, Conn: id, Err: fmt.Errorf("timeout")}) })
 	default:
-		w.conns[id] = &wconn{id: id, engine: e, open: map[string]*wattempt{}}
-		w.after(2*w.latency(), func() {
+		c := &wconn{id: id, engine: e, open: map[string]*wattempt{}, way: w.latency()}
+		w.conns[id] = c
+		w.after(2*c.way, func() {
 			if !w.conns[id].dead {
 				w.step(Event{Kind: Connected, Conn: id})
 			}
