--- a/internal/net/close_test.go
+++ b/internal/net/close_test.go
@@ -42,6 +42,25 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(e.close)
+	// The library's loops begin in goroutines of their own, and one that is stopped ahead of its beginning goes on for
+	// ever: both have begun once a byte has come. (A gateway lives 0.9 s at least.)
+	client, c := e.join(t)
+	if _, err := client.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "a byte", func() bool {
+		e.box.mu.Lock()
+		defer e.box.mu.Unlock()
+		return e.box.bytes > 0
+	})
+	client.Close()
+	waitFor(t, "its end", func() bool { return e.get(c.id) == nil })
+	waitFor(t, "the event of it", func() bool {
+		e.box.mu.Lock()
+		defer e.box.mu.Unlock()
+		return len(e.box.events) == 3
+	})
+	e.box.take(nil, nil)
 	return e
 }
 
