--- a/rules/rules.go
+++ b/rules/rules.go
@@ -482,7 +482,7 @@
 		return nil
 	}
 	if zone >= 0 {
-		if m.listAble(r, m.near(r, zone)); len(m.able) < 2 && m.plan != nil {
+		if m.listAble(r, m.near(r, zone)); r.waitsOnLoad() || len(m.able) < 2 && m.plan != nil {
 			m.listAble(r, m.inZone(zone))
 		}
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -999,6 +999,43 @@
 	}
 }
 
+// Within the zone that a plan draws queries keep to the homes of their data set there, and loads of one data set keep apart:
+// on the same engines they would stand still for each other, with all the memory they were granted.
+func TestLoadsKeepApartInAPlannedZone(t *testing.T) {
+	met := func(isLoad bool) int {
+		class := quick
+		class.IsLoad = isLoad
+		s := plain(class)
+		s.Siblings = 50
+		f := newReferee(t, s, 5, 1000*Second)
+		f.usual[0] = float64(100 * Millisecond)
+		fleet := fleetOf(24)
+		for i := range fleet {
+			fleet[i].Zone = i % 2
+		}
+		f.tell(FleetChange{Mode: ListSaved, Engines: fleet})
+		f.tell(Planned{Zones: &fixedPlan{to: []float64{1, 0}}})
+		seen := map[EngineID]bool{}
+		for range 60 {
+			id := f.ask(0, func(r *Request) { r.DataSet = 7 })
+			if e := f.requests[id].attempts[0].engine; e.Zone != 0 {
+				t.Fatal("the plan's word was not kept")
+			} else {
+				seen[e.ID] = true
+			}
+			f.resolve(f.pending()[0], VerdictOK)
+			f.advance(50 * Millisecond)
+		}
+		return len(seen)
+	}
+	if n := met(false); n > homesLeast {
+		t.Errorf("queries of one data set went to %d engines of a zone", n)
+	}
+	if n := met(true); n < 10 {
+		t.Errorf("loads of one data set met on %d of the 12 engines of a zone", n)
+	}
+}
+
 // A class that runs in some zones only goes there, whatever the plan says.
 func TestZonePlanLeavesBoundClasses(t *testing.T) {
 	bound := quick
