--- a/internal/gateway/crossings_test.go
+++ b/internal/gateway/crossings_test.go
@@ -104,6 +104,12 @@
 			x.step(Data, crossingKill, string(query(fmt.Sprintf("KILL QUERY %d", c.session))))
 		}
 	}},
+	{"session killed", func(x *crossing) {
+		if c := x.g.clients[1]; c != nil {
+			x.left = true
+			x.step(Data, crossingKill, string(query(fmt.Sprintf("KILL %d", c.session))))
+		}
+	}},
 	{"connection up", func(x *crossing) {
 		if id := x.link(); id != 0 && !x.down[id] {
 			x.down[id] = true
@@ -121,6 +127,8 @@
 	{"second answer", func(x *crossing) {
 		x.step(Data, x.link(), strings.Repeat(idA+" served total=1 6\r\n1\ta\tb\n\r\n", 2))
 	}},
+	{"first page", func(x *crossing) { x.step(Data, x.link(), idA+" served total=2 6\r\n1\ta\tb\n\r\n") }},
+	{"second page", func(x *crossing) { x.step(Data, x.link(), idA+" rows index=1 6\r\n2\tc\td\n\r\n") }},
 	{"half an answer", func(x *crossing) { x.step(Data, x.link(), idA+" served total=1 6\r\n1\ta") }},
 	{"overload", func(x *crossing) {
 		if x.asks > 0 {
@@ -216,6 +224,50 @@
 	t.Logf("%d orders", cases)
 }
 
+// Hundreds leave in one turn, as the connection comes up for which their requests have waited: nothing of theirs is sent,
+// and nothing of them stays.
+func TestHundredsLeaveInOneTurn(t *testing.T) {
+	const leaving = 200
+	for _, upFirst := range []bool{true, false} {
+		b := newBench(t)
+		for id := ConnID(1); id <= leaving+1; id++ {
+			b.client(id)
+			b.step(Data, id, ask("point", fmt.Sprintf("%016x", id)))
+		}
+		links := map[ConnID]bool{}
+		for _, id := range b.dials {
+			links[id] = true
+		}
+		up := func() {
+			for _, id := range b.dials {
+				b.g.Step(b.now, Event{Kind: Connected, Conn: id})
+			}
+		}
+		if upFirst {
+			up()
+		}
+		for id := ConnID(1); id <= leaving; id++ {
+			b.g.Step(b.now, Event{Kind: Closed, Conn: id})
+		}
+		if !upFirst {
+			up()
+		}
+		b.flush()
+		for link := range links {
+			got := b.after(link)
+			for id := 1; id <= leaving; id++ {
+				name := fmt.Sprintf("%016x", id)
+				if strings.Contains(got, "ASK "+name) && !strings.Contains(got, "QUIT "+name) {
+					t.Fatalf("up first %v: client %d has gone, and its request was sent and not given up", upFirst, id)
+				}
+			}
+		}
+		if n := len(b.g.requests); n != 1 {
+			t.Errorf("up first %v: %d requests are open, one client is left", upFirst, n)
+		}
+	}
+}
+
 // A connection that breaks ahead of what was written to it proves that this never ran: a load is sent again, where
 // a load of which every byte was taken may have run and is not.
 func TestUntakenNeverRan(t *testing.T) {
