--- a/internal/gateway/crossings_test.go
+++ b/internal/gateway/crossings_test.go
@@ -620,33 +620,55 @@
 	}
 }
 
-// A client that goes, a deadline, or the end of the attempt's own way: none waits, and none is told twice.
+// While the end of an attempt is on its way its client goes or kills the query, its deadline comes, or the process ends: the
+// request ends as ever, its engine hears once, and nothing stays. A connection that came up late makes nobody wait for long.
 func TestPartingEndsWithItsRequest(t *testing.T) {
 	const way = 40 * rules.Millisecond
-	start := func() *crossing {
+	start := func(timeout int, took rules.Time) *crossing {
 		x := newCrossing(t, "point")
-		x.step(Data, 1, ask("point", idA))
-		x.now += way
+		x.step(Data, 1, string(query(fmt.Sprintf("/* kind=point,req=%s,timeout=%d,ms=5 */ SELECT 1 FROM sales_1.x", idA, timeout))))
+		x.now += took
 		x.step(Connected, x.link(), "")
-		x.after(x.link())
+		x.g.act(rules.Cancel{ID: idA, Attempt: 0})
+		x.flush()
 		return x
 	}
-	x := start()
-	x.step(Closed, 1, "")
-	if got := x.after(x.link()); !strings.HasPrefix(got, "QUIT "+idA) || len(x.g.requests) != 0 {
-		t.Errorf("the client has gone: the engine got %q, %d requests stay", got, len(x.g.requests))
-	}
-	x = start()
-	first := x.link()
-	x.g.act(rules.Cancel{ID: idA, Attempt: 0})
-	x.flush()
-	x.step(Closed, 1, "")
-	x.pass(2 * way)
-	if got := x.after(first); strings.Count(got, "QUIT") != 1 || len(x.g.requests) != 0 || len(x.dials) > 1 {
-		t.Errorf("the client went while the end was on its way: the engine got %q, %d requests, %d dials", got, len(x.g.requests), len(x.dials))
-	}
-	if x.g.stats.classes[0].running != 0 {
-		t.Errorf("%d attempts still count as running", x.g.stats.classes[0].running)
+	for name, c := range map[string]struct {
+		timeout, answers int
+		end              func(x *crossing)
+	}{
+		"client goes": {2000, 0, func(x *crossing) { x.step(Closed, 1, "") }},
+		"killed": {2000, 0, func(x *crossing) {
+			x.step(Data, crossingKill, string(query(fmt.Sprintf("KILL QUERY %d", x.g.clients[1].session))))
+		}},
+		"deadline": {80, 1, func(x *crossing) { x.pass(30 * rules.Millisecond) }},
+		"terminate": {80, 1, func(x *crossing) {
+			x.step(Terminate, 0, "")
+			x.pass(30 * rules.Millisecond)
+		}},
+	} {
+		x := start(c.timeout, way)
+		first := x.link()
+		c.end(x)
+		x.look()
+		if len(x.g.requests) != 0 || x.answers != c.answers {
+			t.Errorf("%s: %d requests stay, %d answers, want %d", name, len(x.g.requests), x.answers, c.answers)
+		}
+		x.pass(2 * way)
+		x.look()
+		if got := string(x.sent[first]); strings.Count(got, "QUIT") != 1 || len(x.dials) > 1 || x.answers != c.answers {
+			t.Errorf("%s: the engine got %q, %d dials, %d answers", name, got, len(x.dials), x.answers)
+		}
+		if n := x.g.stats.classes[0].running; n != 0 {
+			t.Errorf("%s: %d attempts still count as running", name, n)
+		}
+	}
+	x := start(2000, 240*rules.Millisecond)
+	if x.pass(x.g.lim.WayMost - rules.Millisecond); len(x.dials) > 1 {
+		t.Error("another attempt began while the end of the first was on its way")
+	}
+	if x.pass(2 * rules.Millisecond); len(x.dials) < 2 {
+		t.Error("an attempt on a connection that came up late keeps its request waiting")
 	}
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -931,20 +931,26 @@
 	}
 }
 
-// Where a plan says which part each zone gets, load follows it; a further attempt leaves the zone that had one;
-// without room in the zone drawn others that are open are taken rather than none, and those that are shut never.
-func TestZonePlan(t *testing.T) {
-	s := plain(quick)
-	s.Siblings = 50
+// zoned starts a module with n engines in so many zones and a plan for them.
+func zoned(t *testing.T, s Settings, n, zones int, plan *fixedPlan) (*referee, []Engine) {
 	f := newReferee(t, s, 5, 1000*Second)
 	f.usual[0] = float64(100 * Millisecond)
-	fleet := fleetOf(15)
+	fleet := fleetOf(n)
 	for i := range fleet {
-		fleet[i].Zone = i % 3
+		fleet[i].Zone = i % zones
 	}
-	plan := &fixedPlan{to: []float64{0.7, 0.3, 0}}
 	f.tell(FleetChange{Mode: ListSaved, Engines: fleet})
 	f.tell(Planned{Zones: plan})
+	return f, fleet
+}
+
+// Where a plan says which part each zone gets, load follows it; a further attempt leaves the zone that had one;
+// without room in the zone drawn others that are open are taken rather than none, and those that are shut never.
+func TestZonePlan(t *testing.T) {
+	s := plain(quick)
+	s.Siblings = 50
+	plan := &fixedPlan{to: []float64{0.7, 0.3, 0}}
+	f, fleet := zoned(t, s, 15, 3, plan)
 	got, again, sends := [3]int{}, [3]int{}, 0
 	for set := range 300 {
 		id := f.ask(0, func(r *Request) { r.DataSet = set % 7 })
@@ -1007,14 +1013,7 @@
 		class.IsLoad = isLoad
 		s := plain(class)
 		s.Siblings = 50
-		f := newReferee(t, s, 5, 1000*Second)
-		f.usual[0] = float64(100 * Millisecond)
-		fleet := fleetOf(24)
-		for i := range fleet {
-			fleet[i].Zone = i % 2
-		}
-		f.tell(FleetChange{Mode: ListSaved, Engines: fleet})
-		f.tell(Planned{Zones: &fixedPlan{to: []float64{1, 0}}})
+		f, _ := zoned(t, s, 24, 2, &fixedPlan{to: []float64{1, 0}})
 		seen := map[EngineID]bool{}
 		for range 60 {
 			id := f.ask(0, func(r *Request) { r.DataSet = 7 })
