Add failing tests of standard error that closes or fills, and of a reload that hangs

Each plays a real process. Measured: exit by SIGPIPE at the first line after the reader has gone; no answer and no end within 5 s of SIGTERM with the pipe full; no end within 5 s of SIGTERM after a SIGHUP whose file is a FIFO, and no later SIGHUP is heeded.

--- /dev/null
+++ b/internal/rig/surroundings_test.go
@@ -0,0 +1,204 @@
+package rig
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"foxlane/internal/standin"
+)
+
+// process is one gateway with what it shares with its surroundings in the test's hands.
+type process struct {
+	t      *testing.T
+	cmd    *exec.Cmd
+	listen string
+	config string
+	done   chan error
+}
+
+// startProcess starts a gateway with an engine that serves all, its standard error led to a file.
+func startProcess(t *testing.T, stderr *os.File) *process {
+	t.Helper()
+	e, err := standin.NewEngine("127.0.0.1:0", func(a standin.Ask) standin.Reply {
+		return standin.Reply{After: time.Millisecond, Word: "served", Pages: []string{a.ID + "\tb\tc\n"}}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	names, err := standin.NewNames("127.0.0.1:0", listName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(names.Close)
+	names.Set(1, []standin.Host{{ID: "s-1", Zone: "a", Kind: "std", Weight: 4, Addr: netip.MustParseAddrPort(e.Addr())}})
+	listen, err := unused(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{t: t, listen: listen, config: filepath.Join(t.TempDir(), "config.json"), done: make(chan error, 1)}
+	if err := os.WriteFile(p.config, []byte(darkConfig("n0", listen, names.Addr(), e.Addr())), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(program, "serve")
+	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+p.config, "LB_NAME=", "LB_LISTEN=")
+	p.cmd.Stderr = stderr
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.done <- p.cmd.Wait() }()
+	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	for i := 0; ; i++ {
+		if p.query(i) == nil {
+			return p
+		}
+		if i > 300 {
+			t.Fatal("the gateway does not serve")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// query asks the gateway for one row.
+func (p *process) query(n int) error {
+	c, err := standin.Connect(p.listen, netip.Addr{}, time.Second)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	rows, err := c.Query(fmt.Sprintf("/* kind=point,req=%016x,timeout=1000 */ SELECT day FROM sales_1.orders", time.Now().UnixNano()+int64(n)), time.Second)
+	if err == nil && rows != 1 {
+		err = fmt.Errorf("%d rows", rows)
+	}
+	return err
+}
+
+func (p *process) signal(s syscall.Signal, times int) {
+	for range times {
+		_ = p.cmd.Process.Signal(s)
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// serves fails the test if a query is not answered.
+func (p *process) serves(when string) {
+	p.t.Helper()
+	if err := p.query(0); err != nil {
+		p.t.Errorf("%s: a query got %v", when, err)
+	}
+}
+
+// ends asks the process to end, which must take 5 s at most and exit with 0.
+func (p *process) ends() {
+	p.t.Helper()
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-p.done:
+		if err != nil {
+			p.t.Errorf("ended with %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		p.t.Error("not ended 5 s after SIGTERM")
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
+// smallPipe is a pipe that holds 4 KB.
+func smallPipe(t *testing.T) (r, w *os.File) {
+	t.Helper()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := unix.FcntlInt(w.Fd(), unix.F_SETPIPE_SZ, 4096); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Close(); w.Close() })
+	return r, w
+}
+
+// fill writes to a pipe until it holds no more. It does so through a description of its own: the process at the other
+// one still finds its writes blocking.
+func fill(t *testing.T, w *os.File) {
+	t.Helper()
+	fd, err := unix.Open(fmt.Sprintf("/proc/self/fd/%d", w.Fd()), unix.O_WRONLY|unix.O_NONBLOCK, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(fd)
+	for {
+		if _, err := unix.Write(fd, []byte("\n")); err == unix.EAGAIN {
+			return
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A log collector that goes away takes no gateway with it: writes to its pipe fail, and the gateway serves on.
+func TestStandardErrorGoesAway(t *testing.T) {
+	r, w := smallPipe(t)
+	p := startProcess(t, w)
+	w.Close()
+	r.Close()
+	p.signal(syscall.SIGHUP, 20)
+	time.Sleep(100 * time.Millisecond)
+	p.serves("with nobody at the other end of standard error")
+	p.ends()
+}
+
+// A log collector that stops reading holds nobody up: queries are answered and SIGTERM is heeded with the pipe full.
+func TestStandardErrorIsFull(t *testing.T) {
+	_, w := smallPipe(t)
+	p := startProcess(t, w)
+	fill(t, w)
+	p.signal(syscall.SIGHUP, 30)
+	time.Sleep(100 * time.Millisecond)
+	p.serves("with standard error full")
+	p.ends()
+}
+
+// A reload of a file that can't be read to its end, such as one on a mount that hangs, holds neither the gateway nor its end.
+func TestReloadOfAFileThatHangs(t *testing.T) {
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
+	p := startProcess(t, log)
+	whole, err := os.ReadFile(p.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Remove(p.config); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(p.config, 0o600); err != nil { // nobody ever writes to it
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP, 3)
+	time.Sleep(100 * time.Millisecond)
+	p.serves("while the configuration can't be read")
+	if err := os.Remove(p.config); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(p.config, []byte(strings.Replace(string(whole), `"seq":1,`, `"seq":2,`, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP, 1)
+	p.serves("with the configuration in place again")
+	p.ends()
+	if raw, err := os.ReadFile(log.Name()); err != nil || !strings.Contains(string(raw), `"configuration read again"`) {
+		t.Errorf("the configuration that came back was not read: %v\n%s", err, raw)
+	}
+}
