Write log lines off the reducer's goroutine, ignore SIGPIPE, and let no reload hold up the end

Cause: zap wrote each line to standard error on the reducer's goroutine, so a pipe that nobody reads held up all serving and SIGTERM; Go ends a process whose write to descriptor 2 finds no reader; Edge.close waited for every reload, also for one that read a FIFO or a mount that hangs, and no later SIGHUP was heeded behind it. Change: internal/asynclog holds a bounded buffer (memory/256) that a goroutine of its own empties, tells how many lines were lost, and waits 200 ms at the end. SIGPIPE is ignored. internal/files reads settings without waiting for a writer and takes regular files up to 8 MB only. A reload that takes over 2 s is given up, the end waits for none. net.Run takes clock, sockets, files and reducer from a Platform, of which the program has the system's only; edge.go is split by concern. The surroundings test now tells an estimate of work: without one a class without late value is refused while engines are idle, which is traced to the module and taken up on its own.

--- a/cmd/foxlane/main.go
+++ b/cmd/foxlane/main.go
@@ -11,11 +11,13 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"foxlane/internal/asynclog"
 	"foxlane/internal/config"
 	"foxlane/internal/net"
 	"foxlane/internal/site"
@@ -84,30 +86,42 @@
 	reload, end := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	signal.Notify(end, syscall.SIGTERM, os.Interrupt)
+	signal.Ignore(syscall.SIGPIPE) // a log collector that goes away must not end the process
 	return net.Signals{Reload: reload, End: end}
 }
 
 func serve(cfg config.Config, verbose bool, signals net.Signals) error {
 	setRuntime(cfg.Limits)
-	log, err := newLog(verbose)
-	if err != nil {
-		return err
-	}
-	defer log.Sync()
-	return net.Run(cfg, log, signals)
+	lines := asynclog.New(os.Stderr, cfg.Limits.LogBytes, lostLines)
+	defer lines.Close(logCloses)
+	return net.Run(cfg, newLog(lines, verbose), signals)
+}
+
+// logCloses is how long the end of the process waits for whoever reads the log.
+const logCloses = 200 * time.Millisecond
+
+// lostLines is the log line that reports lines that were lost.
+func lostLines(lines int) []byte {
+	return fmt.Appendf(nil, `{"level":"warn","ts":%q,"msg":"log: lines lost","lines":%d}`+"\n", time.Now().Format(timeLayout), lines)
 }
 
-// newLog writes to standard error. Repeated lines are sampled: the first ten of a kind each second,
-// then every hundredth.
-func newLog(verbose bool) (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	c.Sampling = &zap.SamplingConfig{Initial: 10, Thereafter: 100}
-	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	c.DisableCaller, c.DisableStacktrace = true, true
+// timeLayout is that of the log's time stamps.
+const timeLayout = "2006-01-02T15:04:05.000Z0700"
+
+// newLog writes JSON lines. Repeated ones are sampled, the first ten of a kind each second, then every hundredth; not at
+// debug level, where one request is to be followed by its id.
+func newLog(out zapcore.WriteSyncer, verbose bool) *zap.Logger {
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
+	level := zapcore.InfoLevel
 	if verbose {
-		c.Level.SetLevel(zapcore.DebugLevel)
+		level = zapcore.DebugLevel
+	}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), out, level)
+	if !verbose {
+		core = zapcore.NewSamplerWithOptions(core, time.Second, 10, 100)
 	}
-	return c.Build()
+	return zap.New(core)
 }
 
 func checkCommand() *cobra.Command {
--- /dev/null
+++ b/internal/asynclog/asynclog.go
@@ -0,0 +1,105 @@
+// Package asynclog owns the way of log lines out of the process: a bounded buffer and a goroutine that empties it.
+// Writing a line never waits for whoever reads the log. Lines that find no room, or that could not be written, are
+// counted, and the count is written as a line of its own once there is room again.
+package asynclog
+
+import (
+	"io"
+	"sync"
+	"time"
+)
+
+// Writer takes log lines without ever blocking and writes them from a goroutine of its own.
+type Writer struct {
+	out     io.Writer
+	most    int // bytes that may wait
+	lostMsg func(lines int) []byte
+	wake    chan struct{}
+	done    chan struct{}
+
+	mu      sync.Mutex
+	waiting []byte
+	lines   int // of waiting
+	lost    int // lines dropped and not yet reported
+	closed  bool
+}
+
+// New starts a writer that holds at most so many bytes. Lost renders the line that reports lost lines.
+func New(out io.Writer, most int, lost func(lines int) []byte) *Writer {
+	w := &Writer{out: out, most: most, lostMsg: lost, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write takes one line, or drops it where it finds no room. It never fails and never waits for the reader.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	switch {
+	case w.closed || len(w.waiting)+len(line) > w.most:
+		w.lost++
+	default:
+		w.waiting = append(w.waiting, line...)
+		w.lines++
+	}
+	w.mu.Unlock()
+	w.poke()
+	return len(line), nil
+}
+
+// Sync does nothing: whoever logs must not wait for the reader. Close waits, for a bounded time.
+func (w *Writer) Sync() error { return nil }
+
+// Close writes what still waits, for so long at most. It answers whether all was written. The goroutine ends with the
+// write that is under way.
+func (w *Writer) Close(within time.Duration) bool {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	w.poke()
+	timeout := time.NewTimer(within)
+	defer timeout.Stop()
+	select {
+	case <-w.done:
+		return true
+	case <-timeout.C:
+		return false
+	}
+}
+
+func (w *Writer) poke() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	var spare []byte
+	for range w.wake {
+		batch, lines, lost, closed := w.take(spare[:0])
+		if lost > 0 {
+			batch = append(batch, w.lostMsg(lost)...)
+		}
+		if len(batch) > 0 {
+			if _, err := w.out.Write(batch); err != nil {
+				w.mu.Lock()
+				w.lost += lines + lost
+				w.mu.Unlock()
+			}
+		}
+		spare = batch
+		if closed {
+			return
+		}
+	}
+}
+
+// take swaps the waiting lines for an empty buffer.
+func (w *Writer) take(empty []byte) (batch []byte, lines, lost int, closed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	batch, lines, lost = w.waiting, w.lines, w.lost
+	w.waiting, w.lines, w.lost = empty, 0, 0
+	return batch, lines, lost, w.closed
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 
+	"foxlane/internal/files"
 	"foxlane/internal/settings"
 	"foxlane/internal/site"
 )
@@ -187,7 +188,7 @@
 
 // LoadFile reads the configuration from a file.
 func LoadFile(path string) (Config, error) {
-	raw, err := os.ReadFile(path)
+	raw, err := files.Read(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -58,6 +58,7 @@
 	ListSilent rules.Time // of the name service until it is asked from a new socket
 
 	// Life.
+	LogBytes    int        // of lines that wait for whoever reads the log
 	Mailbox     int        // bytes that wait for the reducer before reading stops
 	Arena       int        // of these, the room kept for the next turn
 	Turn        rules.Time // least time between two turns of the reducer
@@ -123,6 +124,7 @@
 		ListTold:    7 * rules.Second,
 		ListSilent:  rules.Second,
 		Datagram:    9000,
+		LogBytes:    int(memory / 256),
 		Mailbox:     int(min(memory/32, mb)), // what one turn of the reducer works off
 		Arena:       int(memory / 256),
 		Turn:        2 * rules.Millisecond,
--- /dev/null
+++ b/internal/files/files_test.go
@@ -0,0 +1,43 @@
+package files
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+)
+
+func TestRead(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "a")
+	if err := os.WriteFile(path, []byte("text"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if raw, err := Read(path); err != nil || string(raw) != "text" {
+		t.Errorf("got %q, %v", raw, err)
+	}
+	if _, err := Read(filepath.Join(dir, "none")); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a file that is not there: %v", err)
+	}
+	if _, err := Read(dir); !errors.Is(err, ErrIrregular) {
+		t.Errorf("a folder: %v", err)
+	}
+	pipe := filepath.Join(dir, "pipe")
+	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Read(pipe); !errors.Is(err, ErrIrregular) { // without waiting for a writer
+		t.Errorf("a pipe: %v", err)
+	}
+	large := filepath.Join(dir, "large")
+	if err := os.WriteFile(large, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Truncate(large, Most+1); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Read(large); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("a large file: %v", err)
+	}
+}
--- a/internal/net/close_test.go
+++ b/internal/net/close_test.go
@@ -20,6 +20,7 @@
 	"foxlane/internal/config"
 	"foxlane/internal/gateway"
 	"foxlane/internal/standin"
+	"foxlane/internal/syserr"
 )
 
 // bareEdge is an edge without a reducer: what happens stays in the mailbox until the test takes it.
@@ -36,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := newEdge(cfg, zap.NewNop())
+	e := newEdge(System(), cfg, zap.NewNop())
 	if err := e.open(); err != nil {
 		t.Fatal(err)
 	}
@@ -409,7 +410,7 @@
 	for err, ours := range map[error]bool{syscall.EMFILE: true, syscall.ENFILE: true, syscall.EADDRNOTAVAIL: true, syscall.ENOBUFS: true,
 		syscall.ENOMEM: true, syscall.ECONNREFUSED: false, syscall.ETIMEDOUT: false, syscall.EHOSTUNREACH: false} {
 		wrapped := &stdnet.OpError{Op: "dial", Err: fmt.Errorf("connect: %w", err)}
-		if ourWant(wrapped) != ours {
+		if syserr.Local(wrapped) != ours {
 			t.Errorf("%v counts as ours: %v", err, !ours)
 		}
 	}
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -11,7 +11,6 @@
 	stdnet "net"
 	"net/netip"
 	"os"
-	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -25,6 +24,7 @@
 
 	"foxlane/internal/config"
 	"foxlane/internal/gateway"
+	"foxlane/internal/syserr"
 	"foxlane/rules"
 )
 
@@ -33,68 +33,6 @@
 	readsInTurn = 16 // of one connection before the next has its turn
 )
 
-// mailbox holds what has happened until the reducer takes it. Its bytes lie in
-// an arena that is used again once the reducer is done with them.
-type mailbox struct {
-	mu     sync.Mutex
-	room   sync.Cond
-	events []gateway.Event
-	arena  []byte
-	bytes  int
-	most   int // bytes that wait before reading stops
-	keep   int // room of an arena that is used again
-	ready  chan struct{}
-	closed bool
-}
-
-func newMailbox(l config.Limits) *mailbox {
-	m := &mailbox{ready: make(chan struct{}, 1), most: l.Mailbox, keep: l.Arena}
-	m.room.L = &m.mu
-	return m
-}
-
-// put adds an event with a copy of its bytes. Only those that carry bytes wait for room.
-func (m *mailbox) put(e gateway.Event) {
-	m.mu.Lock()
-	for len(e.Data) > 0 && m.bytes > m.most && !m.closed {
-		m.room.Wait()
-	}
-	if len(e.Data) > 0 {
-		from := len(m.arena)
-		m.arena = append(m.arena, e.Data...)
-		m.bytes += len(e.Data)
-		e.Data = m.arena[from:len(m.arena):len(m.arena)]
-	}
-	m.events = append(m.events, e)
-	m.mu.Unlock()
-	select {
-	case m.ready <- struct{}{}:
-		runtime.Gosched() // the reducer may go at once, not when the poller's next wait has lost its processor
-	default:
-	}
-}
-
-// take swaps what has come for the buffers of the last turn.
-func (m *mailbox) take(events []gateway.Event, arena []byte) ([]gateway.Event, []byte) {
-	clear(events)
-	if cap(arena) > m.keep {
-		arena = nil
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	outEvents, outArena := m.events, m.arena
-	m.events, m.arena, m.bytes = events[:0], arena[:0], 0
-	m.room.Broadcast()
-	return outEvents, outArena
-}
-
-func (m *mailbox) close() {
-	m.mu.Lock()
-	m.closed = true
-	m.room.Broadcast()
-	m.mu.Unlock()
-}
-
 // conn is a connection with what the edge remembers of it.
 type conn struct {
 	id      gateway.ConnID
@@ -116,14 +54,17 @@
 
 // Edge is the outside of one gateway.
 type Edge struct {
-	cfg    config.Config // the reducer's goroutine has it
-	lim    config.Limits
-	log    *zap.Logger
-	box    *mailbox
-	engine *nbio.Engine
-	udp    *stdnet.UDPConn // to the name service; the reducer's goroutine has it
-	start  time.Time
-	unix   int64 // microseconds at start
+	cfg      config.Config // the reducer's goroutine has it
+	lim      config.Limits
+	log      *zap.Logger
+	box      *mailbox
+	engine   *nbio.Engine
+	udp      stdnet.Conn    // to the name service; the reducer's goroutine has it; nil: it could not be opened
+	namesAt  netip.AddrPort // of the name service
+	clock    *clock
+	platform Platform
+	over     context.Context // done once the end of the process has begun
+	finish   context.CancelFunc
 
 	mu       sync.Mutex
 	fewer    sync.Cond // clients, or the end
@@ -138,9 +79,8 @@
 	null     *os.File
 	plugs    []int // numbers of descriptors that are held, oldest first
 	ending   atomic.Bool
-	readers  sync.WaitGroup  // of UDP
-	former   *stdnet.UDPConn // asked before this one: late answers may still come to it; nil: none
-	reloads  sync.WaitGroup
+	readers  sync.WaitGroup // of UDP
+	former   stdnet.Conn    // asked before this one: late answers may still come to it; nil: none
 	shelf    *shelf         // nil: no spool is on a disk
 	talk     *talk          // nil: other gateways are not talked to
 	hushing  sync.WaitGroup // talk that is being ended
@@ -155,7 +95,13 @@
 
 // Run serves until the process is asked to end by a signal, and all is answered.
 func Run(cfg config.Config, log *zap.Logger, signals Signals) error {
-	e := newEdge(cfg, log)
+	return RunOn(System(), cfg, log, signals)
+}
+
+// RunOn serves as Run does, on a platform that may be a test double.
+func RunOn(platform Platform, cfg config.Config, log *zap.Logger, signals Signals) error {
+	e := newEdge(platform, cfg, log)
+	defer e.finish()
 	if _, err := rand.Read(e.cfg.Entropy[:]); err != nil {
 		return err
 	}
@@ -182,36 +128,59 @@
 	return nil
 }
 
-func newEdge(cfg config.Config, log *zap.Logger) *Edge {
+func newEdge(platform Platform, cfg config.Config, log *zap.Logger) *Edge {
 	e := &Edge{cfg: cfg, lim: cfg.Limits, log: log, box: newMailbox(cfg.Limits), conns: map[gateway.ConnID]*conn{},
-		byNB: map[*nbio.Conn]*conn{}, dialling: map[gateway.ConnID]context.CancelFunc{}, start: time.Now()}
-	e.unix = e.start.UnixMicro()
+		byNB: map[*nbio.Conn]*conn{}, dialling: map[gateway.ConnID]context.CancelFunc{}, platform: platform, clock: newClock(platform.Now)}
+	e.over, e.finish = context.WithCancel(context.Background())
 	e.fewer.L = &e.mu
 	return e
 }
 
-// now is the Unix time in microseconds, carried on by the monotonic clock.
-func (e *Edge) now() rules.Time {
-	return rules.Time(e.unix + time.Since(e.start).Microseconds())
-}
+func (e *Edge) now() rules.Time { return e.clock.now() }
 
-func (e *Edge) open() error {
+// open opens the sockets. What fails for a moment is tried again for a while: a start must not hang on one call.
+func (e *Edge) open() (err error) {
 	logging.SetLogger(quiet{})
 	nbio.MaxOpenFiles = max(e.lim.Sockets, 4096) // numbers of descriptors that its table holds
-	null, err := os.Open(os.DevNull)
-	if err != nil {
+	if e.null, err = retry(e, "open "+os.DevNull, func() (*os.File, error) { return os.Open(os.DevNull) }); err != nil {
 		return err
 	}
-	if err := e.openUDP(e.cfg.DNS); err != nil {
-		null.Close()
+	if _, err = retry(e, "name service", func() (struct{}, error) { return struct{}{}, e.openUDP(e.cfg.DNS) }); err != nil {
+		e.null.Close()
 		return err
 	}
-	e.null = null
+	if _, err = retry(e, "listen", func() (struct{}, error) { return struct{}{}, e.startEngine() }); err != nil {
+		e.closeUDP()
+		e.readers.Wait()
+		e.null.Close()
+	}
+	return err
+}
+
+// startWithin is for how long a start goes on trying what fails for a moment.
+const (
+	startWithin = 0
+	startPause  = 50 * time.Millisecond
+)
+
+// retry tries a call of the start again where it failed for a moment.
+func retry[T any](e *Edge, what string, call func() (T, error)) (out T, err error) {
+	for until := time.Now().Add(startWithin); ; {
+		if out, err = call(); err == nil || !syserr.Passing(err) || time.Now().After(until) {
+			return out, err
+		}
+		e.log.Warn("start: tried again", zap.String("what", what), zap.Error(err))
+		time.Sleep(startPause)
+	}
+}
+
+// startEngine begins to listen, and to read and write connections.
+func (e *Edge) startEngine() error {
 	e.engine = nbio.NewEngine(nbio.Config{
 		Network: "tcp", Addrs: []string{e.cfg.Listen.String()}, NPoller: 1, ReadBufferSize: readBuffer,
 		MaxConnReadTimesPerEventLoop: readsInTurn,
-		Listen: func(network, addr string) (ln stdnet.Listener, err error) {
-			ln, err = stdnet.Listen(network, addr)
+		Listen: func(_, addr string) (ln stdnet.Listener, err error) {
+			ln, err = e.platform.Listen(addr)
 			e.listener = ln
 			return ln, err
 		},
@@ -247,57 +216,13 @@
 		}
 		time.Sleep(10 * time.Millisecond) // descriptors ran out: they come back when something closes; or nothing more is accepted
 	})
-	if err := e.engine.Start(); err != nil {
-		e.closeUDP()
-		e.readers.Wait()
-		null.Close()
-		return err
-	}
-	return nil
-}
-
-// openUDP asks a name service from a new socket. Only what comes from there is read from then on; where it is the
-// one that was asked before, what it still says to the last socket counts too. Where descriptors have run out, those
-// of the old sockets serve.
-func (e *Edge) openUDP(addr netip.AddrPort) error {
-	dial := func() (*stdnet.UDPConn, error) {
-		return stdnet.DialUDP("udp", nil, stdnet.UDPAddrFromAddrPort(addr))
-	}
-	udp, err := dial()
-	if err != nil && e.udp != nil {
-		e.closeUDP()
-		udp, err = dial()
-	}
-	if err != nil {
-		return err
-	}
-	if e.former != nil {
-		e.former.Close()
-		e.former = nil
-	}
-	if old := e.udp; old != nil && old.RemoteAddr().String() == udp.RemoteAddr().String() {
-		e.former = old
-	} else if old != nil {
-		old.Close()
-	}
-	e.udp = udp
-	e.readers.Add(1)
-	go e.readUDP(udp)
-	return nil
-}
-
-func (e *Edge) closeUDP() {
-	for _, udp := range []*stdnet.UDPConn{e.udp, e.former} {
-		if udp != nil {
-			udp.Close()
-		}
-	}
-	e.udp, e.former = nil, nil
+	return e.engine.Start()
 }
 
 func (e *Edge) close() {
 	e.mu.Lock()
 	e.ending.Store(true)
+	e.finish()
 	e.fewer.Broadcast()
 	for _, giveUp := range e.dialling {
 		giveUp()
@@ -306,7 +231,6 @@
 	e.box.close()
 	e.closeUDP()
 	e.readers.Wait()
-	e.reloads.Wait()
 	e.dials.Wait()
 	e.engine.Stop()
 	e.mu.Lock()
@@ -360,117 +284,6 @@
 	return c
 }
 
-// onOpen takes in a connection that a client has opened, or that a dial has. Where clients come
-// faster than the reducer can close others for them, the accepting goroutine waits here: descriptors
-// must not run out, or dials to engines fail with them.
-func (e *Edge) onOpen(nb *nbio.Conn) {
-	e.mu.Lock()
-	c, kind := e.byNB[nb], gateway.Connected
-	if c == nil {
-		for e.clients >= e.lim.Clients+e.lim.AcceptAhead && !e.ending.Load() {
-			e.fewer.Wait()
-		}
-		e.accepted++
-		e.clients++
-		c, kind = &conn{id: e.accepted, nb: nb, most: int64(e.lim.ClientOut), client: true}, gateway.Accepted
-		e.byNB[nb] = c
-	}
-	e.conns[c.id] = c
-	e.mu.Unlock()
-	ev := gateway.Event{Kind: kind, Conn: c.id}
-	if c.client {
-		ev.From = addressOf(nb.RemoteAddr())
-	}
-	e.box.put(ev)
-}
-
-// addressOf is the address of the other side, or none.
-func addressOf(a stdnet.Addr) netip.Addr {
-	if tcp, ok := a.(*stdnet.TCPAddr); ok {
-		return tcp.AddrPort().Addr().Unmap()
-	}
-	return netip.Addr{}
-}
-
-// beginDial connects in a goroutine of its own, for so long at most and until the reducer closes the connection.
-func (e *Edge) beginDial(id gateway.ConnID, addr netip.AddrPort, wait rules.Time) {
-	ctx, giveUp := context.WithTimeout(context.Background(), time.Duration(wait)*time.Microsecond)
-	e.mu.Lock()
-	e.dialling[id] = giveUp
-	e.mu.Unlock()
-	e.dials.Go(func() {
-		defer giveUp()
-		e.dial(ctx, id, addr)
-	})
-}
-
-// dial connects by the standard library, which tells a refusal from a silence.
-func (e *Edge) dial(ctx context.Context, id gateway.ConnID, addr netip.AddrPort) {
-	var dialer stdnet.Dialer
-	std, err := dialer.DialContext(ctx, "tcp", addr.String())
-	var c *conn
-	if err == nil {
-		c, err = e.takeIn(id, std)
-	}
-	if c != nil {
-		if _, err = e.engine.AddConn(c.nb); err == nil {
-			return
-		}
-		_ = e.forget(c)
-	}
-	e.giveUpDial(id)
-	e.box.put(gateway.Event{Kind: gateway.DialFailed, Conn: id, Err: err, Ours: ourWant(err)})
-}
-
-var errGivenUp = errors.New("given up")
-
-// takeIn makes a connection that came up one of the edge's. One that was given up meanwhile is closed: nobody would
-// ever use it.
-func (e *Edge) takeIn(id gateway.ConnID, std stdnet.Conn) (*conn, error) {
-	nb, err := nbio.NBConn(std)
-	if err != nil {
-		std.Close()
-		return nil, err
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	_, wanted := e.dialling[id]
-	delete(e.dialling, id)
-	if !wanted {
-		_ = nb.Close()
-		return nil, errGivenUp
-	}
-	c := &conn{id: id, nb: nb, most: int64(e.lim.LinkOut)}
-	e.byNB[nb], e.conns[id] = c, c // from here on the reducer's close finds it
-	return c, nil
-}
-
-// ourWant answers whether a dial failed for want of something on this machine.
-func ourWant(err error) bool {
-	for _, want := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, want) {
-			return true
-		}
-	}
-	return false
-}
-
-func (e *Edge) readUDP(udp *stdnet.UDPConn) {
-	defer e.readers.Done()
-	buf := make([]byte, e.lim.Datagram)
-	for {
-		n, err := udp.Read(buf)
-		switch {
-		case err == nil:
-			e.box.put(gateway.Event{Kind: gateway.Datagram, Data: buf[:n]})
-		case errors.Is(err, stdnet.ErrClosed):
-			return
-		default: // refused, for now
-			time.Sleep(time.Millisecond)
-		}
-	}
-}
-
 // pace keeps an interval between turns of the reducer, as the simulator does
 // between its batches: what comes meanwhile is worked off and written together,
 // which spares all sides calls and wakes. Where little comes, nothing waits.
@@ -483,7 +296,7 @@
 
 // loop is the reducer's goroutine.
 func (e *Edge) loop(signals Signals) {
-	g := gateway.New(e.cfg, e.now())
+	g := e.platform.Reducer(e.cfg, e.now())
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
 	if e.shelf != nil {
@@ -497,7 +310,7 @@
 	var events []gateway.Event
 	var arena []byte
 	var end ending
-	read, reading := make(chan config.Config, 1), false
+	reading := newReloads()
 	armed, turns := rules.Time(0), pace{least: e.lim.Turn}
 	for {
 		over := false
@@ -516,7 +329,7 @@
 			return
 		}
 		again := signals.Reload
-		if reading {
+		if reading.current != 0 {
 			again = nil // one at a time: what is asked for meanwhile comes behind
 		}
 		select {
@@ -526,12 +339,13 @@
 		case <-signals.End:
 			g.Step(e.now(), gateway.Event{Kind: gateway.Terminate})
 		case <-again:
-			reading = true
-			e.reload(read)
-		case cfg := <-read:
-			if reading = false; cfg.Name != "" {
-				e.cfg = cfg
-				g.Step(e.now(), gateway.Event{Kind: gateway.Reload, Config: &cfg})
+			e.beginReload(&reading)
+		case <-reading.timeout:
+			e.giveUpReload(&reading)
+		case x := <-reading.read:
+			if e.endReload(&reading, x) {
+				e.cfg = x.cfg
+				g.Step(e.now(), gateway.Event{Kind: gateway.Reload, Config: &x.cfg})
 			}
 		}
 		if rest := turns.rest(e.now()); rest > 0 {
@@ -551,20 +365,6 @@
 	}
 }
 
-// reload reads the configuration again, off the reducer's goroutine, and hands it over. One that can't be used
-// changes nothing: then it has no name.
-func (e *Edge) reload(read chan<- config.Config) {
-	old := e.cfg
-	e.reloads.Go(func() {
-		cfg, err := old.Reload() // keeps the entropy
-		if err != nil {
-			e.log.Warn("configuration kept as it was", zap.Error(err))
-			cfg = config.Config{}
-		}
-		read <- cfg
-	})
-}
-
 func (e *Edge) carryOut(f *gateway.Effect) {
 	switch f.Kind {
 	case gateway.Write:
@@ -585,12 +385,7 @@
 	case gateway.Dial:
 		e.beginDial(f.Conn, f.Addr, f.Wait)
 	case gateway.Query:
-		if e.udp == nil {
-			return // it is asked from a new socket before long
-		}
-		if _, err := e.udp.Write(f.Data); err != nil {
-			e.log.Warn("name service: query not sent", zap.Error(err))
-		}
+		e.query(f.Data)
 	case gateway.Names:
 		if err := e.openUDP(f.Addr); err != nil {
 			e.log.Warn("name service: not reached at its new address", zap.Error(err))
--- /dev/null
+++ b/internal/net/platform.go
@@ -0,0 +1,108 @@
+package net
+
+import (
+	"context"
+	stdnet "net"
+	"net/netip"
+	"time"
+
+	"foxlane/internal/config"
+	"foxlane/internal/directives"
+	"foxlane/internal/directives/wal"
+	"foxlane/internal/gateway"
+	"foxlane/internal/spool/disk"
+	"foxlane/rules"
+)
+
+// This file owns what a gateway takes from the system it runs on. Tests put doubles in their place that fail as systems
+// do; the released program has no way to choose anything but System.
+
+// Reducer is the gateway's state: events with their time go in, effects come out.
+type Reducer interface {
+	Step(now rules.Time, event gateway.Event)
+	Flush() []gateway.Effect
+}
+
+// Folder is one in which results are kept, held by this process alone until Close.
+type Folder interface {
+	disk.FS
+	Close() error
+}
+
+// VoterLog keeps what a voter on directives has promised.
+type VoterLog interface {
+	Keep(batch directives.Batch) error
+	Close()
+}
+
+// Platform is the clock, the sockets, the file system and the reducer of a gateway.
+type Platform struct {
+	Now        func() time.Time // with its monotonic part
+	Listen     func(addr string) (stdnet.Listener, error)
+	Dial       func(ctx context.Context, addr netip.AddrPort) (stdnet.Conn, error)
+	DialUDP    func(addr netip.AddrPort) (stdnet.Conn, error)
+	OpenFolder func(path string) (Folder, error)
+	OpenVotes  func(path string) (VoterLog, directives.Kept, error)
+	Reducer    func(cfg config.Config, now rules.Time) Reducer
+}
+
+// System is the platform that the operating system gives.
+func System() Platform {
+	return Platform{
+		Now:     time.Now,
+		Listen:  func(addr string) (stdnet.Listener, error) { return stdnet.Listen("tcp", addr) },
+		Dial:    dialTCP,
+		DialUDP: dialUDP,
+		OpenFolder: func(path string) (Folder, error) {
+			folder, err := disk.OpenFolder(path)
+			if err != nil {
+				return nil, err
+			}
+			return folder, nil
+		},
+		OpenVotes: func(path string) (VoterLog, directives.Kept, error) {
+			log, kept, err := wal.Open(path)
+			if err != nil {
+				return nil, kept, err
+			}
+			return log, kept, nil
+		},
+		Reducer: func(cfg config.Config, now rules.Time) Reducer { return gateway.New(cfg, now) },
+	}
+}
+
+// dialTCP connects by the standard library, which tells a refusal from a silence.
+func dialTCP(ctx context.Context, addr netip.AddrPort) (stdnet.Conn, error) {
+	var dialer stdnet.Dialer
+	return dialer.DialContext(ctx, "tcp", addr.String())
+}
+
+func dialUDP(addr netip.AddrPort) (stdnet.Conn, error) {
+	conn, err := stdnet.DialUDP("udp", nil, stdnet.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+// clock is the Unix time of the start, carried on by the monotonic clock: a step of the wall clock does not move it.
+type clock struct {
+	read  func() time.Time
+	start time.Time
+	unix  int64 // microseconds at the start
+}
+
+func newClock(read func() time.Time) *clock {
+	start := read()
+	return &clock{read: read, start: start, unix: start.UnixMicro()}
+}
+
+func (c *clock) now() rules.Time {
+	return rules.Time(c.unix + c.read().Sub(c.start).Microseconds())
+}
+
+// skew is by how much the wall clock is ahead of this one: by what it was stepped since the start.
+func (c *clock) skew() rules.Time {
+	now := c.read()
+	return rules.Time(now.UnixMicro() - c.unix - now.Sub(c.start).Microseconds())
+}
--- a/internal/net/shelf.go
+++ b/internal/net/shelf.go
@@ -15,7 +15,7 @@
 
 // shelf is the folder in which results are kept, and the goroutine that writes to it.
 type shelf struct {
-	folder *disk.Folder
+	folder Folder
 	runner *disk.Runner
 	found  []spool.Event // at the start, until the reducer has them
 }
@@ -32,7 +32,7 @@
 		return nil
 	}
 	set := e.cfg.Site.Spool
-	folder, err := disk.OpenFolder(set.Folder)
+	folder, err := retry(e, "spool", func() (Folder, error) { return e.platform.OpenFolder(set.Folder) })
 	if err != nil {
 		return err
 	}
@@ -42,7 +42,11 @@
 		return err
 	}
 	start := e.now()
-	store, rec, err := disk.Open(folder, disk.Options{Segment: segmentBytes, Salt: binary.LittleEndian.Uint64(salt[:])})
+	var rec *disk.Recovery
+	store, err := retry(e, "spool", func() (store *disk.Store, err error) {
+		store, rec, err = disk.Open(folder, disk.Options{Segment: segmentBytes, Salt: binary.LittleEndian.Uint64(salt[:])})
+		return store, err
+	})
 	if err != nil {
 		folder.Close()
 		return err
--- a/internal/net/talk.go
+++ b/internal/net/talk.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"foxlane/internal/directives"
-	"foxlane/internal/directives/wal"
 	"foxlane/internal/gateway"
 	"foxlane/internal/members"
 	"foxlane/rules"
@@ -36,7 +35,7 @@
 
 // votes is the disk of a voter on directives, and the goroutine that writes to it.
 type votes struct {
-	log  *wal.Log
+	log  VoterLog
 	in   chan directives.Batch
 	wg   sync.WaitGroup
 	kept directives.Kept // at the start, until the reducer has it
@@ -48,11 +47,14 @@
 		!slices.Contains(e.cfg.Site.Directives.Voters, e.cfg.Name) {
 		return nil
 	}
-	l, kept, err := wal.Open(e.cfg.Site.Directives.Folder)
+	v, err := retry(e, "voter's log", func() (*votes, error) {
+		l, kept, err := e.platform.OpenVotes(e.cfg.Site.Directives.Folder)
+		return &votes{log: l, in: make(chan directives.Batch, keeps), kept: kept}, err
+	})
 	if err != nil {
 		return err
 	}
-	v := &votes{log: l, in: make(chan directives.Batch, keeps), kept: kept}
+	kept := v.kept
 	v.wg.Go(func() {
 		for b := range v.in {
 			e.box.put(gateway.Event{Kind: gateway.KeptIt, Err: v.log.Keep(b)})
@@ -196,7 +198,7 @@
 	members.Came: gateway.PeerCame, members.Namesake: gateway.PeerNamesake}
 
 // hearMembers hands what has happened among the members to the reducer, a bounded part in each turn.
-func (e *Edge) hearMembers(now rules.Time, g *gateway.Gateway) {
+func (e *Edge) hearMembers(now rules.Time, g Reducer) {
 	t := e.talk
 	if t == nil {
 		return
--- a/internal/rig/surroundings_test.go
+++ b/internal/rig/surroundings_test.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	defer c.Close()
-	rows, err := c.Query(fmt.Sprintf("/* kind=point,req=%016x,timeout=1000 */ SELECT day FROM sales_1.orders", time.Now().UnixNano()+int64(n)), time.Second)
+	rows, err := c.Query(fmt.Sprintf("/* kind=point,req=%016x,timeout=1000,ms=1.0 */ SELECT day FROM sales_1.orders", time.Now().UnixNano()+int64(n)), time.Second)
 	if err == nil && rows != 1 {
 		err = fmt.Errorf("%d rows", rows)
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -7,7 +7,6 @@
 import (
 	"bytes"
 	"fmt"
-	"os"
 	"strings"
 
 	"github.com/hashicorp/hcl/v2"
@@ -15,6 +14,7 @@
 	"github.com/hashicorp/hcl/v2/hclparse"
 
 	"foxlane/internal/door"
+	"foxlane/internal/files"
 )
 
 // mostBytes bounds a file: a larger one is no operator's.
@@ -47,16 +47,12 @@
 
 // LoadFile reads the operator's file.
 func LoadFile(path string) (*Site, error) {
-	info, err := os.Stat(path)
+	text, err := files.Read(path)
 	if err != nil {
 		return nil, fmt.Errorf("site: %w", err)
 	}
-	if info.Size() > mostBytes {
-		return nil, fmt.Errorf("site: %s holds %d bytes, %d at most", path, info.Size(), mostBytes)
-	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("site: %w", err)
+	if len(text) > mostBytes {
+		return nil, fmt.Errorf("site: %s holds %d bytes, %d at most", path, len(text), mostBytes)
 	}
 	return Parse(text, path)
 }
--- /dev/null
+++ b/internal/syserr/syserr_test.go
@@ -0,0 +1,33 @@
+package syserr
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+)
+
+func TestLists(t *testing.T) {
+	wrap := func(e syscall.Errno) error {
+		return fmt.Errorf("dial: %w", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", e)})
+	}
+	for _, c := range []struct {
+		err            error
+		local, passing bool
+	}{
+		{wrap(syscall.EADDRNOTAVAIL), true, true},
+		{wrap(syscall.EMFILE), true, true},
+		{wrap(syscall.ECONNREFUSED), false, false},
+		{wrap(syscall.EHOSTUNREACH), false, false},
+		{wrap(syscall.EIO), false, true},
+		{wrap(syscall.ENOENT), false, false},
+		{errors.New("other"), false, false},
+		{nil, false, false},
+	} {
+		if Local(c.err) != c.local || Passing(c.err) != c.passing {
+			t.Errorf("%v: local %v, passing %v", c.err, Local(c.err), Passing(c.err))
+		}
+	}
+}
