Add failing tests of socket calls that fail for a moment: at the start, at a dial, at a reload

Measured on loopback with calls that fail as Linux documents: a start ends at the first ENOBUFS; ENETUNREACH, EADDRINUSE and EAGAIN count against the engine; after a reload whose socket could not be opened the name service is asked only after its silence was noticed, a second later.

--- /dev/null
+++ b/internal/net/moments_test.go
@@ -0,0 +1,182 @@
+package net
+
+import (
+	"context"
+	stdnet "net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"foxlane/internal/config"
+	"foxlane/internal/gateway"
+	"foxlane/rules"
+)
+
+// failing answers an error for so many calls, then none.
+type failing struct {
+	left atomic.Int64
+	err  error
+}
+
+func (f *failing) next() error {
+	if f.left.Add(-1) >= 0 {
+		return &stdnet.OpError{Op: "dial", Err: os.NewSyscallError("call", f.err)}
+	}
+	return nil
+}
+
+func loopbackConfig(t *testing.T) config.Config {
+	t.Helper()
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	cfg, err := config.Parse([]byte(`{"name":"n0","listen":"` + ln.Addr().String() + `","seed":"01","limits":{"cores":1,"memory_mb":64,"sockets":256},
+		"dns":"127.0.0.1:9","known":{"seq":0},"settings":` + testSettings + `}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// A start at which socket calls fail for a moment goes on once they don't.
+func TestStartWhereCallsFailForAMoment(t *testing.T) {
+	p := System()
+	var listens, names failing
+	listens.err, names.err = syscall.ENOBUFS, syscall.ENFILE
+	listens.left.Store(3)
+	names.left.Store(3)
+	p.Listen = func(addr string) (stdnet.Listener, error) {
+		if err := listens.next(); err != nil {
+			return nil, err
+		}
+		return System().Listen(addr)
+	}
+	p.DialUDP = func(addr netip.AddrPort) (stdnet.Conn, error) {
+		if err := names.next(); err != nil {
+			return nil, err
+		}
+		return System().DialUDP(addr)
+	}
+	cfg := loopbackConfig(t)
+	stop, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- RunOn(p, cfg, zap.NewNop(), Signals{End: stop}) }()
+	served := false
+	for i := 0; i < 200 && !served; i++ {
+		if c, err := stdnet.DialTimeout("tcp", cfg.Listen.String(), time.Second); err == nil {
+			served = true
+			c.Close()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if !served {
+		t.Error("the gateway does not listen 2 s after its start")
+	}
+	stop <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// A dial that fails because this machine has no way out for a moment is tried again, and says nothing of the engine.
+func TestDialThatFailsForAMoment(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENETUNREACH, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.EAGAIN} {
+		engine, err := stdnet.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := System()
+		calls := failing{err: errno}
+		calls.left.Store(2)
+		p.Dial = func(ctx context.Context, addr netip.AddrPort) (stdnet.Conn, error) {
+			if err := calls.next(); err != nil {
+				return nil, err
+			}
+			return System().Dial(ctx, addr)
+		}
+		e := edgeOn(t, p)
+		addr := netip.MustParseAddrPort(engine.Addr().String())
+		e.beginDial(1<<63|1, addr, rules.Second)
+		if ev := e.awaitDial(t); ev.Kind != gateway.Connected {
+			t.Errorf("%v twice: %v, ours %v", errno, ev.Err, ev.Ours)
+		}
+		calls.left.Store(1 << 40)
+		e.beginDial(1<<63|2, addr, rules.Second)
+		if ev := e.awaitDial(t); ev.Kind != gateway.DialFailed || !ev.Ours {
+			t.Errorf("%v for long: kind %v, ours %v", errno, ev.Kind, ev.Ours)
+		}
+		engine.Close()
+	}
+}
+
+// edgeOn is an edge without a reducer, on a platform.
+func edgeOn(t *testing.T, p Platform) *Edge {
+	t.Helper()
+	e := newEdge(p, loopbackConfig(t), zap.NewNop())
+	if err := e.open(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.close)
+	client, c := e.join(t) // the library's loops have begun once a byte has come (see bareEdge)
+	if _, err := client.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "a byte", func() bool {
+		e.box.mu.Lock()
+		defer e.box.mu.Unlock()
+		return e.box.bytes > 0
+	})
+	client.Close()
+	waitFor(t, "its end", func() bool { return e.get(c.id) == nil })
+	return e
+}
+
+// awaitDial waits for what becomes of a dial.
+func (e *Edge) awaitDial(t *testing.T) (out gateway.Event) {
+	t.Helper()
+	waitFor(t, "the end of the dial", func() bool {
+		events, _ := e.box.take(nil, nil)
+		for _, ev := range events {
+			if ev.Kind == gateway.Connected || ev.Kind == gateway.DialFailed {
+				out = ev
+				return true
+			}
+		}
+		return false
+	})
+	return out
+}
+
+// The name service is asked again within moments where its socket could not be opened at a reload.
+func TestNameServiceSocketFailsForAMoment(t *testing.T) {
+	service, err := stdnet.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer service.Close()
+	p := System()
+	calls := failing{err: syscall.ENOBUFS}
+	p.DialUDP = func(addr netip.AddrPort) (stdnet.Conn, error) {
+		if err := calls.next(); err != nil {
+			return nil, err
+		}
+		return System().DialUDP(addr)
+	}
+	e := edgeOn(t, p)
+	calls.left.Store(4)
+	e.carryOut(&gateway.Effect{Kind: gateway.Names, Addr: netip.MustParseAddrPort(service.LocalAddr().String())})
+	buf := make([]byte, 16)
+	for range 4 { // polls
+		e.carryOut(&gateway.Effect{Kind: gateway.Query, Data: []byte("who is there")})
+	}
+	_ = service.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	if n, _, err := service.ReadFrom(buf); err != nil || string(buf[:n]) != "who is there" {
+		t.Errorf("the name service got %q, %v", buf[:n], err)
+	}
+}
