Try again what failed for a moment at the start, at a dial and at the name service's socket

Change: internal/syserr lists both kinds of errors. A start tries passing errors again for 5 s, the configuration for 3 s; a dial that fails locally is tried four times 10 ms apart and then told as ours; each query opens a missing socket first.

--- a/cmd/foxlane/main.go
+++ b/cmd/foxlane/main.go
@@ -21,6 +21,7 @@
 	"foxlane/internal/config"
 	"foxlane/internal/net"
 	"foxlane/internal/site"
+	"foxlane/internal/syserr"
 )
 
 // gcPercent lets garbage grow to what is in use and no more. Little is kept and little is made, so that
@@ -58,13 +59,10 @@
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			signals := listen() // a SIGHUP before that would end the process
-			cfg, err := config.Load()
+			cfg, err := load(sitePath)
 			if err != nil {
 				return err
 			}
-			if cfg, err = cfg.WithSite(sitePath); err != nil {
-				return err
-			}
 			return serve(cfg, verbose, signals)
 		},
 	}
@@ -73,6 +71,25 @@
 	return cmd
 }
 
+// loadWithin is for how long a start goes on reading its configuration where that fails for a moment.
+const (
+	loadWithin = 3 * time.Second
+	loadPause  = 50 * time.Millisecond
+)
+
+// load reads the configuration and the operator's own file.
+func load(sitePath string) (config.Config, error) {
+	for until := time.Now().Add(loadWithin); ; time.Sleep(loadPause) {
+		cfg, err := config.Load()
+		if err == nil {
+			cfg, err = cfg.WithSite(sitePath)
+		}
+		if err == nil || !syserr.Passing(err) || time.Now().After(until) {
+			return cfg, err
+		}
+	}
+}
+
 // setRuntime fits the runtime to a machine of a part of a core and little memory.
 func setRuntime(l config.Limits) {
 	runtime.GOMAXPROCS(1)
--- a/internal/net/connections.go
+++ b/internal/net/connections.go
@@ -80,7 +80,7 @@
 // A connection that this machine could not make is tried again a few times: what it lacks may be back at once. Who waits
 // for longer could have gone elsewhere.
 const (
-	connectTries = 1
+	connectTries = 4
 	connectPause = 10 * time.Millisecond
 )
 
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -159,7 +159,7 @@
 
 // startWithin is for how long a start goes on trying what fails for a moment.
 const (
-	startWithin = 0
+	startWithin = 5 * time.Second
 	startPause  = 50 * time.Millisecond
 )
 
--- a/internal/net/names.go
+++ b/internal/net/names.go
@@ -50,10 +50,13 @@
 	e.udp, e.former = nil, nil
 }
 
-// query asks the name service.
+// query asks the name service. Where its socket could not be opened the last time, that is tried again first.
 func (e *Edge) query(question []byte) {
 	if e.udp == nil {
-		return // it is asked from a new socket before long
+		if err := e.openUDP(e.namesAt); err != nil {
+			e.log.Warn("name service: no socket to ask from", zap.Error(err))
+			return
+		}
 	}
 	if _, err := e.udp.Write(question); err != nil {
 		e.log.Warn("name service: query not sent", zap.Error(err))
--- a/internal/syserr/syserr.go
+++ b/internal/syserr/syserr.go
@@ -11,7 +11,8 @@
 // local are errors of socket and connect by which this machine says that it lacks something, or has no way out. They say
 // nothing of the other side. Linux documents them in socket(2), connect(2), epoll_ctl(2) and ip(7).
 var local = []syscall.Errno{
-	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC, syscall.EADDRNOTAVAIL,
+	syscall.EADDRINUSE, syscall.EAGAIN, syscall.EINTR, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EPERM, syscall.EACCES,
 }
 
 // passing are errors of calls on files and sockets that may be over a moment later.
--- a/internal/syserr/syserr_test.go
+++ b/internal/syserr/syserr_test.go
@@ -17,6 +17,7 @@
 		err            error
 		local, passing bool
 	}{
+		{wrap(syscall.ENETUNREACH), true, true},
 		{wrap(syscall.EADDRNOTAVAIL), true, true},
 		{wrap(syscall.EMFILE), true, true},
 		{wrap(syscall.ECONNREFUSED), false, false},
