Add failing tests of a gateway's own want, a folder and a voter's disk that fail for a while

Measured: with all dials failing locally for seconds both zones are taken for lost; after one failed creation of a segment no result is kept again though the folder works; one failed sync makes a voter give its batch up for good.

--- /dev/null
+++ b/internal/gateway/ourwant_test.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"errors"
+	"testing"
+
+	"foxlane/internal/zones"
+	"foxlane/rules"
+)
+
+// A gateway that lacks something of its own, so that all its dials fail for seconds, takes no zone for lost and no engine
+// for failing: once it has what it lacked, it serves at once.
+func TestOwnWantLosesNoZone(t *testing.T) {
+	w := newWorldWith(t, 3, 0, planned(t, "sites {\n  settle = \"100ms\"\n}"))
+	w.ownWant = true
+	w.play(6 * rules.Second)
+	for zone, st := range w.g.sites.zones.Status(w.now)[:2] {
+		if st.Losses > 0 || st.State != zones.Present {
+			t.Errorf("zone %d is %v and was lost %d times", zone, st.State, st.Losses)
+		}
+	}
+	if w.wanting == 0 {
+		t.Error("no dial failed: nothing is shown")
+	}
+}
+
+var errOwnWant = errors.New("cannot assign requested address")
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -52,6 +52,8 @@
 	retune  func(*config.Config) // what changes at a reload; nil: nothing
 	records [][]byte             // on the spool's disk
 	said    []string             // to operators' commands
+	ownWant bool                 // dials fail for want of something at the gateway
+	wanting int                  // that did
 }
 
 type happening struct {
@@ -382,6 +384,9 @@
 	}
 	id := f.Conn
 	switch {
+	case w.ownWant:
+		w.wanting++
+		w.after(w.latency(), func() { w.step(Event{Kind: DialFailed, Conn: id, Err: errOwnWant, Ours: true}) })
 	case e == nil || e.down:
 		w.after(w.latency(), func() { w.step(Event{Kind: DialFailed, Conn: id, Err: fmt.Errorf("refused")}) })
 	case e.mute:
--- a/internal/net/moments_test.go
+++ b/internal/net/moments_test.go
@@ -13,7 +13,9 @@
 	"go.uber.org/zap"
 
 	"foxlane/internal/config"
+	"foxlane/internal/directives"
 	"foxlane/internal/gateway"
+	"foxlane/internal/site"
 	"foxlane/rules"
 )
 
@@ -180,3 +182,50 @@
 		t.Errorf("the name service got %q, %v", buf[:n], err)
 	}
 }
+
+// brokenLog is a voter's log that fails for a while.
+type brokenLog struct {
+	failing
+	kept, repaired atomic.Int64
+}
+
+func (l *brokenLog) Keep(directives.Batch) error {
+	if err := l.next(); err != nil {
+		return err
+	}
+	l.kept.Add(1)
+	return nil
+}
+
+func (l *brokenLog) Repair() error { l.repaired.Add(1); return nil }
+func (l *brokenLog) Close()        {}
+
+// A voter whose disk fails for a while goes on once it works again: the batch is kept then, and not told as failed.
+func TestVotersDiskThatFailsForAWhile(t *testing.T) {
+	p := System()
+	log := &brokenLog{failing: failing{err: syscall.EIO}}
+	p.OpenVotes = func(string) (VoterLog, directives.Kept, error) { return log, directives.Kept{}, nil }
+	e := edgeOn(t, p)
+	e.cfg.Site = &site.Site{Members: &site.Members{}, Directives: &site.Directives{Voters: []string{e.cfg.Name}, Folder: t.TempDir()}}
+	if err := e.openVotes(); err != nil {
+		t.Fatal(err)
+	}
+	defer e.closeVotes()
+	log.left.Store(3)
+	e.keep(directives.Batch{})
+	waitFor(t, "the batch to be kept", func() bool {
+		events, _ := e.box.take(nil, nil)
+		for _, ev := range events {
+			if ev.Kind == gateway.KeptIt {
+				if ev.Err != nil {
+					t.Fatalf("told as %v", ev.Err)
+				}
+				return true
+			}
+		}
+		return false
+	})
+	if log.kept.Load() != 1 || log.repaired.Load() != 3 {
+		t.Errorf("kept %d times, repaired %d times", log.kept.Load(), log.repaired.Load())
+	}
+}
--- /dev/null
+++ b/internal/spool/disk/recover_test.go
@@ -0,0 +1,62 @@
+package disk
+
+import (
+	"fmt"
+	"io/fs"
+	"testing"
+
+	"foxlane/internal/spool"
+)
+
+// stuck is a folder on which, for a while, nothing can be written or removed: files are still made.
+type stuck struct {
+	*memory
+	fails bool
+}
+
+func (s *stuck) Open(name string, create bool) (File, error) {
+	if create && s.files[name] != nil {
+		return nil, fmt.Errorf("open %s: %w", name, fs.ErrExist)
+	}
+	if s.fails {
+		s.failWrite = 1
+	}
+	return s.memory.Open(name, create)
+}
+
+func (s *stuck) Remove(name string) error {
+	if s.fails {
+		return errFault
+	}
+	return s.memory.Remove(name)
+}
+
+// When a folder works again on which a segment was left half made, results are kept again, without a new start.
+func TestHalfMadeSegmentIsRemoved(t *testing.T) {
+	folder := &stuck{memory: newMemory(), fails: true}
+	s, _, err := Open(folder, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sealed := func(k int) bool {
+		ok := false
+		for _, d := range s.Commit(writes(k, 2)) {
+			if d.Event.Kind == spool.Synced {
+				ok = !d.Event.Err
+			}
+		}
+		return ok
+	}
+	for k := range 3 {
+		if sealed(k) {
+			t.Fatal("a result counts as kept on a folder that takes no writes")
+		}
+	}
+	folder.fails, folder.failWrite = false, 0
+	if !sealed(4) {
+		t.Error("the folder works again, and results are still not kept")
+	}
+	if _, rec, err := Open(folder, options); err != nil || len(rec.Found) != 1 || len(rec.Lost)+len(rec.Damage) != 0 {
+		t.Errorf("after a start: %+v, %v", rec, err)
+	}
+}
