Blame no engine or zone for a want of our own; let folder and voter's disk work again without a start

Cause: an engine counted as asked, and as faulty, also where no connection could be made for want of something here, so that its zone seemed silent; a probe that could not be made counted as failed. A segment whose creation failed and that could not be removed made every later creation fail with EEXIST. A voter gave up for good at the first failed sync. The end of the process waits 1 s for a disk that hangs.

--- a/internal/directives/wal/wal.go
+++ b/internal/directives/wal/wal.go
@@ -49,6 +49,7 @@
 	folder string
 	file   *os.File
 	lock   *os.File
+	kept   int64 // bytes that are on the disk
 }
 
 // Init makes a folder that of a new voter: only then may it vote without having listened first.
@@ -134,7 +135,7 @@
 				err = l.file.Truncate(int64(end))
 			}
 			if err == nil {
-				_, err = l.file.Seek(int64(end), io.SeekStart)
+				l.kept, err = l.file.Seek(int64(end), io.SeekStart)
 			}
 		}
 	}
@@ -204,7 +205,46 @@
 	return b[0], data, headSize + n
 }
 
-// Keep writes a batch and syncs it. After an error the log must not be used any more: what the disk holds is not known.
+// Repair makes the log usable after Keep has failed: what was written since the last time that it had not is cut off, so
+// that the batch can be kept again, whole. A sync that failed may have left its bytes in memory alone, marked as written:
+// they are written anew.
+func (l *Log) Repair() error {
+	path := filepath.Join(l.folder, fileName)
+	f, err := os.OpenFile(path, os.O_RDWR, 0o600)
+	if err != nil {
+		return fmt.Errorf("wal: %w", err)
+	}
+	if err = l.follow(f); err == nil {
+		if err = f.Truncate(l.kept); err == nil {
+			_, err = f.Seek(l.kept, io.SeekStart)
+		}
+	}
+	if err != nil {
+		f.Close()
+		return fmt.Errorf("wal: %w", err)
+	}
+	if l.file != nil {
+		l.file.Close()
+	}
+	l.file = f
+	return nil
+}
+
+// follow takes notice of a snapshot's file that has taken the old one's place, though that could not be told: it was
+// synced before, so that all of it is kept.
+func (l *Log) follow(f *os.File) error {
+	now, err := f.Stat()
+	if err != nil || l.file == nil {
+		return err
+	}
+	before, err := l.file.Stat()
+	if err == nil && !os.SameFile(before, now) {
+		l.kept = now.Size()
+	}
+	return err
+}
+
+// Keep writes a batch and syncs it. After an error what the disk holds is not known: Repair comes before the next call.
 func (l *Log) Keep(b directives.Batch) error {
 	var out []byte
 	add := func(kind byte, m proto.Message) error {
@@ -239,7 +279,7 @@
 		}
 		l.file.Close()
 		l.file = f
-		_, err = f.Seek(0, io.SeekEnd)
+		l.kept, err = f.Seek(0, io.SeekEnd)
 		return err
 	}
 	if _, err := l.file.Write(out); err != nil {
@@ -248,6 +288,7 @@
 	if err := l.file.Sync(); err != nil {
 		return fmt.Errorf("wal: %w", err)
 	}
+	l.kept += int64(len(out))
 	return nil
 }
 
--- a/internal/directives/wal/wal_test.go
+++ b/internal/directives/wal/wal_test.go
@@ -141,3 +141,62 @@
 	}
 	l.lock.Close()
 }
+
+// After a write that failed half way, and after a snapshot's file took the old one's place unnoticed, the log is repaired:
+// what was kept before is there, what failed is kept when it is given again, and nothing else is.
+func TestRepair(t *testing.T) {
+	folder := t.TempDir()
+	if err := Init(folder); err != nil {
+		t.Fatal(err)
+	}
+	l, _, err := Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keep := func(b directives.Batch) {
+		t.Helper()
+		if err := l.Keep(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	keep(directives.Batch{Entries: []*pb.Entry{entry(2, 2, "a")}})
+	whole := l.file
+	if l.file, err = os.Open(filepath.Join(folder, fileName)); err != nil { // takes no writes
+		t.Fatal(err)
+	}
+	if _, err := whole.Write([]byte("half a record")); err != nil {
+		t.Fatal(err)
+	}
+	b := directives.Batch{Entries: []*pb.Entry{entry(3, 2, "b")}}
+	if l.Keep(b) == nil {
+		t.Fatal("kept on a file that takes no writes")
+	}
+	if err := l.Repair(); err != nil {
+		t.Fatal(err)
+	}
+	keep(b)
+	snap := &pb.Snapshot{Data: []byte("book"), Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(3), Term: proto.Uint64(2)}}
+	if err := write(folder, append(append([]byte(magic), record(recordBorn, nil)...), encoded(t, snap)...)); err != nil { // and the rest of Keep failed
+		t.Fatal(err)
+	}
+	if err := l.Repair(); err != nil {
+		t.Fatal(err)
+	}
+	keep(directives.Batch{Entries: []*pb.Entry{entry(4, 2, "c")}})
+	whole.Close()
+	l.Close()
+	l, kept, err := Open(folder)
+	if err != nil || string(kept.Snap.GetData()) != "book" || !reflect.DeepEqual(texts(kept), []string{"c"}) {
+		t.Fatalf("%v, %v, %v", err, kept.Snap, texts(kept))
+	}
+	l.Close()
+}
+
+func encoded(t *testing.T, snap *pb.Snapshot) []byte {
+	t.Helper()
+	raw, err := proto.Marshal(snap)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record(recordSnap, raw)
+}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -37,6 +37,7 @@
 	tag    string
 	at     rules.Time
 	doubt  bool // others say that the engine fails
+	ours   bool // it could not be made, for want of something here
 	done   bool
 }
 
@@ -115,7 +116,8 @@
 	switch {
 	case a.link == nil:
 		g.log(Warn, "engine: no connection left", Attr{"engine", a.engine.entry.ID})
-		a.spoilt = true // our want, not the engine's
+		a.spoilt, a.ours = true, true
+		a.engine.notAsked()
 		g.conclude(a, rules.VerdictConnectFailed)
 	case a.link.up:
 		g.ask(a)
@@ -201,6 +203,7 @@
 // What was written beyond the bytes that the system has taken never came whole to the engine: it did not run.
 func (g *Gateway) dropLink(l *link, err error, taken int64, spoilt bool) {
 	g.removeLink(l)
+	ours := spoilt && !l.up // it was never made, for want of something here
 	if l.load() > 0 {
 		text := ""
 		if err != nil {
@@ -214,7 +217,7 @@
 		verdict = rules.VerdictReset
 	}
 	for _, a := range slices.Clone(l.waiting) {
-		a.spoilt = spoilt
+		a.spoilt, a.ours = spoilt, ours
 		g.conclude(a, rules.VerdictConnectFailed)
 	}
 	e := l.engine
@@ -235,11 +238,20 @@
 			g.part(a, rules.VerdictReset)
 		}
 	}
+	if ours {
+		l.engine.notAsked()
+	}
 	for _, p := range l.probes {
+		if p.ours = ours; ours {
+			verdict = rules.VerdictMoot
+		}
 		g.endProbe(p, verdict, nil)
 	}
 }
 
+// notAsked takes back that an engine was asked for something: it never heard of it, so that its silence tells nothing.
+func (e *engineState) notAsked() { e.asked = min(e.asked, e.heard) }
+
 // retireLinks: the process behind them is another one now, or has gone. What waits for a dial to where it was must
 // not be written there, since somebody else may have the address: it is returned, to be concluded once the module
 // knows of the list.
@@ -355,6 +367,7 @@
 	g.lastTag++
 	p := &probe{engine: e, doubt: doubt, tag: "p" + strconv.FormatUint(g.lastTag, 10), at: g.now, link: g.linkFor(e, nil)}
 	if p.link == nil || e.state == rules.EngineGone {
+		p.ours = p.link == nil
 		g.endProbe(p, rules.VerdictConnectFailed, nil)
 		return
 	}
@@ -372,10 +385,12 @@
 		return
 	}
 	p.done = true
-	g.looked(p.engine, v == rules.VerdictOK)
+	if !p.ours {
+		g.looked(p.engine, v == rules.VerdictOK)
+	}
 	if p.link != nil {
 		delete(p.link.probes, p.tag)
 		g.maybeShut(p.link)
 	}
-	g.tell(rules.ProbeResult{Engine: p.engine.id, Doubted: p.doubt, Verdict: v, Latency: g.now - p.at, Load: engine.ParseReport(report)})
+	g.tell(rules.ProbeResult{Engine: p.engine.id, Doubted: p.doubt && !p.ours, Verdict: v, Latency: g.now - p.at, Load: engine.ParseReport(report)})
 }
--- a/internal/gateway/ourwant_test.go
+++ b/internal/gateway/ourwant_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 
+	"foxlane/internal/config"
 	"foxlane/internal/zones"
 	"foxlane/rules"
 )
@@ -24,4 +25,21 @@
 	}
 }
 
+// A probe that could not be made for want of something here is no word of the engine, even where others doubt it.
+func TestOwnWantIsNoAnswerToAProbe(t *testing.T) {
+	w := newWorldWith(t, 4, 0, func(c *config.Config) {})
+	e := w.g.order[0]
+	w.ownWant = true
+	for range 20 {
+		w.g.probeFor(e.id, true)
+		w.carryOut()
+		w.run(w.now + 100*rules.Millisecond)
+	}
+	for _, b := range w.g.module.Beliefs() {
+		if b.Engine == e.id && b.LeftOut {
+			t.Error("an engine that was never reached is left out")
+		}
+	}
+}
+
 var errOwnWant = errors.New("cannot assign requested address")
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -51,6 +51,7 @@
 	done     bool
 	parting  bool       // ended by us or by its connection: its engine may not have heard of that yet
 	spoilt   bool       // how it ends says nothing of its engine
+	ours     bool       // it had no connection for want of something here
 	at       rules.Time // when the module sent it
 	deadline rules.Time
 	priority int
@@ -337,7 +338,7 @@
 	if a.sent {
 		g.atGate(door.Event{Kind: door.Spent, Slot: r.slot, Took: a.took})
 	}
-	if a.engine != nil && v != rules.VerdictOK && v != rules.VerdictMoot {
+	if a.engine != nil && v != rules.VerdictOK && v != rules.VerdictMoot && !a.ours {
 		a.engine.fault = g.now
 	}
 	o := rules.Outcome{ID: r.id, Attempt: a.index, Engine: 0, Verdict: v, Latency: a.took, Closed: r.answered || r.keep.closed, Spoilt: a.spoilt}
--- a/internal/net/platform.go
+++ b/internal/net/platform.go
@@ -32,6 +32,7 @@
 // VoterLog keeps what a voter on directives has promised.
 type VoterLog interface {
 	Keep(batch directives.Batch) error
+	Repair() error // after Keep has failed, ahead of the next call
 	Close()
 }
 
--- a/internal/net/shelf.go
+++ b/internal/net/shelf.go
@@ -73,10 +73,14 @@
 	if e.shelf == nil {
 		return
 	}
-	if err := e.shelf.runner.Close(); err != nil {
-		e.log.Warn("spool: not closed in order", zap.Error(err))
+	if !within(diskCloses, func() {
+		if err := e.shelf.runner.Close(); err != nil {
+			e.log.Warn("spool: not closed in order", zap.Error(err))
+		}
+		e.shelf.folder.Close()
+	}) {
+		e.log.Warn("spool: the disk hangs, left as it is")
 	}
-	e.shelf.folder.Close()
 }
 
 // toShelf hands an effect to the disk. What it can't take is answered as failed, for the reducer to see.
--- a/internal/net/talk.go
+++ b/internal/net/talk.go
@@ -57,7 +57,7 @@
 	kept := v.kept
 	v.wg.Go(func() {
 		for b := range v.in {
-			e.box.put(gateway.Event{Kind: gateway.KeptIt, Err: v.log.Keep(b)})
+			e.box.put(gateway.Event{Kind: gateway.KeptIt, Err: e.keepAgain(v.log, b)})
 		}
 	})
 	e.votes = v
@@ -65,11 +65,57 @@
 	return nil
 }
 
+// keepPause is how long a disk that failed is left alone.
+const keepPause = 100 * time.Millisecond
+
+// keepAgain keeps a batch, and tries again where that fails, until it is kept or the process ends. Nothing is said
+// that rests on it meanwhile: a voter whose disk fails is one that is slow.
+func (e *Edge) keepAgain(l VoterLog, b directives.Batch) error {
+	for failed := false; ; failed = true {
+		err := l.Keep(b)
+		if err == nil {
+			if failed {
+				e.log.Info("directives: the voter's disk works again")
+			}
+			return nil
+		}
+		e.log.Warn("directives: the voter's disk fails", zap.Error(err))
+		for {
+			if !sleep(e.over, keepPause) {
+				return err
+			}
+			if err = l.Repair(); err == nil {
+				break
+			}
+			e.log.Warn("directives: the voter's log can't be repaired yet", zap.Error(err))
+		}
+	}
+}
+
 func (e *Edge) closeVotes() {
-	if v := e.votes; v != nil {
-		close(v.in)
-		v.wg.Wait()
-		v.log.Close()
+	v := e.votes
+	if v == nil {
+		return
+	}
+	e.finish()
+	close(v.in)
+	if !within(diskCloses, func() { v.wg.Wait(); v.log.Close() }) {
+		e.log.Warn("directives: the voter's disk hangs, left as it is")
+	}
+}
+
+// diskCloses is how long the end of the process waits for a disk: what was acknowledged is on it.
+const diskCloses = time.Second
+
+// within answers whether a call has come back in time. It goes on by itself if not.
+func within(d time.Duration, call func()) bool {
+	done := make(chan struct{})
+	go func() { defer close(done); call() }()
+	select {
+	case <-done:
+		return true
+	case <-time.After(d):
+		return false
 	}
 }
 
--- a/internal/spool/disk/disk.go
+++ b/internal/spool/disk/disk.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"slices"
 	"strconv"
 	"strings"
@@ -81,6 +82,7 @@
 	segs    []*seg // oldest first; the last one is written to
 	entries map[spool.ID]*entry
 	buf     []byte
+	partial string // a segment that could not be made, and not be removed either; empty: none
 	bad     []Done // what a failed sync made unknown, not yet told
 }
 
@@ -437,6 +439,9 @@
 		}
 		next = g.number + 1
 	}
+	if err := s.removePartial(); err != nil {
+		return nil, err
+	}
 	f, err := s.fs.Open(segName(next), true)
 	if err != nil {
 		return nil, fmt.Errorf("disk: %w", err)
@@ -450,7 +455,8 @@
 	}
 	if err != nil {
 		f.Close()
-		_ = s.fs.Remove(segName(next))
+		s.partial = segName(next)
+		_ = s.removePartial() // else the next call does
 		return nil, fmt.Errorf("disk: %s: %w", segName(next), err)
 	}
 	g.size, g.synced = int64(len(head)), int64(len(head))
@@ -458,6 +464,18 @@
 	return g, nil
 }
 
+// removePartial removes a segment that could not be made: its name is wanted again.
+func (s *Store) removePartial() error {
+	if s.partial == "" {
+		return nil
+	}
+	if err := s.fs.Remove(s.partial); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("disk: %s: %w", s.partial, err)
+	}
+	s.partial = ""
+	return nil
+}
+
 // sync makes all that was written last. Where that fails, what was written since the last time is unknown:
 // it is cut off, and nothing more is written to that segment.
 func (s *Store) sync() error {
