--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,9 @@
 	// them has never left, whatever broke.
 	Taken int64
 
+	// With Datagram and Reload: by how much the wall clock is ahead of the time of events, since it was stepped.
+	Skew rules.Time
+
 	Config *config.Config   // with Reload: what holds from now on
 	Spool  []spool.Event    // with Shelved
 	Peer   *PeerEvent       // with Peer; Data is what a member said
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -163,7 +163,7 @@
 				return
 			}
 			if k := w.connect(nil); !k.dead && !r.over && c.request == r { // neither was turned away for the other
-				r.killed, r.over = true, true
+				r.killed, r.over, r.gone = true, true, w.now
 				w.step(Event{Kind: Data, Conn: k.id, Data: query(fmt.Sprintf("KILL QUERY %d", c.session))})
 			}
 			w.after(500*rules.Millisecond, func() {
--- /dev/null
+++ b/internal/gateway/stall_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"foxlane/rules"
+)
+
+// A process that is stopped for a while, or starved, finds its timers due before it has read what came meanwhile: clients
+// that have gone, queries that were killed. Nothing of these is sent to an engine behind that.
+func TestNothingIsSentForWhoLeftDuringAStall(t *testing.T) {
+	gone := 0
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			w := newWorld(t, seed, 0)
+			for at := 500 * rules.Millisecond; at < 6*rules.Second; at += 1500 * rules.Millisecond {
+				w.after(at, func() { w.stop(600 * rules.Millisecond) })
+				w.after(at+100*rules.Millisecond, func() {
+					for _, r := range w.taken {
+						if !r.over {
+							w.giveUp(r)
+							gone++
+						}
+					}
+				})
+			}
+			w.play(6 * rules.Second)
+			for _, b := range w.broken {
+				if strings.Contains(b, "had gone") || strings.HasPrefix(b, "rule 2") {
+					t.Error(b)
+				}
+			}
+		})
+	}
+	if gone < 100 {
+		t.Errorf("only %d clients have gone: the test has lost its subject", gone)
+	}
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -54,6 +54,8 @@
 	said    []string             // to operators' commands
 	ownWant bool                 // dials fail for want of something at the gateway
 	wanting int                  // that did
+	thaw    rules.Time           // until when the gateway's process is stopped
+	skew    rules.Time           // by how much the wall clock was stepped
 }
 
 type happening struct {
@@ -121,7 +123,8 @@
 	attempts []*wattempt
 	answers  int
 	killed   bool
-	left     bool // the client closed its connection
+	left     bool       // the client closed its connection
+	gone     rules.Time // when it did, or killed its query; 0: it has not
 	over     bool
 	freeAt   rules.Time // its key rests until then
 }
@@ -224,13 +227,27 @@
 	if w.exited {
 		return
 	}
+	if w.now < w.thaw { // it waits in the system, and is read a moment after the process goes on
+		e.Data = bytes.Clone(e.Data)
+		w.after(w.thaw-w.now+readAfterStop, func() { w.step(e) })
+		return
+	}
 	if e.Kind == Accepted && w.from != nil {
 		e.From = w.from()
 	}
+	if e.Kind == Datagram || e.Kind == Reload {
+		e.Skew = w.skew
+	}
 	w.g.Step(w.now, e)
 	w.carryOut()
 }
 
+// readAfterStop is how long the process goes on before it has read what came while it was stopped: its timers are first.
+const readAfterStop = 500
+
+// stop stops the gateway's process for a while.
+func (w *world) stop(d rules.Time) { w.thaw = w.now + d }
+
 // run plays until then.
 func (w *world) run(until rules.Time) {
 	for !w.exited {
@@ -238,6 +255,9 @@
 		if len(w.queue) > 0 {
 			at = min(at, w.queue[0].at)
 		}
+		if w.wake != 0 {
+			w.wake = max(w.wake, w.thaw)
+		}
 		if w.wake != 0 && w.wake <= at {
 			w.now, w.wake = max(w.now, w.wake), 0
 			w.step(Event{Kind: Wake})
@@ -477,6 +497,9 @@
 	})
 }
 
+// goneFor is how long an attempt may begin after its client has gone, with the way to the engine.
+const goneFor = 100*rules.Millisecond + 5*rules.Millisecond
+
 func (w *world) ask(c *wconn, id, fields, statement string) {
 	r, e := w.reqs[id], c.engine
 	if r == nil {
@@ -486,6 +509,9 @@
 		w.t.Fatalf("request %s reached the engine as %s %q", id, fields, statement)
 	}
 	w.judgeSend(r, e)
+	if r.gone != 0 && w.now > r.gone+goneFor {
+		w.breach(1, "%s came to an engine %d ms after its client had gone", r.id, (w.now-r.gone)/rules.Millisecond)
+	}
 	if r.client == nil || r.client.bad {
 		w.t.Fatalf("engine was asked for %s of a bad client", id)
 	}
@@ -571,7 +597,7 @@
 	}
 	if r := c.request; c.client && r != nil && !r.over {
 		if byPeer {
-			r.left, r.over = true, true
+			r.left, r.over, r.gone = true, true, w.now
 		} else if !r.killed {
 			w.breach(1, "the connection of %s ended with no answer", r.id)
 		}
