Send nothing behind a stall before what came was read; read start stamps across clock steps

Cause: behind a stop of the process the reducer's timers are due before the poller has read the sockets, so that the module sent for clients whose end or KILL waited there. An engine's start, stamped by the wall clock, was compared with time that a step does not move. In rules/ a request without an estimate is predicted to take its class's whole aim, and a class without late value refused it before any engine was looked at. Change: timers that are 30 ms late mark a stall; for 15 ms attempts wait on their connections and are looked at again as on one that comes up late. internal/wallclock reads a stamp by every step that was noticed and takes the latest time that is not in the future. Such a request is tried at once and judged a tick later. One test of the reducer moved its clock by 240 ms without a timer to mean a slow connection; it now says that no timer is late.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -61,6 +61,8 @@
 	LogBytes    int        // of lines that wait for whoever reads the log
 	Mailbox     int        // bytes that wait for the reducer before reading stops
 	Arena       int        // of these, the room kept for the next turn
+	StallFrom   rules.Time // how late the reducer's timers are behind a stall of the process
+	SettleFor   rules.Time // and how long what came meanwhile is read until anything is sent
 	Turn        rules.Time // least time between two turns of the reducer
 	StatsEvery  rules.Time // between lines that count what was done
 	Sweep       rules.Time // how often connections are looked over
@@ -127,6 +129,8 @@
 		LogBytes:    int(memory / 256),
 		Mailbox:     int(min(memory/32, mb)), // what one turn of the reducer works off
 		Arena:       int(memory / 256),
+		StallFrom:   30 * rules.Millisecond,
+		SettleFor:   15 * rules.Millisecond,
 		Turn:        2 * rules.Millisecond,
 		StatsEvery:  10 * rules.Second,
 		Sweep:       200 * rules.Millisecond,
--- a/internal/gateway/crossings_test.go
+++ b/internal/gateway/crossings_test.go
@@ -627,6 +627,7 @@
 	start := func(timeout int, took rules.Time) *crossing {
 		x := newCrossing(t, "point")
 		x.step(Data, 1, string(query(fmt.Sprintf("/* kind=point,req=%s,timeout=%d,ms=5 */ SELECT 1 FROM sales_1.x", idA, timeout))))
+		x.g.armed = x.now + took // the process does not stand still: no timer is late
 		x.now += took
 		x.step(Connected, x.link(), "")
 		x.g.act(rules.Cancel{ID: idA, Attempt: 0})
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -21,6 +21,7 @@
 	id    rules.EngineID
 	entry config.Engine
 	state rules.EngineState
+	began rules.Time // when it started, in our time; 0: long ago
 	links []*link
 	heard rules.Time // when something was last read from it
 	asked rules.Time // when a request was last sent to it, or would have been had it let us connect
@@ -46,6 +47,9 @@
 		if e.entry.Addr != entry.Addr || e.entry.Started != entry.Started || e.state == rules.EngineGone {
 			stale = append(stale, g.retireLinks(e)...) // another process, perhaps on another machine
 		}
+		if e.entry.Started != entry.Started {
+			e.began = g.beganAt(entry)
+		}
 		e.entry, e.state, e.ordered = entry, rules.EngineServing, g.drainsEngine(entry.ID)
 		if entry.State == config.StateLeaving {
 			e.state = rules.EngineDraining
@@ -94,6 +98,14 @@
 	}
 }
 
+// beganAt is when an engine started, in our time.
+func (g *Gateway) beganAt(entry config.Engine) rules.Time {
+	if entry.Started == 0 {
+		return 0
+	}
+	return g.steps.Began(rules.Time(entry.Started)*rules.Millisecond, g.now)
+}
+
 func (g *Gateway) translate(e *engineState) rules.Engine {
 	state := e.state
 	if e.ordered && state == rules.EngineServing {
@@ -104,7 +116,7 @@
 		Cell:      e.entry.Cell,
 		Zone:      indexOf(g.cfg.Settings.ZoneNames, e.entry.Zone),
 		Kind:      indexOf(g.cfg.Settings.KindNames, e.entry.Kind),
-		StartedAt: rules.Time(e.entry.Started) * rules.Millisecond,
+		StartedAt: e.began,
 		State:     state,
 		Scale:     e.entry.Weight,
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"foxlane/internal/dns"
 	"foxlane/internal/door"
 	"foxlane/internal/spool"
+	"foxlane/internal/wallclock"
 	"foxlane/internal/zones"
 	"foxlane/rules"
 )
@@ -167,6 +168,8 @@
 	asked    [128]uint16 // ids of the latest queries
 	askedNum int
 	source   source // of the list: the name service
+	steps    wallclock.Steps
+	settled  rules.Time // until then nothing is sent to engines: what came during a stall is read first
 
 	shelf  *shelf              // nil: no spool is set, results are passed on at once
 	gate   *gate               // nil: the door is off, all requests go to the module at once
@@ -236,6 +239,7 @@
 // Step takes one event.
 func (g *Gateway) Step(now rules.Time, e Event) {
 	g.now = max(g.now, now)
+	g.noteStall()
 	switch e.Kind {
 	case Accepted:
 		g.accept(e.Conn, e.From)
@@ -260,12 +264,14 @@
 			g.dropLink(l, e.Err, 0, e.Ours)
 		}
 	case Datagram:
+		g.steps.Note(e.Skew)
 		g.datagram(e.Data)
 	case Wake:
 		g.ring()
 	case Terminate:
 		g.stop()
 	case Reload:
+		g.steps.Note(e.Skew)
 		g.reload(e.Config)
 	case Shelved:
 		g.shelved(e.Spool)
@@ -378,6 +384,7 @@
 	timerParted
 	timerPeers
 	timerOrders
+	timerSettled
 )
 
 type timer struct {
@@ -472,6 +479,8 @@
 			g.logStats()
 		case timerKept: // whole at the engine, and not yet on the disk
 			g.fail(t.request)
+		case timerSettled:
+			g.askWaiting()
 		case timerWhole:
 			g.checkWhole(t.link)
 		}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -119,7 +119,7 @@
 		a.spoilt, a.ours = true, true
 		a.engine.notAsked()
 		g.conclude(a, rules.VerdictConnectFailed)
-	case a.link.up:
+	case a.link.up && g.now >= g.settled:
 		g.ask(a)
 	default:
 		a.link.waiting = append(a.link.waiting, a)
@@ -139,10 +139,20 @@
 	g.touch(&l.pipe)
 }
 
-// linkUp writes what has waited for the connection. The list may have changed meanwhile, and what has waited for
-// longer than a dial may take is older than the module reckons with: the window for its repeat may be over.
+// linkUp writes what has waited for the connection.
 func (g *Gateway) linkUp(l *link) {
 	l.up, l.used, l.took = true, g.now, g.now-l.dialled
+	g.askAll(l)
+	for _, p := range l.probes {
+		l.out = engine.AppendInfo(l.out, p.tag)
+		g.touch(&l.pipe)
+	}
+	g.maybeShut(l)
+}
+
+// askAll writes what has waited on a connection that is up. The list may have changed meanwhile, and what has waited for
+// longer than a dial may take is older than the module reckons with: the window for its repeat may be over.
+func (g *Gateway) askAll(l *link) {
 	waiting := l.waiting
 	l.waiting = nil
 	for _, a := range waiting {
@@ -150,15 +160,12 @@
 		case a.done:
 		case a.request.answered || l.engine.state != rules.EngineServing || g.now-a.at > g.lim.Connect:
 			g.conclude(a, rules.VerdictMoot)
+		case g.now < g.settled:
+			l.waiting = append(l.waiting, a)
 		default:
 			g.ask(a)
 		}
 	}
-	for _, p := range l.probes {
-		l.out = engine.AppendInfo(l.out, p.tag)
-		g.touch(&l.pipe)
-	}
-	g.maybeShut(l)
 }
 
 // leave takes an attempt off its connection.
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -345,7 +345,7 @@
 		case x := <-reading.read:
 			if e.endReload(&reading, x) {
 				e.cfg = x.cfg
-				g.Step(e.now(), gateway.Event{Kind: gateway.Reload, Config: &x.cfg})
+				g.Step(e.now(), gateway.Event{Kind: gateway.Reload, Config: &x.cfg, Skew: e.clock.skew()})
 			}
 		}
 		if rest := turns.rest(e.now()); rest > 0 {
--- a/internal/net/names.go
+++ b/internal/net/names.go
@@ -70,7 +70,7 @@
 		n, err := udp.Read(buf)
 		switch {
 		case err == nil:
-			e.box.put(gateway.Event{Kind: gateway.Datagram, Data: buf[:n]})
+			e.box.put(gateway.Event{Kind: gateway.Datagram, Data: buf[:n], Skew: e.clock.skew()})
 		case errors.Is(err, stdnet.ErrClosed):
 			return
 		default: // refused, for now
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -217,6 +217,10 @@
 		m.wake(r, turn)
 		return
 	}
+	if r.class.LateValue <= 0 && m.now == r.arrived+r.Held { // what it will take is a guess: engines that are idle are tried first
+		m.wake(r, m.now+m.s.Tick)
+		return
+	}
 	if r.class.LateValue <= 0 {
 		m.finish(r)
 		return
