Check each send, repeat, answer, close and start at run time; name every reason; follow a request

internal/guard holds sixteen invariants, pure; the reducer shows it each step at the one place through which it goes. What breaks one is counted by name, logged once with the request's id, and never stopped. The tests of the reducer fail at a count above 0. Where that is off nothing is built for it.

--- a/cmd/foxlane/main.go
+++ b/cmd/foxlane/main.go
@@ -109,6 +109,7 @@
 
 func serve(cfg config.Config, verbose bool, signals net.Signals) error {
 	setRuntime(cfg.Limits)
+	cfg.Trace = verbose
 	lines := asynclog.New(os.Stderr, cfg.Limits.LogBytes, lostLines)
 	defer lines.Close(logCloses)
 	return net.Run(cfg, newLog(lines, verbose), signals)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,6 +36,7 @@
 	Limits   Limits
 	SitePath string     // of the operator's own file; empty: none
 	Site     *site.Site // nil: none
+	Trace    bool       // the life of each request goes to the log; set by who starts the gateway
 	Entropy  [32]byte   // of the system, for what nobody may guess; set by who starts the gateway
 }
 
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -50,6 +50,7 @@
 	if g.stopped || g.gate == nil && len(g.clients) >= g.lim.Clients && !g.giveWay() {
 		g.log(Warn, "client: too many connections", Attr{"clients", len(g.clients)}, Attr{"stopped", g.stopped})
 		c.out = mysql.AppendErr(nil, 0, mysql.CodeTooMany, "Too many connections")
+		g.noteClose(c, CloseTooMany)
 		g.shut(&c.pipe)
 		return
 	}
@@ -77,9 +78,9 @@
 // otherwise turn everybody else away.
 func (g *Gateway) giveWay() bool {
 	if e := g.fresh.Front(); e != nil {
-		g.turnOut(e.Value.(*client), "no room for a connection that asks for nothing")
+		g.turnOut(e.Value.(*client), CloseNoRoom, "no room for a connection that asks for nothing")
 	} else if e := g.idle.Front(); e != nil {
-		g.closeClient(e.Value.(*client))
+		g.closeClient(e.Value.(*client), CloseNoRoom)
 	} else {
 		return false
 	}
@@ -88,7 +89,7 @@
 
 // turnOut closes a connection on which nothing was asked, with the refusal that its client may be
 // about to read as the answer to its login or its first command.
-func (g *Gateway) turnOut(c *client, why string) {
+func (g *Gateway) turnOut(c *client, reason CloseReason, why string) {
 	seq := byte(1)
 	switch {
 	case !c.greeted:
@@ -98,7 +99,7 @@
 	}
 	g.log(Info, "client: turned out", Attr{"session", c.session}, Attr{"login", c.login}, Attr{"why", why})
 	c.out = mysql.AppendErr(c.out, seq, mysql.CodeTooMany, why)
-	g.closeClient(c)
+	g.closeClient(c, reason)
 }
 
 // unlist takes a session off the lists of those that wait for their client.
@@ -125,11 +126,22 @@
 	g.leaveGate(c)
 }
 
-func (g *Gateway) closeClient(c *client) {
+// closeClient is the one way in which we close a client's connection.
+func (g *Gateway) closeClient(c *client, why CloseReason) {
+	g.guardClose(c, why)
+	g.noteClose(c, why)
 	g.shut(&c.pipe)
 	g.dropClient(c)
 }
 
+// noteClose counts the end of a client's connection by its reason.
+func (g *Gateway) noteClose(c *client, why CloseReason) {
+	g.closed[why]++
+	if g.cfg.Trace {
+		g.traceClose(c, why)
+	}
+}
+
 // clientIdle notes that a session has no request, and closes the longest idle
 // ones where there are too many.
 func (g *Gateway) clientIdle(c *client) {
@@ -147,7 +159,7 @@
 		g.idle.MoveToBack(c.idle)
 	}
 	for g.idle.Len() > g.lim.ClientShare {
-		g.closeClient(g.idle.Front().Value.(*client))
+		g.closeClient(g.idle.Front().Value.(*client), CloseIdleShare)
 	}
 }
 
@@ -159,19 +171,19 @@
 		if g.now-c.seen < g.lim.LoginWithin {
 			break
 		}
-		g.turnOut(c, "nothing was asked in time")
+		g.turnOut(c, CloseNothingAsked, "nothing was asked in time")
 	}
 	for e := g.idle.Front(); e != nil; e = g.idle.Front() {
 		c := e.Value.(*client)
 		if g.now-c.seen < g.lim.IdleFor {
 			break
 		}
-		g.closeClient(c)
+		g.closeClient(c, CloseIdle)
 	}
 	for _, c := range g.clients {
 		switch {
 		case c.killed && g.now-c.seen >= g.lim.LoginWithin:
-			g.closeClient(c)
+			g.closeClient(c, CloseKilledQuery)
 		case c.partial > 0 && g.now-c.began >= g.lim.LoginWithin:
 			g.breach(c, 1, &mysql.Error{Code: mysql.CodeOutOfOrder, Text: "a packet never ends"})
 		}
@@ -254,7 +266,7 @@
 	if c.request == nil && !c.killed && c.reading == nil {
 		c.out = mysql.AppendErr(c.out, seq, code, err.Error())
 	}
-	g.closeClient(c)
+	g.closeClient(c, CloseProtocol)
 }
 
 func (g *Gateway) clientLogin(c *client, payload []byte, seq byte) {
@@ -293,7 +305,7 @@
 	c.asked++
 	switch com := mysql.Command(payload[0]); com {
 	case mysql.ComQuit:
-		g.closeClient(c)
+		g.closeClient(c, CloseQuit)
 		return
 	case mysql.ComQuery:
 		g.statement(c, payload[1:])
@@ -376,12 +388,12 @@
 	g.answerOK(c)
 	late := c.asked == 1 && target.answered >= c.opened
 	if !query {
-		g.closeClient(target)
+		g.closeClient(target, CloseKilled)
 	} else if r := target.request; r != nil && !late {
 		target.killed, target.seen = true, g.now
 		g.abandon(r)
 	} else if target.reading != nil && !late { // nothing more of the answer
 		target.out = nil
-		g.closeClient(target)
+		g.closeClient(target, CloseKilledQuery)
 	}
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"foxlane/internal/config"
+	"foxlane/internal/window"
 	"foxlane/rules"
 )
 
@@ -18,17 +19,19 @@
 )
 
 type engineState struct {
-	id    rules.EngineID
-	entry config.Engine
-	state rules.EngineState
-	began rules.Time // when it started, in our time; 0: long ago
-	links []*link
-	heard rules.Time // when something was last read from it
-	asked rules.Time // when a request was last sent to it, or would have been had it let us connect
-	good  rules.Time // when it last served something
-	fault rules.Time // when an attempt there last ended otherwise, and was not moot
-	erred rules.Time // when it last answered an error
-	broke rules.Time // when a connection with requests last broke
+	id       rules.EngineID
+	entry    config.Engine
+	state    rules.EngineState
+	told     rules.Time  // when we were told of its present state
+	coldSent *window.Sum // what we have sent it, while it is cold
+	began    rules.Time  // when it started, in our time; 0: long ago
+	links    []*link
+	heard    rules.Time // when something was last read from it
+	asked    rules.Time // when a request was last sent to it, or would have been had it let us connect
+	good     rules.Time // when it last served something
+	fault    rules.Time // when an attempt there last ended otherwise, and was not moot
+	erred    rules.Time // when it last answered an error
+	broke    rules.Time // when a connection with requests last broke
 
 	ordered bool // the operators' directives drain it
 }
@@ -50,15 +53,19 @@
 		if e.entry.Started != entry.Started {
 			e.began = g.beganAt(entry)
 		}
+		before := e.state
 		e.entry, e.state, e.ordered = entry, rules.EngineServing, g.drainsEngine(entry.ID)
 		if entry.State == config.StateLeaving {
 			e.state = rules.EngineDraining
 		}
+		if e.state != before {
+			e.told = g.now
+		}
 		news = append(news, g.translate(e))
 	}
 	for _, e := range g.order {
 		if !listed[e.id] && e.state != rules.EngineGone {
-			e.state = rules.EngineGone
+			e.state, e.told = rules.EngineGone, g.now
 			stale = append(stale, g.retireLinks(e)...)
 			news = append(news, g.translate(e))
 		}
--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -116,6 +116,7 @@
 		g.pass(a.asks.all[f.Slot], f.After)
 	case door.Refuse:
 		if r := a.asks.all[f.Slot]; !r.answered {
+			r.why = EndAdmission
 			g.turnAway(r, f.After)
 		}
 	case door.Evict:
@@ -138,11 +139,11 @@
 		why = fmt.Sprintf("%s; holdoff=%d", why, int64(f.After/rules.Millisecond))
 	}
 	if c.fresh != nil {
-		g.turnOut(c, why)
+		g.turnOut(c, CloseAdmission, why)
 		return
 	}
 	g.log(Info, "client: gave way", Attr{"session", c.session}, Attr{"why", f.Why.String()})
-	g.closeClient(c)
+	g.closeClient(c, CloseAdmission)
 }
 
 // enterGate takes a connection to the door. It answers whether it may stay.
@@ -164,6 +165,9 @@
 	if g.cfg.Settings.Rules.Classes[r.class].Ordered {
 		key = q.OrderKey
 	}
+	if g.cfg.Trace {
+		g.traceQueued(r, "admission")
+	}
 	g.atGate(door.Event{Kind: door.Asked, Slot: r.slot, Conn: r.client.slot, Ask: door.Ask{
 		Class: r.class, Tenant: tenant, Key: key, Due: q.Due, Work: q.Work, Bytes: len(r.statement),
 	}})
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -19,8 +19,9 @@
 	engine  *engineState
 	dec     engine.Decoder
 	up      bool
-	retired bool // takes nothing new
-	class   int  // of the requests it is for
+	retired bool        // takes nothing new
+	why     CloseReason // once retired: LinkRetired or LinkIdle
+	class   int         // of the requests it is for
 	waiting []*attempt
 	open    map[string]*attempt
 	probes  map[string]*probe
@@ -126,13 +127,18 @@
 	}
 }
 
-// ask writes an attempt to its connection, which is up.
+// ask writes an attempt to its connection, which is up. Every send, and so every repeat, goes through here.
 func (g *Gateway) ask(a *attempt) {
 	r, l := a.request, a.link
-	l.out = engine.AppendAsk(l.out, engine.Ask{
+	g.guardSend(a)
+	ask := engine.Ask{
 		ID: string(r.id), Class: g.cfg.Settings.ClassNames[r.class], TTL: max(int64((a.deadline-g.now)/rules.Millisecond), 1),
 		MemoryMB: r.memoryMB, Priority: a.priority, Once: r.once, Statement: r.statement,
-	})
+	}
+	if g.cfg.Trace {
+		g.traceSent(a, &ask)
+	}
+	l.out = engine.AppendAsk(l.out, ask)
 	a.sent, a.end = true, l.given+int64(len(l.out))
 	l.open[string(r.id)] = a
 	l.used = g.now
@@ -185,18 +191,36 @@
 // is gone, that fails soon and proves that nothing ran.
 func (g *Gateway) doubt(a *attempt) {
 	if l := a.link; a.sent && l.heard <= a.at && g.now-a.at > g.lim.Connect {
-		l.retired = true
+		l.retire(LinkRetired)
 	}
 }
 
+// retire lets a connection take nothing new; it ends once it carries nothing.
+func (l *link) retire(why CloseReason) { l.retired, l.why = true, why }
+
 // maybeShut closes a retired connection once nothing is left on it.
 func (g *Gateway) maybeShut(l *link) {
 	if l.retired && l.load() == 0 && !l.ended {
-		g.shut(&l.pipe)
+		g.closeLink(l, l.why)
 		g.removeLink(l)
 	}
 }
 
+// closeLink is the one way in which we close a connection to an engine.
+func (g *Gateway) closeLink(l *link, why CloseReason) {
+	g.guardLinkClose(l, why)
+	g.noteLinkClose(l, why, nil)
+	g.shut(&l.pipe)
+}
+
+// noteLinkClose counts the end of a connection to an engine by its reason.
+func (g *Gateway) noteLinkClose(l *link, why CloseReason, err error) {
+	g.closed[why]++
+	if g.cfg.Trace {
+		g.traceLinkClose(l, why, err)
+	}
+}
+
 func (g *Gateway) removeLink(l *link) {
 	l.ended = true
 	delete(g.links, l.id)
@@ -209,8 +233,17 @@
 // all of its connections at once, and refuses the next. With spoilt, nothing tells of the engine.
 // What was written beyond the bytes that the system has taken never came whole to the engine: it did not run.
 func (g *Gateway) dropLink(l *link, err error, taken int64, spoilt bool) {
-	g.removeLink(l)
 	ours := spoilt && !l.up // it was never made, for want of something here
+	switch {
+	case l.ended: // by us, who have said why
+	case ours:
+		g.noteLinkClose(l, LinkNotMadeHere, err)
+	case !l.up:
+		g.noteLinkClose(l, LinkNotMade, err)
+	default:
+		g.noteLinkClose(l, LinkLost, err)
+	}
+	g.removeLink(l)
 	if l.load() > 0 {
 		text := ""
 		if err != nil {
@@ -264,7 +297,7 @@
 // knows of the list.
 func (g *Gateway) retireLinks(e *engineState) (stale []*attempt) {
 	for _, l := range slices.Clone(e.links) {
-		l.retired = true
+		l.retire(LinkRetired)
 		stale = append(stale, l.waiting...)
 		g.maybeShut(l)
 	}
@@ -277,7 +310,7 @@
 	}
 	for _, l := range slices.Clone(e.links) {
 		if l.load() == 0 {
-			l.retired = true
+			l.retire(LinkIdle)
 			g.maybeShut(l)
 		}
 	}
@@ -289,7 +322,7 @@
 	for _, e := range g.order {
 		for _, l := range slices.Clone(e.links) {
 			if l.up && l.load() == 0 && g.now-l.used >= g.lim.LinkIdle {
-				l.retired = true
+				l.retire(LinkIdle)
 				g.maybeShut(l)
 			}
 		}
@@ -335,7 +368,7 @@
 		}
 	}
 	given := l.given
-	g.shut(&l.pipe)
+	g.closeLink(l, LinkMalformed)
 	g.dropLink(l, err, given, true)
 }
 
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -99,7 +99,7 @@
 	var news []rules.Engine
 	for _, e := range g.order {
 		if ordered := slices.Contains(drains, e.entry.ID); ordered != e.ordered {
-			if e.ordered = ordered; e.state == rules.EngineServing {
+			if e.ordered, e.told = ordered, g.now; e.state == rules.EngineServing {
 				news = append(news, g.translate(e))
 			}
 		}
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"foxlane/internal/guard"
 	"foxlane/rules"
 )
 
@@ -510,6 +511,11 @@
 
 // ending checks what a gateway leaves that was asked to end.
 func (w *world) ending() {
+	for i, n := range w.g.broken {
+		if n > 0 {
+			w.t.Errorf("invariant %v was broken %d times", guard.Invariant(i), n)
+		}
+	}
 	if !w.exited {
 		w.t.Errorf("not ended %d ms after SIGTERM, %d requests open", (w.now-w.stopped)/rules.Millisecond, w.g.unanswered)
 	}
--- a/internal/gateway/shelf.go
+++ b/internal/gateway/shelf.go
@@ -135,7 +135,7 @@
 		switch {
 		case r.answered:
 		case !r.passed: // nothing ran
-			r.stats.refused++
+			r.why = EndNoResultRoom
 			g.turnAway(r, g.allowedReturn(f.After))
 		default:
 			g.endKept(r, f.Why)
@@ -300,19 +300,18 @@
 	if r.answered {
 		return
 	}
-	r.keep.closed = true
+	r.keep.closed, r.why = true, EndResultLost
 	if a := r.keep.feeding; a != nil {
 		r.keep.feeding = nil
 		a.spoilt = true
 		g.giveUp(a, rules.VerdictCancelled)
 	}
 	if safe := g.cfg.Settings.Rules.Classes[r.class].Effect == rules.EffectSafe; safe && why != spool.ForSize {
-		r.stats.refused++
 		g.turnAway(r, 0)
 	} else {
 		r.stats.failed++
 		g.answerErr(r.client, mysql.CodeFailed, "the result could not be kept: "+why.String())
-		g.settle(r)
+		g.settle(r, endedFailed)
 	}
 	g.tell(rules.Departure{ID: r.id})
 }
@@ -331,7 +330,7 @@
 	r.stats.served++
 	r.stats.took += g.now - r.at
 	c.reading = &reading{id: r.keep.handle.ID, seq: 1, lasting: r.keep.lasting, handle: r.keep.handle}
-	g.settle(r)
+	g.settle(r, endedServed)
 	g.attach(c, r.owner, 0)
 }
 
--- a/internal/gateway/sites.go
+++ b/internal/gateway/sites.go
@@ -140,7 +140,7 @@
 // admits asks the directives and the zones whether a request is let in. One that is not has its answer already.
 func (g *Gateway) admits(r *request) bool {
 	if g.refusesClass(r.class) {
-		g.refuse(r, g.cfg.Settings.Rules.Limits.MaxRetryAfter)
+		g.refuse(r, g.cfg.Settings.Rules.Limits.MaxRetryAfter, EndDirective)
 		return false
 	}
 	if g.sites == nil {
@@ -149,7 +149,7 @@
 	q := r.arrival
 	refuse, after := g.sites.zones.Arrive(g.now, zones.Ask{Class: q.Class, Tenant: q.Tenant, Work: float64(q.Work), Repeat: q.Repeat})
 	if refuse {
-		g.refuse(r, after)
+		g.refuse(r, after, EndZonePlan)
 	}
 	return !refuse
 }
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -40,6 +40,20 @@
 	}
 }
 
+// logCloses notes how many connections were closed since the last line, by reason.
+func (g *Gateway) logCloses() {
+	var attrs []Attr
+	for i, n := range g.closed {
+		if n > 0 {
+			attrs = append(attrs, Attr{CloseReason(i).String(), n})
+		}
+	}
+	if attrs != nil {
+		g.log(Info, "closed", attrs...)
+	}
+	g.closed = [closeReasons]int{}
+}
+
 // logStats notes the last while, a line a class.
 func (g *Gateway) logStats() {
 	g.timers.add(timer{at: g.now + g.lim.StatsEvery, kind: timerStats})
@@ -56,6 +70,8 @@
 	}
 	g.log(Info, "connections", Attr{"clients", len(g.clients)}, Attr{"idle", g.idle.Len()}, Attr{"engines", len(g.links)},
 		Attr{"open", len(g.requests)}, Attr{"result_bytes", g.resultHeld}, Attr{"input_bytes", g.inputHeld})
+	g.logCloses()
+	g.logBroken()
 	g.logGate()
 	g.logShelf()
 	g.logSites()
--- a/rules/api.go
+++ b/rules/api.go
@@ -355,6 +355,18 @@
 func (Taught) event()         {}
 func (SpentElsewhere) event() {}
 
+// FinishReason is why the module ends a request that is not served.
+type FinishReason int
+
+// Reasons to end a request.
+const (
+	FinishNoRoom     FinishReason = iota // too much is held, and it would be drawn last
+	FinishDeadline                       // it can't be ready by its deadline
+	FinishLate                           // it would be late, and earns nothing then
+	FinishTriesSpent                     // no further attempt is allowed
+	FinishOverdue                        // its attempt is overdue, and no other may follow
+)
+
 // Action is something a gateway does. Actions are carried out in order.
 type Action interface{ action() }
 
@@ -381,9 +393,13 @@
 	Refuse struct {
 		ID         RequestID
 		RetryAfter Time
+		Reason     FinishReason
 	}
 	// Fail is a final answer that promises nothing.
-	Fail struct{ ID RequestID }
+	Fail struct {
+		ID     RequestID
+		Reason FinishReason
+	}
 	// SetTimer asks for an Alarm.
 	SetTimer struct {
 		At    Time
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -166,7 +166,7 @@
 // each other's data sets, must not shut out what could run at once.
 func (m *Module) makeRoom() {
 	for m.held > 0 && m.s.Limits.MaxOpen > 0 && float64(len(m.open)) > roomPart*float64(m.s.Limits.MaxOpen) {
-		m.finish(m.fullest().last())
+		m.finish(m.fullest().last(), FinishNoRoom)
 	}
 }
 
@@ -204,7 +204,7 @@
 	work := m.predict(r)
 	run := r.runTime(work, 1)
 	if m.now >= r.Due || r.running == 0 && m.now+run >= r.Due {
-		m.finish(r)
+		m.finish(r, FinishDeadline)
 		return
 	}
 	if r.running > 0 {
@@ -217,12 +217,13 @@
 		m.wake(r, turn)
 		return
 	}
-	if r.class.LateValue <= 0 && m.now == r.arrived+r.Held { // what it will take is a guess: engines that are idle are tried first
+	// It has just arrived: engines that are idle are tried before it is judged by what may be a guess.
+	if r.class.LateValue <= 0 && m.now == r.arrived+r.Held {
 		m.wake(r, m.now+m.s.Tick)
 		return
 	}
 	if r.class.LateValue <= 0 {
-		m.finish(r)
+		m.finish(r, FinishLate)
 		return
 	}
 	if !r.late && r.slot >= 0 {
@@ -258,11 +259,11 @@
 }
 
 // finish gives the final answer now: a refusal where the rules allow that promise, else a failure.
-func (m *Module) finish(r *request) {
+func (m *Module) finish(r *request, why FinishReason) {
 	if m.mayRefuse(r) {
-		m.do(Refuse{ID: r.ID, RetryAfter: m.holdOff(r)})
+		m.do(Refuse{ID: r.ID, RetryAfter: m.holdOff(r), Reason: why})
 	} else {
-		m.do(Fail{ID: r.ID})
+		m.do(Fail{ID: r.ID, Reason: why})
 	}
 	m.end(r)
 }
@@ -715,7 +716,7 @@
 // again holds a request for a further attempt where one may still help, else ends it.
 func (m *Module) again(r *request) {
 	if !m.triesLeft(r) || r.mayHaveRun() && r.class.Effect == EffectUnsafe {
-		m.finish(r)
+		m.finish(r, FinishTriesSpent)
 		return
 	}
 	m.hold(r)
@@ -859,7 +860,7 @@
 	}
 	a.cut = true
 	if !again {
-		m.finish(r)
+		m.finish(r, FinishOverdue)
 		return
 	}
 	r.cut = true
