Add a soak: random fleets of real processes with overlapping troubles, judged on the wire

foxlab soak draws fleets and two to four troubles from a seed and plays them on the rig: stops, kills, restarts, reloads, files that are replaced, logs nobody reads, limits of descriptors, steps of the wall clock, system calls and disks that fail, engines that drain, hang, lie or reset, cuts, loss, clients that leave or keep to no protocol. Gateways are a test double: the same net.Run on a platform that fails, in a program that only the lab starts. The rig now judges each request at an engine, each lost or late answer, cold engines, drains by when each gateway was told, results that were kept, and the gateways' own invariants. Eight defects can be planted in the double.

--- a/cmd/foxlab/main.go
+++ b/cmd/foxlab/main.go
@@ -36,7 +36,7 @@
 		SilenceErrors: true,
 	}
 	cmd.PersistentFlags().String("gateway", "", "the gateway's program; built from this repository if not given")
-	cmd.AddCommand(demoCommand(), measureCommand(), rigCommand())
+	cmd.AddCommand(demoCommand(), measureCommand(), rigCommand(), soakCommand(), doubleCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/foxlab/soak.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"foxlane/internal/double"
+	"foxlane/internal/rig"
+	"foxlane/internal/soak"
+)
+
+// soakCommand plays random fleets with troubles that overlap.
+func soakCommand() *cobra.Command {
+	o := soak.Options{}
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Random fleets of real processes with troubles that overlap, judged by what clients and engines saw",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			o.Process = rig.Process{Program: self, Args: []string{"double"}, Orders: true}
+			o.Progress = cmd.ErrOrStderr()
+			if o.Logs == "" {
+				if o.Logs, err = os.MkdirTemp("", "foxsoak"); err != nil {
+					return err
+				}
+			}
+			r, err := soak.Run(cmd.Context(), o)
+			if r == nil {
+				return err
+			}
+			r.Write(cmd.OutOrStdout())
+			if err == nil && (len(r.Failed) > 0 || len(r.Broken) > 0 || r.PlantedFound() < len(r.Planted)) {
+				err = errors.New("soak: something was violated, not played, or planted and not found")
+			}
+			return err
+		},
+	}
+	cmd.Flags().IntVar(&o.Seeds, "seeds", 20, "how many seeds are played")
+	cmd.Flags().Uint64Var(&o.First, "first", 1, "the first one; a failing one is played again by its number")
+	cmd.Flags().DurationVar(&o.Length, "for", 5*time.Second, "length of each")
+	cmd.Flags().IntVar(&o.Processes, "processes", 10, "gateways of each")
+	cmd.Flags().IntVar(&o.Parallel, "parallel", 2, "seeds at once")
+	cmd.Flags().IntVar(&o.Shrink, "shrink", 6, "runs by which a failing seed is shrunk to fewer troubles, at most")
+	cmd.Flags().IntVar(&o.Plants, "plants", 0, "seeds with which each planted defect is looked for, at most")
+	cmd.Flags().StringSliceVar(&o.Only, "only", nil, "defects to plant; all if none is named")
+	cmd.Flags().StringVar(&o.Logs, "logs", "", "folder for the logs of failing seeds")
+	return cmd
+}
+
+// doubleCommand is the process that the soak starts.
+func doubleCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "double", Short: "The soak's test double of a gateway's process", Hidden: true}
+	serve := &cobra.Command{
+		Use:  "serve",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			site, err := cmd.Flags().GetString("site")
+			if err != nil {
+				return err
+			}
+			return double.Serve(site)
+		},
+	}
+	serve.Flags().String("site", "", "the operator's own file")
+	cmd.AddCommand(serve)
+	return cmd
+}
--- /dev/null
+++ b/internal/double/plants.go
@@ -0,0 +1,245 @@
+package double
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"foxlane/internal/config"
+	"foxlane/internal/gateway"
+	"foxlane/internal/net"
+	"foxlane/rules"
+)
+
+var errShort = io.ErrUnexpectedEOF
+
+// Plants are the defects that can be planted, to see whether the soak finds them.
+var Plants = []string{
+	PlantDrainIgnored, PlantUnsafeTwice, PlantSentAfterGone, PlantColdOverload, PlantAnswerLate, PlantCloseUnanswered, PlantWallDeadline,
+	PlantSyncIgnored,
+}
+
+// Planted defects.
+const (
+	PlantDrainIgnored    = "drain_ignored"
+	PlantUnsafeTwice     = "unsafe_twice"
+	PlantSentAfterGone   = "sent_after_gone"
+	PlantColdOverload    = "cold_overload"
+	PlantAnswerLate      = "answer_late"
+	PlantCloseUnanswered = "close_unanswered"
+	PlantWallDeadline    = "wall_deadline"
+	PlantSyncIgnored     = "sync_ignored"
+)
+
+// plant puts a defect between sockets and reducer, or into the folder.
+func plant(name string, p net.Platform, clock *steppedClock) (net.Platform, error) {
+	if name == "" {
+		return p, nil
+	}
+	if !slices.Contains(Plants, name) {
+		return p, fmt.Errorf("double: no defect is called %q", name)
+	}
+	if name == PlantSyncIgnored {
+		open := p.OpenFolder
+		p.OpenFolder = func(path string) (net.Folder, error) {
+			folder, err := open(path)
+			if d, ok := folder.(*folderDouble); ok {
+				d.lie = true
+			}
+			return folder, err
+		}
+		return p, nil
+	}
+	make := p.Reducer
+	p.Reducer = func(cfg config.Config, now rules.Time) net.Reducer {
+		if name == PlantColdOverload {
+			for i := range cfg.Known.Engines {
+				cfg.Known.Engines[i].Started = 0
+			}
+		}
+		return &planted{Reducer: make(cfg, now), name: name, clock: clock, engines: map[gateway.ConnID]bool{}, clients: map[gateway.ConnID]string{},
+			asks: map[string]ask{}}
+	}
+	return p, nil
+}
+
+// planted is a reducer with a defect.
+type planted struct {
+	net.Reducer
+	name    string
+	clock   *steppedClock
+	now     rules.Time
+	engines map[gateway.ConnID]bool   // that are up
+	clients map[gateway.ConnID]string // the id of the request that came last
+	asks    map[string]ask            // by id
+	later   []delayed
+	answers int
+	out     []gateway.Effect
+}
+
+type ask struct {
+	conn gateway.ConnID
+	text []byte
+}
+
+type delayed struct {
+	at     rules.Time
+	effect gateway.Effect
+}
+
+const dialledBit gateway.ConnID = 1 << 63
+
+// everyAnswer is which of the answers are delayed or replaced by a close.
+const everyAnswer = 10
+
+func (p *planted) Step(now rules.Time, e gateway.Event) {
+	p.now = now
+	if p.name == PlantWallDeadline {
+		now += rules.Time(p.clock.stepped() / time.Microsecond)
+	}
+	switch e.Kind {
+	case gateway.Connected:
+		p.engines[e.Conn] = true
+	case gateway.Closed:
+		delete(p.engines, e.Conn)
+		if id := p.clients[e.Conn]; p.name == PlantSentAfterGone && id != "" {
+			if a, ok := p.asks[id]; ok {
+				p.later = append(p.later, delayed{p.now + 400*rules.Millisecond, gateway.Effect{Kind: gateway.Write, Conn: a.conn, Data: a.text}})
+			}
+		}
+		delete(p.clients, e.Conn)
+	case gateway.Data:
+		if _, after, ok := bytes.Cut(e.Data, []byte("req=")); ok && e.Conn&dialledBit == 0 && len(after) >= 16 {
+			p.clients[e.Conn] = string(after[:16])
+		}
+	case gateway.Datagram:
+		if changed, err := p.list(e.Data); err == nil {
+			e.Data = changed
+		}
+	}
+	p.Reducer.Step(now, e)
+}
+
+// list is an answer of the name service as the defect has it.
+func (p *planted) list(data []byte) ([]byte, error) {
+	if p.name != PlantDrainIgnored && p.name != PlantColdOverload {
+		return data, nil
+	}
+	var m dns.Msg
+	if err := m.Unpack(data); err != nil {
+		return nil, err
+	}
+	for _, r := range slices.Concat(m.Answer, m.Extra) {
+		switch r := r.(type) {
+		case *dns.SRV:
+			if p.name == PlantDrainIgnored {
+				r.Priority = 0
+			}
+		case *dns.TXT:
+			for i, s := range r.Txt {
+				if p.name == PlantColdOverload && strings.HasPrefix(s, "started=") {
+					r.Txt[i] = "started=0"
+				}
+			}
+		}
+	}
+	return m.Pack()
+}
+
+func (p *planted) Flush() []gateway.Effect {
+	p.out = p.out[:0]
+	for _, f := range p.Reducer.Flush() {
+		p.pass(f)
+	}
+	kept := p.later[:0]
+	for _, d := range p.later {
+		if d.at <= p.now {
+			p.out = append(p.out, d.effect)
+		} else {
+			kept = append(kept, d)
+		}
+	}
+	p.later = kept
+	return p.out
+}
+
+// pass lets an effect through, as the defect has it.
+func (p *planted) pass(f gateway.Effect) {
+	if f.Kind == gateway.Arm && p.name == PlantWallDeadline {
+		f.At -= rules.Time(p.clock.stepped() / time.Microsecond)
+	}
+	if f.Kind != gateway.Write {
+		p.out = append(p.out, f)
+		return
+	}
+	if f.Conn&dialledBit != 0 {
+		p.out = append(p.out, f)
+		p.asked(f)
+		return
+	}
+	if !isAnswer(f.Data) || p.clients[f.Conn] == "" {
+		p.out = append(p.out, f)
+		return
+	}
+	p.answers++
+	switch {
+	case p.answers%everyAnswer != 0:
+		p.out = append(p.out, f)
+	case p.name == PlantAnswerLate:
+		f.Data = bytes.Clone(f.Data)
+		p.later = append(p.later, delayed{p.now + 5*rules.Second, f})
+	case p.name == PlantCloseUnanswered:
+		p.out = append(p.out, gateway.Effect{Kind: gateway.Close, Conn: f.Conn})
+	default:
+		p.out = append(p.out, f)
+	}
+}
+
+// isAnswer answers whether bytes are a result set or an error, not a greeting or an OK.
+func isAnswer(data []byte) bool { return len(data) > 4 && data[3] == 1 && data[4] != 0 }
+
+// asked notes what engines are asked, and asks another as well where the defect is that.
+func (p *planted) asked(f gateway.Effect) {
+	for _, line := range bytes.SplitAfter(f.Data, []byte("\r\n")) {
+		words := strings.Fields(string(line))
+		if len(words) != 4 || words[0] != "ASK" {
+			continue
+		}
+		i := bytes.Index(f.Data, line)
+		text, err := whole(f.Data[i:], words[3])
+		if err != nil {
+			continue
+		}
+		p.asks[words[1]] = ask{f.Conn, bytes.Clone(text)}
+		if p.name != PlantUnsafeTwice || !strings.Contains(words[2], "lane=load") {
+			continue
+		}
+		for conn := range p.engines {
+			if conn != f.Conn {
+				p.later = append(p.later, delayed{p.now + 50*rules.Millisecond, gateway.Effect{Kind: gateway.Write, Conn: conn, Data: bytes.Clone(text)}})
+				break
+			}
+		}
+	}
+}
+
+var errNotWhole = errors.New("double: not a whole request")
+
+// whole cuts one request out of what is written.
+func whole(data []byte, length string) ([]byte, error) {
+	var n int
+	if _, err := fmt.Sscan(length, &n); err != nil {
+		return nil, err
+	}
+	end := bytes.Index(data, []byte("\r\n")) + 2 + n + 2
+	if end > len(data) {
+		return nil, errNotWhole
+	}
+	return data[:end], nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,6 +170,7 @@
 	askedNum int
 	source   source // of the list: the name service
 	steps    wallclock.Steps
+	resumed  rules.Time // when the reducer last ran again after a stall
 	settled  rules.Time // until then nothing is sent to engines: what came during a stall is read first
 
 	shelf  *shelf              // nil: no spool is set, results are passed on at once
--- a/internal/gateway/guards.go
+++ b/internal/gateway/guards.go
@@ -93,7 +93,11 @@
 	if how == endedLeft {
 		return
 	}
-	a := guard.Answer{Now: g.now, Due: r.due, Answered: r.answered, Refusal: how == endedRefused,
+	due := r.due
+	if r.at < g.resumed { // a process that does not run can't answer
+		due = max(due, g.resumed)
+	}
+	a := guard.Answer{Now: g.now, Due: due, Answered: r.answered, Refusal: how == endedRefused,
 		Class: &g.cfg.Settings.Rules.Classes[r.class]}
 	if a.Refusal && len(r.attempts) > 0 {
 		a.Past = g.past(r, nil)
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -10,6 +10,7 @@
 		return
 	}
 	g.log(Info, "stalled: what came meanwhile is read first", Attr{"late_ms", int64((g.now - g.armed) / 1000)})
+	g.resumed = g.now
 	g.settled = g.now + g.lim.SettleFor
 	g.timers.add(timer{at: g.settled, kind: timerSettled})
 }
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -130,7 +130,7 @@
 
 func newEdge(platform Platform, cfg config.Config, log *zap.Logger) *Edge {
 	e := &Edge{cfg: cfg, lim: cfg.Limits, log: log, box: newMailbox(cfg.Limits), conns: map[gateway.ConnID]*conn{},
-		byNB: map[*nbio.Conn]*conn{}, dialling: map[gateway.ConnID]context.CancelFunc{}, platform: platform, clock: newClock(platform.Now)}
+		byNB: map[*nbio.Conn]*conn{}, dialling: map[gateway.ConnID]context.CancelFunc{}, platform: platform, clock: newClock(platform.Clock)}
 	e.over, e.finish = context.WithCancel(context.Background())
 	e.fewer.L = &e.mu
 	return e
--- a/internal/net/platform.go
+++ b/internal/net/platform.go
@@ -38,7 +38,7 @@
 
 // Platform is the clock, the sockets, the file system and the reducer of a gateway.
 type Platform struct {
-	Now        func() time.Time // with its monotonic part
+	Clock      Clock
 	Listen     func(addr string) (stdnet.Listener, error)
 	Dial       func(ctx context.Context, addr netip.AddrPort) (stdnet.Conn, error)
 	DialUDP    func(addr netip.AddrPort) (stdnet.Conn, error)
@@ -50,7 +50,7 @@
 // System is the platform that the operating system gives.
 func System() Platform {
 	return Platform{
-		Now:     time.Now,
+		Clock:   systemClock{time.Now()},
 		Listen:  func(addr string) (stdnet.Listener, error) { return stdnet.Listen("tcp", addr) },
 		Dial:    dialTCP,
 		DialUDP: dialUDP,
@@ -86,24 +86,34 @@
 	return conn, nil
 }
 
+// Clock tells the wall clock's time, which may be stepped, and the time that has passed since some moment, which may not.
+type Clock interface {
+	Wall() time.Time
+	Elapsed() time.Duration
+}
+
+// systemClock is that of the operating system.
+type systemClock struct{ origin time.Time }
+
+func (c systemClock) Wall() time.Time        { return time.Now() }
+func (c systemClock) Elapsed() time.Duration { return time.Since(c.origin) }
+
 // clock is the Unix time of the start, carried on by the monotonic clock: a step of the wall clock does not move it.
 type clock struct {
-	read  func() time.Time
-	start time.Time
+	Clock
+	began time.Duration
 	unix  int64 // microseconds at the start
 }
 
-func newClock(read func() time.Time) *clock {
-	start := read()
-	return &clock{read: read, start: start, unix: start.UnixMicro()}
+func newClock(c Clock) *clock {
+	return &clock{Clock: c, began: c.Elapsed(), unix: c.Wall().UnixMicro()}
 }
 
 func (c *clock) now() rules.Time {
-	return rules.Time(c.unix + c.read().Sub(c.start).Microseconds())
+	return rules.Time(c.unix + (c.Elapsed() - c.began).Microseconds())
 }
 
 // skew is by how much the wall clock is ahead of this one: by what it was stepped since the start.
 func (c *clock) skew() rules.Time {
-	now := c.read()
-	return rules.Time(now.UnixMicro() - c.unix - now.Sub(c.start).Microseconds())
+	return rules.Time(c.Wall().UnixMicro()) - c.now()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,6 +38,7 @@
 type Way struct {
 	mu    sync.Mutex
 	cond  Conditions
+	since time.Time // when something was wrong with it last changed
 	rng   *rand.Rand
 	ends  time.Time // of what the rate lets through
 	bytes atomic.Int64
@@ -52,8 +53,18 @@
 // Set changes how it is from now on.
 func (w *Way) Set(c Conditions) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
+	if c != w.cond {
+		w.since = time.Now()
+	}
 	w.cond = c
-	w.mu.Unlock()
+}
+
+// ChangedWithin answers whether its conditions changed within that time: what was under way may still come late.
+func (w *Way) ChangedWithin(d time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.since.IsZero() && time.Since(w.since) < d
 }
 
 // Conditions are how it is now.
@@ -127,6 +138,12 @@
 	return r, nil
 }
 
+// There is the way to the target, Back the one from it.
+func (r *TCP) There() *Way { return r.there }
+
+// Back is the way from the target.
+func (r *TCP) Back() *Way { return r.back }
+
 // Addr is where it listens.
 func (r *TCP) Addr() netip.AddrPort { return netip.MustParseAddrPort(r.ln.Addr().String()) }
 
@@ -320,6 +337,9 @@
 	return r, nil
 }
 
+// Back is the way from the target.
+func (r *UDP) Back() *Way { return r.back }
+
 // Addr is where it listens.
 func (r *UDP) Addr() netip.AddrPort { return netip.MustParseAddrPort(r.conn.LocalAddr().String()) }
 
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -13,8 +13,10 @@
 func (r *Rig) befall(ctx context.Context, f *Fault) error {
 	r.books.note(f)
 	r.put(f, true)
-	var back func() error
-	var err error
+	back, mine, err := r.trouble(ctx, f)
+	if mine {
+		return r.takeBack(ctx, f, back, err)
+	}
 	switch f.Kind {
 	case "lose":
 		back, err = r.lose(ctx, f)
@@ -26,7 +28,7 @@
 	case "restart":
 		r.each(f.Of, func(g *gateway) {
 			if e := g.end(syscall.SIGTERM); e != nil {
-				r.books.breach("%s ended with %v", g.name, e)
+				r.books.judge(Crashed, "%s ended with %v: %s", g.name, e, tail(g.log.String()))
 			}
 		})
 		back = func() error { return r.begin(f.Of) }
@@ -49,6 +51,11 @@
 		r.dark(func([]byte) []byte { return nil })
 		back = func() error { r.dark(nil); return nil }
 	}
+	return r.takeBack(ctx, f, back, err)
+}
+
+// takeBack waits for a fault's time and takes it back.
+func (r *Rig) takeBack(ctx context.Context, f *Fault, back func() error, err error) error {
 	if err != nil {
 		return err
 	}
@@ -132,7 +139,7 @@
 	for _, g := range r.gateways {
 		if g.is(of) {
 			g.mu.Lock()
-			runs := g.cmd != nil
+			runs := g.run != nil
 			g.mu.Unlock()
 			if !runs {
 				if err := g.begin(); err != nil {
@@ -191,6 +198,7 @@
 	return func() error {
 		r.each(f.Of, func(g *gateway) {
 			g.signal(syscall.SIGCONT)
+			g.thawed.Store(time.Now().UnixNano())
 			time.AfterFunc(time.Second, func() { g.frozen.Store(false) })
 		})
 		return nil
@@ -205,7 +213,10 @@
 			}
 		}
 	}
-	r.each(of, func(g *gateway) { g.front.Reset() })
+	r.each(of, func(g *gateway) {
+		g.resets.Store(time.Now().UnixNano())
+		g.front.Reset()
+	})
 }
 
 // drain has the operator's file drain a zone, and all gateways read it again.
--- /dev/null
+++ b/internal/rig/process.go
@@ -0,0 +1,247 @@
+package rig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"foxlane/internal/standin"
+)
+
+// This file owns the life of a gateway's process: its start, what it is told on standard input if it is a test double,
+// who reads its log, and its end.
+
+// Process is the program that gateways run.
+type Process struct {
+	Program string
+	Args    []string // ahead of `serve`
+	Env     []string // beside the rig's own
+	Orders  bool     // it takes orders on standard input
+}
+
+const readyMost = 10 * time.Second // from a start until a gateway greets its clients
+
+// running is one life of a process.
+type running struct {
+	cmd    *exec.Cmd
+	orders io.WriteCloser // nil: it takes none
+	ended  chan struct{}
+	err    error // once ended
+	reader *logReader
+}
+
+// start starts the process; it ends by itself, or by end.
+func (g *gateway) start() (*running, error) {
+	p := g.rig.process
+	args := append(append([]string{}, p.Args...), "serve")
+	if g.rig.Operator != "" || g.rig.Talk {
+		args = append(args, "--site", g.path("site.hcl"))
+	}
+	cmd := exec.Command(p.Program, args...)
+	cmd.Env = append(append(os.Environ(), p.Env...), "LB_CONFIG="+g.path("config.json"), "LB_NAME=", "LB_LISTEN=")
+	x := &running{cmd: cmd, ended: make(chan struct{})}
+	if p.Orders {
+		in, err := cmd.StdinPipe()
+		if err != nil {
+			return nil, err
+		}
+		x.orders = in
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	cmd.Stderr = w
+	err = cmd.Start()
+	w.Close()
+	if err != nil {
+		r.Close()
+		return nil, err
+	}
+	x.reader = readLog(r, &g.log)
+	go func() {
+		x.err = cmd.Wait()
+		x.reader.done.Wait()
+		close(x.ended)
+	}()
+	return x, nil
+}
+
+// over answers whether the process has ended.
+func (x *running) over() bool {
+	select {
+	case <-x.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// logReader reads a process's log, and stops reading for a while or for good when it is told to.
+type logReader struct {
+	pipe  *os.File
+	until atomic.Int64 // Unix nanoseconds: it does not read before
+	done  sync.WaitGroup
+}
+
+const logPoll = 5 * time.Millisecond
+
+func readLog(pipe *os.File, to io.Writer) *logReader {
+	r := &logReader{pipe: pipe}
+	r.done.Go(func() {
+		defer pipe.Close()
+		buf := make([]byte, 32<<10)
+		for {
+			for time.Now().UnixNano() < r.until.Load() {
+				time.Sleep(logPoll)
+			}
+			n, err := pipe.Read(buf)
+			_, _ = to.Write(buf[:n])
+			if err != nil {
+				return
+			}
+		}
+	})
+	return r
+}
+
+func (r *logReader) stall(d time.Duration) { r.until.Store(time.Now().Add(d).UnixNano()) }
+
+// begin starts the process and waits until it greets clients.
+func (g *gateway) begin() error {
+	if err := g.write(); err != nil {
+		return err
+	}
+	x, err := g.start()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	g.rig.mu.Lock()
+	known := g.rig.serial
+	g.rig.mu.Unlock()
+	g.toldMu.Lock()
+	g.told = []toldList{{serial: known, at: began, times: 1}}
+	g.toldMu.Unlock()
+	g.mu.Lock()
+	g.run, g.termAt = x, time.Time{}
+	g.mu.Unlock()
+	for time.Since(began) < startWait {
+		if x.over() {
+			return fmt.Errorf("rig: %s ended at once: %v: %s", g.name, x.err, tail(g.log.String()))
+		}
+		if c, err := standin.Connect(g.listen, netip.Addr{}, time.Second); err == nil {
+			c.Close()
+			g.life.Add(1)
+			if took := time.Since(began); took > readyMost {
+				g.rig.books.judge(NotReady, "%s was ready after %v", g.name, took.Round(time.Millisecond))
+			}
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.rig.books.judge(NotReady, "%s was not ready after %v", g.name, startWait)
+	return fmt.Errorf("rig: %s does not serve: %s", g.name, tail(g.log.String()))
+}
+
+// signal sends one, if the process runs.
+func (g *gateway) signal(s syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.run != nil && !g.run.over() {
+		_ = g.run.cmd.Process.Signal(s)
+	}
+}
+
+// end ends the process by a signal, and returns how it ended. One that had ended by itself has crashed.
+func (g *gateway) end(s syscall.Signal) error {
+	g.mu.Lock()
+	x := g.run
+	g.run, g.termAt = nil, time.Now()
+	g.mu.Unlock()
+	if x == nil {
+		return nil
+	}
+	g.life.Add(1)
+	if x.over() {
+		g.rig.books.judge(Crashed, "%s had ended by itself with %v: %s", g.name, x.err, tail(g.log.String()))
+		return nil
+	}
+	if s == syscall.SIGKILL {
+		g.killed.Store(time.Now().UnixNano())
+	}
+	_ = x.cmd.Process.Signal(s)
+	select {
+	case <-x.ended:
+		if s == syscall.SIGKILL {
+			return nil
+		}
+		return x.err
+	case <-time.After(endWait):
+		_ = x.cmd.Process.Kill()
+		<-x.ended
+		return errors.New("rig: " + g.name + " did not end")
+	}
+}
+
+// pid is the process's number, 0 if it does not run.
+func (g *gateway) pid() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.run == nil || g.run.over() {
+		return 0
+	}
+	return g.run.cmd.Process.Pid
+}
+
+// tellDouble gives the process an order, if it takes any and runs.
+func (g *gateway) tellDouble(order any) {
+	raw, err := json.Marshal(order)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil && g.run != nil && g.run.orders != nil {
+		_, _ = g.run.orders.Write(append(raw, '\n')) // one that has ended takes none
+	}
+}
+
+// stallLog stops reading the process's log for a while.
+func (g *gateway) stallLog(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.run != nil {
+		g.run.reader.stall(d)
+	}
+}
+
+// limitFiles sets how many descriptors the process may have open, and returns the limit from before.
+func (g *gateway) limitFiles(most uint64) (before uint64, err error) {
+	pid := g.pid()
+	if pid == 0 {
+		return 0, nil
+	}
+	var old unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &old); err != nil {
+		return 0, err
+	}
+	return old.Cur, unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: min(most, old.Max), Max: old.Max}, nil)
+}
+
+// openFiles is how many descriptors the process has open.
+func openFiles(pid int) int {
+	entries, err := os.ReadDir(filepath.Join("/proc", fmt.Sprint(pid), "fd"))
+	if err != nil {
+		return 0
+	}
+	return len(entries)
+}
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,176 @@
+// Package soak plays many random fleets of real processes, each with a few troubles that overlap, and judges them by what
+// clients and engines saw. It is built on package rig and must never judge by what a gateway holds inside, other than the
+// invariants that it counts and logs.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"foxlane/internal/rig"
+)
+
+// Schedule is what is drawn from a seed.
+type Schedule struct {
+	Seed   uint64
+	Script rig.Script
+}
+
+const (
+	engines   = 6
+	coreCount = 8
+	coldFor   = 4 * time.Second
+	firstAt   = 600 * time.Millisecond
+	spread    = 1500 * time.Millisecond // over which troubles begin
+	leastFor  = 300 * time.Millisecond
+	mostFor   = 2500 * time.Millisecond
+)
+
+// Draw returns the fleet of a seed and what befalls it.
+func Draw(seed uint64, processes int, length time.Duration) Schedule {
+	rng := rand.New(rand.NewPCG(seed, 0x50a6))
+	s := rig.Script{
+		Zones: []rig.Zone{{Name: "hall-a", Gateways: processes - processes/2, Engines: engines / 2}, {Name: "hall-b", Gateways: processes / 2, Engines: engines / 2}},
+		Cores: coreCount, Load: 0.2 + 0.5*rng.Float64(), Seed: seed, ColdFrom: 0.33, Cold: coldFor, Overload: 0.7, Length: length, Notes: 0.1,
+	}
+	var operator []string
+	if rng.IntN(2) == 0 {
+		operator = append(operator, "sites {\n  settle = \"300ms\"\n}")
+	}
+	spooled := rng.IntN(4) == 0
+	if spooled {
+		operator = append(operator, "spool {\n  folder = \"{folder}\"\n}")
+	}
+	if rng.IntN(4) == 0 {
+		operator = append(operator, "fair {\n}")
+	}
+	s.Operator = strings.Join(operator, "\n")
+	s.Talk = rng.IntN(8) == 0
+	for range 2 + rng.IntN(3) {
+		s.Faults = append(s.Faults, drawFault(rng, &s, spooled, length))
+	}
+	return Schedule{seed, s}
+}
+
+// drawFault draws one trouble.
+func drawFault(rng *rand.Rand, s *rig.Script, spooled bool, length time.Duration) rig.Fault {
+	f := rig.Fault{At: firstAt + time.Duration(rng.Int64N(int64(spread))), For: leastFor + time.Duration(rng.Int64N(int64(mostFor-leastFor)))}
+	f.For = min(f.For, length-f.At-200*time.Millisecond)
+	kinds := troubles
+	if spooled && rng.IntN(2) == 0 {
+		kinds = diskTroubles
+	}
+	kinds[rng.IntN(len(kinds))](rng, s, &f)
+	return f
+}
+
+// trouble completes a fault whose time is drawn.
+type trouble func(rng *rand.Rand, s *rig.Script, f *rig.Fault)
+
+func pick[T any](rng *rand.Rand, from ...T) T { return from[rng.IntN(len(from))] }
+
+// someGateways names one gateway, a zone of them, or all.
+func someGateways(rng *rand.Rand, s *rig.Script) string {
+	z := s.Zones[rng.IntN(len(s.Zones))]
+	switch rng.IntN(4) {
+	case 0:
+		return "gateways"
+	case 1:
+		return z.Name
+	}
+	return oneGateway(rng, s)
+}
+
+func oneGateway(rng *rand.Rand, s *rig.Script) string {
+	z := s.Zones[rng.IntN(len(s.Zones))]
+	return fmt.Sprintf("%s/g%d", z.Name, rng.IntN(z.Gateways))
+}
+
+func oneEngine(rng *rand.Rand, s *rig.Script) string {
+	z := s.Zones[rng.IntN(len(s.Zones))]
+	return fmt.Sprintf("%s/e%d", z.Name, rng.IntN(z.Engines))
+}
+
+// troubles are drawn evenly.
+var troubles = []trouble{
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "freeze", oneGateway(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "kill", oneGateway(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "restart", oneGateway(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "reload", someGateways(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "fifo", oneGateway(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "log", someGateways(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "files", oneGateway(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.Of, f.Factor = "step", someGateways(rng, s), pick(rng, -3600.0, -5, 5, 3600)
+	},
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.Of, f.Factor = "calls", someGateways(rng, s), 0.3+0.7*rng.Float64()
+		f.Text = pick(rng, "dial ENETUNREACH", "dial EADDRNOTAVAIL", "dial ENOBUFS", "dial EHOSTUNREACH", "dial ETIMEDOUT", "accept ECONNABORTED",
+			"accept ENFILE", "accept EPROTO", "udp ENOBUFS", "send ENETUNREACH", "send ENOBUFS", "receive EHOSTUNREACH", "dial,accept,udp ENFILE")
+	},
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "retire", oneEngine(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "retire", oneEngine(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.Of, f.Text, f.Factor = "mode", pick(rng, oneEngine(rng, s), "engines"), pick(rng, "hang", "error", "spoil", "break"), 0.1+0.4*rng.Float64()
+	},
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "silence", oneEngine(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.Of = "reset", pick(rng, oneEngine(rng, s), "engines", oneGateway(rng, s))
+	},
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.Of, f.Factor = "slow", oneEngine(rng, s), 2+4*rng.Float64()
+	},
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.Of, f.Factor = "burst", "*", 1.5+2*rng.Float64()
+	},
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "rogue", someGateways(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Factor = "leave", 0.2+0.6*rng.Float64() },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Factor = "leave", 0.2+0.6*rng.Float64() },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind = "dark" },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.From, f.To, f.Both = "cut", oneGateway(rng, s), oneEngine(rng, s), rng.IntN(2) == 0
+	},
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.From, f.To, f.Both, f.Loss = "link", "gateways", "engines", true, 0.3*rng.Float64()
+	},
+}
+
+// diskTroubles are those of the folder of results.
+var diskTroubles = []trouble{
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.Of, f.Factor = "disk", "gateways", 0.3+0.7*rng.Float64()
+		f.Text = pick(rng, "write ENOSPC", "sync EIO", "write,sync EIO", "open,remove ENOSPC", "truncate,sync,write EIO")
+	},
+}
+
+// Overlapping answers whether two troubles hold at once.
+func (s *Schedule) Overlapping() bool {
+	for i, a := range s.Script.Faults {
+		for _, b := range s.Script.Faults[:i] {
+			if a.At < b.At+b.For && b.At < a.At+a.For {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// String tells the schedule, a line a trouble.
+func (s *Schedule) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d: %d+%d gateways, load %.2f, talk %v, operator %q\n", s.Seed, s.Script.Zones[0].Gateways, s.Script.Zones[1].Gateways,
+		s.Script.Load, s.Script.Talk, strings.Join(strings.Fields(s.Script.Operator), " "))
+	for _, f := range s.Script.Faults {
+		fmt.Fprintf(&b, "  %5.2f s for %.2f s: %s %s%s %s %s", f.At.Seconds(), f.For.Seconds(), f.Kind, f.Of, f.From, f.To, f.Text)
+		if f.Factor != 0 {
+			fmt.Fprintf(&b, " factor %.2f", f.Factor)
+		}
+		if f.Loss != 0 {
+			fmt.Fprintf(&b, " loss %.2f", f.Loss)
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,112 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"foxlane/internal/double"
+	"foxlane/internal/rig"
+)
+
+// The test's own program is the test double, where it is started as one.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 2 && os.Args[1] == "double" {
+		site := ""
+		if i := slices.Index(os.Args, "--site"); i > 0 {
+			site = os.Args[i+1]
+		}
+		if err := double.Serve(site); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func options(t *testing.T) Options {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Options{Process: rig.Process{Program: self, Args: []string{"double"}, Orders: true}, First: 1, Length: 4 * time.Second, Processes: 4,
+		Parallel: 2, Logs: t.TempDir(), Progress: testLog{t}}
+}
+
+type testLog struct{ t *testing.T }
+
+func (l testLog) Write(p []byte) (int, error) { l.t.Log(string(p)); return len(p), nil }
+
+// A few seeds, with troubles that overlap, break nothing.
+func TestSeeds(t *testing.T) {
+	o := options(t)
+	o.Seeds = 4
+	r, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Seeds != o.Seeds || len(r.Failed)+len(r.Broken) > 0 || r.Violations() > 0 {
+		t.Errorf("%d seeds played, %d failed, not played: %v, violations %v", r.Seeds, len(r.Failed), r.Broken, r.Verdicts)
+	}
+	if r.Requests < 200 || r.Overlapping == 0 {
+		t.Errorf("%d requests, %d seeds with troubles that overlap: the test has lost its subject", r.Requests, r.Overlapping)
+	}
+}
+
+// Defects that are planted are found.
+func TestPlantsAreFound(t *testing.T) {
+	o := options(t)
+	o.Plants, o.Only = 3, []string{double.PlantUnsafeTwice, double.PlantCloseUnanswered, double.PlantAnswerLate}
+	r, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.PlantedFound() != len(o.Only) {
+		t.Errorf("found %+v", r.Planted)
+	}
+}
+
+// One seed is one schedule; others are others; all can be played.
+func TestDraw(t *testing.T) {
+	kinds := map[string]bool{}
+	overlapping := 0
+	for seed := range uint64(400) {
+		a, b := Draw(seed, 10, 5*time.Second), Draw(seed, 10, 5*time.Second)
+		if a.String() != b.String() {
+			t.Fatalf("seed %d is drawn differently:\n%s%s", seed, &a, &b)
+		}
+		if a.Overlapping() {
+			overlapping++
+		}
+		for _, f := range a.Script.Faults {
+			kinds[f.Kind] = true
+			if f.At < 0 || f.For <= 0 || f.At+f.For > 5*time.Second {
+				t.Fatalf("seed %d: %v for %v", seed, f.At, f.For)
+			}
+		}
+	}
+	if len(kinds) < 20 || overlapping < 350 {
+		t.Errorf("%d kinds of troubles, %d of 400 seeds with some that overlap", len(kinds), overlapping)
+	}
+}
+
+// An interrupted soak ends soon, without its last seeds.
+func TestInterrupted(t *testing.T) {
+	o := options(t)
+	o.Seeds = 1000
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	begin := time.Now()
+	r, err := Run(ctx, o)
+	if err == nil || r.Seeds >= o.Seeds {
+		t.Errorf("%v, %d seeds", err, r.Seeds)
+	}
+	if took := time.Since(begin); took > 25*time.Second {
+		t.Errorf("ended after %v", took)
+	}
+}
