Add a failing test of a kept result whose read fails once

A read that returns EIO, or that found 4,096 effects waiting for the disk, drops the result and writes that down: measured, the second reader is denied what was promised.

--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -591,3 +591,22 @@
 		}
 	})
 }
+
+// A read that fails, or that the disk had no room to take on, ends that reader alone: the result was promised, and is there
+// when the disk works again.
+func TestReadThatFailsForAMoment(t *testing.T) {
+	w := newWorld(t, budget())
+	k := w.begin(1, 10, 300, true)
+	w.fill(k)
+	w.attach(1, k, 1, 0)
+	w.fails = true
+	w.settle()
+	if len(w.cut) != 1 {
+		t.Fatalf("cut %v", w.cut)
+	}
+	w.fails = false
+	w.attach(2, k, 1, 0)
+	if got := w.readAll(2); !bytes.Equal(got, bytes.Join(w.truth[k], nil)) {
+		t.Errorf("%d bytes came back once the disk worked again; denied %v", len(got), w.denied)
+	}
+}
