Keep a promised result whose read failed; drop it only where other bytes come back

Cause: the spool took every failed read for damage. Change: the disk says whether the bytes had changed; else only that reader is cut, and the result stays for the next. The test of damage now says that bytes changed, as it meant.

--- a/internal/spool/disk/runner.go
+++ b/internal/spool/disk/runner.go
@@ -102,7 +102,8 @@
 			if err != nil {
 				r.trouble(err)
 			}
-			events = append(events, spool.Event{Kind: spool.Read, Reader: f.Reader, ID: f.ID, N: f.N, Data: data, Err: err != nil})
+			events = append(events, spool.Event{Kind: spool.Read, Reader: f.Reader, ID: f.ID, N: f.N, Data: data, Err: err != nil,
+				Changed: errors.Is(err, ErrChanged)})
 		case spool.Gone:
 			gone = true
 		}
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -75,6 +75,7 @@
 	Lease   rules.Time
 	Budget  *Budget
 	Err     bool
+	Changed bool // with Read and Err: other bytes came back than were written, and always will
 }
 
 // EffectKind is what an Effect asks for.
@@ -783,8 +784,11 @@
 	}
 	d.loading = false
 	switch {
-	case e.Err: // the result is not what was written: nobody gets it
+	case e.Changed: // the result is not what was written: nobody gets it
 		s.fail(d.result, ForDisk)
+	case e.Err: // what is promised is kept for another time
+		s.detach(e.Reader)
+		s.do(Effect{Kind: Cut, Reader: e.Reader, Why: ForDisk})
 	case e.N != d.n: // it asked for another meanwhile
 		s.give(e.Reader)
 	default:
