Judge a cold engine by all it got; plant an overload that is one

Change: what it got is kept, cold engines of the soak bear 0.3 times their speed, and the planted defect sends them what others are asked.

--- a/internal/double/plants.go
+++ b/internal/double/plants.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -58,13 +59,8 @@
 	}
 	make := p.Reducer
 	p.Reducer = func(cfg config.Config, now rules.Time) net.Reducer {
-		if name == PlantColdOverload {
-			for i := range cfg.Known.Engines {
-				cfg.Known.Engines[i].Started = 0
-			}
-		}
 		return &planted{Reducer: make(cfg, now), name: name, clock: clock, engines: map[gateway.ConnID]bool{}, clients: map[gateway.ConnID]string{},
-			asks: map[string]ask{}}
+			asks: map[string]ask{}, dials: map[gateway.ConnID]netip.AddrPort{}, cold: map[netip.AddrPort]rules.Time{}}
 	}
 	return p, nil
 }
@@ -78,6 +74,8 @@
 	engines map[gateway.ConnID]bool   // that are up
 	clients map[gateway.ConnID]string // the id of the request that came last
 	asks    map[string]ask            // by id
+	dials   map[gateway.ConnID]netip.AddrPort
+	cold    map[netip.AddrPort]rules.Time // engines that have just started, until when
 	later   []delayed
 	answers int
 	out     []gateway.Effect
@@ -135,23 +133,41 @@
 	if err := m.Unpack(data); err != nil {
 		return nil, err
 	}
+	ports, addrs, started := map[string]uint16{}, map[string]netip.Addr{}, map[string]bool{}
 	for _, r := range slices.Concat(m.Answer, m.Extra) {
 		switch r := r.(type) {
 		case *dns.SRV:
+			ports[r.Target] = r.Port
 			if p.name == PlantDrainIgnored {
 				r.Priority = 0
 			}
+		case *dns.A:
+			addrs[r.Hdr.Name], _ = netip.AddrFromSlice(r.A.To4())
 		case *dns.TXT:
-			for i, s := range r.Txt {
-				if p.name == PlantColdOverload && strings.HasPrefix(s, "started=") {
-					r.Txt[i] = "started=0"
-				}
-			}
+			started[r.Hdr.Name] = !slices.Contains(r.Txt, "started=0")
+		}
+	}
+	for name, late := range started {
+		at := netip.AddrPortFrom(addrs[name], ports[name])
+		if _, known := p.cold[at]; late && !known {
+			p.cold[at] = p.now + coldFor
 		}
 	}
 	return m.Pack()
 }
 
+// coldFor is for how long the defect overloads an engine that has just started.
+const coldFor = 3 * rules.Second
+
+// overload sends what others are asked to engines that have just started as well.
+func (p *planted) overload(text []byte) {
+	for conn := range p.engines {
+		if until, ok := p.cold[p.dials[conn]]; ok && p.now < until {
+			p.out = append(p.out, gateway.Effect{Kind: gateway.Write, Conn: conn, Data: text})
+		}
+	}
+}
+
 func (p *planted) Flush() []gateway.Effect {
 	p.out = p.out[:0]
 	for _, f := range p.Reducer.Flush() {
@@ -174,6 +190,9 @@
 	if f.Kind == gateway.Arm && p.name == PlantWallDeadline {
 		f.At -= rules.Time(p.clock.stepped() / time.Microsecond)
 	}
+	if f.Kind == gateway.Dial {
+		p.dials[f.Conn] = f.Addr
+	}
 	if f.Kind != gateway.Write {
 		p.out = append(p.out, f)
 		return
@@ -216,7 +235,11 @@
 		if err != nil {
 			continue
 		}
-		p.asks[words[1]] = ask{f.Conn, bytes.Clone(text)}
+		text = bytes.Clone(text)
+		p.asks[words[1]] = ask{f.Conn, text}
+		if p.name == PlantColdOverload && !strings.Contains(words[2], "lane=load") {
+			p.overload(text)
+		}
 		if p.name != PlantUnsafeTwice || !strings.Contains(words[2], "lane=load") {
 			continue
 		}
--- a/internal/rig/engine.go
+++ b/internal/rig/engine.go
@@ -25,6 +25,7 @@
 	slow    float64
 	sent    []coldSend
 	fell    int
+	fellAt  time.Time
 	mode    string  // a trouble it has; empty: none
 	part    float64 // of the requests that feel it
 	rng     *rand.Rand
@@ -140,9 +141,9 @@
 	}
 	e.sent = kept
 	broken = e.judgeCold(now)
-	if float64(sum) > e.rig.overload()*warm*float64(e.rig.Cores)*float64(tipAfter) {
+	if float64(sum) > e.rig.overload()*warm*float64(e.rig.Cores)*float64(tipAfter) && now.Sub(e.fellAt) > tipAfter {
 		e.fell++
-		e.sent = nil
+		e.fellAt = now
 	}
 	return broken
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -33,7 +33,7 @@
 	rng := rand.New(rand.NewPCG(seed, 0x50a6))
 	s := rig.Script{
 		Zones: []rig.Zone{{Name: "hall-a", Gateways: processes - processes/2, Engines: engines / 2}, {Name: "hall-b", Gateways: processes / 2, Engines: engines / 2}},
-		Cores: coreCount, Load: 0.2 + 0.5*rng.Float64(), Seed: seed, ColdFrom: 0.33, Cold: coldFor, Overload: 0.7, Length: length, Notes: 0.1,
+		Cores: coreCount, Load: 0.2 + 0.5*rng.Float64(), Seed: seed, ColdFrom: 0.33, Cold: coldFor, Overload: 0.3, Length: length, Notes: 0.1,
 	}
 	var operator []string
 	if rng.IntN(2) == 0 {
