--- a/internal/net/moments_test.go
+++ b/internal/net/moments_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	stdnet "net"
 	"net/netip"
 	"os"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -229,3 +231,27 @@
 		t.Errorf("kept %d times, repaired %d times", log.kept.Load(), log.repaired.Load())
 	}
 }
+
+// A start that fails behind the opening of the sockets ends with its error: it does not wait for loops of the sockets' library
+// that were stopped ahead of their beginning, with clients that connect and hear nothing.
+func TestStartThatFailsEnds(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as the program has it
+	for range 20 {
+		p := System()
+		p.OpenVotes = func(string) (VoterLog, directives.Kept, error) { return nil, directives.Kept{}, errDamaged }
+		cfg := loopbackConfig(t)
+		cfg.Site = &site.Site{Members: &site.Members{}, Directives: &site.Directives{Voters: []string{cfg.Name}, Folder: t.TempDir()}}
+		ended := make(chan error, 1)
+		go func() { ended <- RunOn(p, cfg, zap.NewNop(), Signals{}) }()
+		select {
+		case err := <-ended:
+			if !errors.Is(err, errDamaged) {
+				t.Fatalf("ended with %v", err)
+			}
+		case <-time.After(3 * time.Second):
+			t.Fatal("not ended 3 s after its start has failed")
+		}
+	}
+}
+
+var errDamaged = errors.New("damaged")
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -482,6 +482,7 @@
 func (r *Rig) play(ctx context.Context) (*Books, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Length)
 	defer cancel()
+	r.leaving.Store(int64(r.Leave * 1000))
 	r.start = time.Now()
 	r.books.start = r.start
 	var clients, faults sync.WaitGroup
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -89,6 +89,7 @@
 	Operator   string  `hcl:"operator,optional"` // text of the operator's file
 	Talk       bool    `hcl:"talk,optional"`     // gateways talk to one another, through relays by pair
 	Overload   float64 `hcl:"overload,optional"` // times its speed that a cold engine bears; 0: 3
+	Leave      float64 `hcl:"leave,optional"`    // part of clients that leave before their answer
 	Notes      float64 `hcl:"notes,optional"`    // part of requests of a keyed class
 	Voters     int     `hcl:"voters,optional"`   // of these, the first ones vote on directives
 	Faults     []Fault `hcl:"fault,block"`
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -33,7 +33,7 @@
 	rng := rand.New(rand.NewPCG(seed, 0x50a6))
 	s := rig.Script{
 		Zones: []rig.Zone{{Name: "hall-a", Gateways: processes - processes/2, Engines: engines / 2}, {Name: "hall-b", Gateways: processes / 2, Engines: engines / 2}},
-		Cores: coreCount, Load: 0.2 + 0.5*rng.Float64(), Seed: seed, ColdFrom: 0.33, Cold: coldFor, Overload: 0.3, Length: length, Notes: 0.1,
+		Cores: coreCount, Load: 0.2 + 0.5*rng.Float64(), Seed: seed, ColdFrom: 0.33, Cold: coldFor, Overload: 0.3, Length: length, Notes: 0.1, Leave: 0.08,
 	}
 	var operator []string
 	if rng.IntN(2) == 0 {
@@ -96,6 +96,7 @@
 // troubles are drawn evenly.
 var troubles = []trouble{
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "freeze", oneGateway(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "freeze", someGateways(rng, s) },
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "kill", oneGateway(rng, s) },
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "restart", oneGateway(rng, s) },
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "reload", someGateways(rng, s) },
