Open what may fail ahead of the sockets; look for members again where that could not begin

Cause: nbio's loops, stopped ahead of their beginning, never end, and Edge.close waits for them: a start that failed behind the sockets (a voter's log, the members' port still taken) left a process that listens, greets nobody and does not end. On SIGHUP members were looked for once, and waiting for the end of the former talk held up the reducer. Change: votes and members open first, the sockets last. A port of members that is taken is tried for 5 s at the start, and every 0.25 s later on; the reducer does not wait for a talk that ends.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -61,6 +61,9 @@
 	return nil
 }
 
+// ErrNotBound is returned where the address can't be listened on, which may be so for a moment only.
+var ErrNotBound = errors.New("members: can't listen")
+
 // Kind is what an Event tells.
 type Kind int
 
@@ -118,7 +121,7 @@
 	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{set.Bind.Addr().String()},
 		BindPort: int(set.Bind.Port()), Logger: quiet})
 	if err != nil {
-		return nil, fmt.Errorf("members: %w", err)
+		return nil, fmt.Errorf("%w: %w", ErrNotBound, err)
 	}
 	t := newTransport(inner, set, &m.stats.strangers)
 	c := memberlist.DefaultLANConfig()
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -24,6 +24,7 @@
 
 	"foxlane/internal/config"
 	"foxlane/internal/gateway"
+	"foxlane/internal/members"
 	"foxlane/internal/syserr"
 	"foxlane/rules"
 )
@@ -66,25 +67,27 @@
 	over     context.Context // done once the end of the process has begun
 	finish   context.CancelFunc
 
-	mu       sync.Mutex
-	fewer    sync.Cond // clients, or the end
-	clients  int       // connections that were accepted and are not closed
-	conns    map[gateway.ConnID]*conn
-	byNB     map[*nbio.Conn]*conn
-	accepted gateway.ConnID
-	dialling map[gateway.ConnID]context.CancelFunc
-	dials    sync.WaitGroup
-	listener stdnet.Listener
-	lingers  []*conn // hung up, oldest first
-	null     *os.File
-	plugs    []int // numbers of descriptors that are held, oldest first
-	ending   atomic.Bool
-	readers  sync.WaitGroup // of UDP
-	former   stdnet.Conn    // asked before this one: late answers may still come to it; nil: none
-	shelf    *shelf         // nil: no spool is on a disk
-	talk     *talk          // nil: other gateways are not talked to
-	hushing  sync.WaitGroup // talk that is being ended
-	votes    *votes         // nil: this gateway does not vote on directives
+	mu        sync.Mutex
+	fewer     sync.Cond // clients, or the end
+	clients   int       // connections that were accepted and are not closed
+	conns     map[gateway.ConnID]*conn
+	byNB      map[*nbio.Conn]*conn
+	accepted  gateway.ConnID
+	dialling  map[gateway.ConnID]context.CancelFunc
+	dials     sync.WaitGroup
+	listener  stdnet.Listener
+	lingers   []*conn // hung up, oldest first
+	null      *os.File
+	plugs     []int // numbers of descriptors that are held, oldest first
+	ending    atomic.Bool
+	readers   sync.WaitGroup   // of UDP
+	former    stdnet.Conn      // asked before this one: late answers may still come to it; nil: none
+	shelf     *shelf           // nil: no spool is on a disk
+	talkAgain <-chan time.Time // when members are to be looked for again, where that could not begin
+	talk      *talk            // nil: other gateways are not talked to
+	leaving   atomic.Int64     // talks that are being ended
+	hushing   sync.WaitGroup   // talk that is being ended
+	votes     *votes           // nil: this gateway does not vote on directives
 }
 
 // Signals are those that a process gets, each kind on a channel of its own: none may be lost behind another.
@@ -109,19 +112,21 @@
 		return err
 	}
 	defer e.closeShelf()
-	if err := e.open(); err != nil {
-		return err
-	}
-	defer e.close()
 	if err := e.openVotes(); err != nil {
 		return err
 	}
 	defer e.closeVotes()
-	if err := e.openTalk(); err != nil {
+	if _, err := retry(e, "members", func() (struct{}, error) { return struct{}{}, e.openTalk() }); err != nil {
 		return err
 	}
 	defer e.hushing.Wait()
 	defer e.closeTalk()
+	// The sockets come last: once their library's loops are started they must have begun before they are stopped, which a
+	// start that fails behind them does not wait for.
+	if err := e.open(); err != nil {
+		return err
+	}
+	defer e.close()
 	log.Info("serving", zap.String("name", cfg.Name), zap.Stringer("listen", cfg.Listen),
 		zap.Int("engines", len(cfg.Known.Engines)))
 	e.loop(signals)
@@ -166,7 +171,7 @@
 // retry tries a call of the start again where it failed for a moment.
 func retry[T any](e *Edge, what string, call func() (T, error)) (out T, err error) {
 	for until := time.Now().Add(startWithin); ; {
-		if out, err = call(); err == nil || !syserr.Passing(err) || time.Now().After(until) {
+		if out, err = call(); err == nil || !passing(err) || time.Now().After(until) {
 			return out, err
 		}
 		e.log.Warn("start: tried again", zap.String("what", what), zap.Error(err))
@@ -174,6 +179,9 @@
 	}
 }
 
+// passing answers whether what failed may work a moment later.
+func passing(err error) bool { return syserr.Passing(err) || errors.Is(err, members.ErrNotBound) }
+
 // startEngine begins to listen, and to read and write connections.
 func (e *Edge) startEngine() error {
 	e.engine = nbio.NewEngine(nbio.Config{
@@ -340,6 +348,8 @@
 			g.Step(e.now(), gateway.Event{Kind: gateway.Terminate})
 		case <-again:
 			e.beginReload(&reading)
+		case <-e.talkAgain:
+			e.beginTalk()
 		case <-reading.timeout:
 			e.giveUpReload(&reading)
 		case x := <-reading.read:
@@ -402,10 +412,9 @@
 	case gateway.Tell:
 		e.tellMember(f)
 	case gateway.Talk:
-		if err := e.openTalk(); err != nil {
-			e.log.Warn("members: talk can't begin", zap.Error(err))
-		}
+		e.beginTalk()
 	case gateway.Hush:
+		e.talkAgain = nil
 		e.closeTalk()
 	case gateway.Answer:
 		e.answer(f)
--- a/internal/net/talk.go
+++ b/internal/net/talk.go
@@ -165,7 +165,9 @@
 	if i := e.cfg.Settings.Rules.Zone; i >= 0 && i < len(e.cfg.Settings.ZoneNames) {
 		zone = e.cfg.Settings.ZoneNames[i]
 	}
-	e.hushing.Wait()
+	if e.leaving.Load() > 0 {
+		return errLeaving // its address is still taken, and the reducer waits for nobody
+	}
 	t := &talk{out: make(chan telling, tellings), large: make(chan telling, largeOnes), asking: map[gateway.ConnID]stdnet.Conn{}}
 	poke := func() {
 		select {
@@ -197,6 +199,20 @@
 	return nil
 }
 
+// talkPause is how long members are not looked for after that could not begin.
+const talkPause = 250 * time.Millisecond
+
+var errLeaving = errors.New("members: still being left")
+
+// beginTalk looks for members, and tries again later where that can't begin: its address may still be another process's.
+func (e *Edge) beginTalk() {
+	e.talkAgain = nil
+	if err := e.openTalk(); err != nil {
+		e.log.Warn("members: talk can't begin", zap.Error(err))
+		e.talkAgain = time.After(talkPause)
+	}
+}
+
 // closeTalk leaves the members. It takes a while, for which the reducer does not wait: hushing ends with it.
 func (e *Edge) closeTalk() {
 	t := e.talk
@@ -207,7 +223,11 @@
 	t.ending.Store(true)
 	close(t.out)
 	close(t.large)
-	e.hushing.Go(t.close)
+	e.leaving.Add(1)
+	e.hushing.Go(func() {
+		defer e.leaving.Add(-1)
+		t.close()
+	})
 }
 
 func (t *talk) close() {
