--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -8,6 +8,24 @@
 	"foxlane/rules"
 )
 
+// What was read behind a stall may have waited for as long: its engine is told to run for no longer than its client waits.
+func TestDeadlinesBehindAStall(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			w := newWorld(t, seed, 0)
+			for at := 500 * rules.Millisecond; at < 6*rules.Second; at += 1500 * rules.Millisecond {
+				w.after(at, func() { w.stop(900 * rules.Millisecond) })
+			}
+			w.play(6 * rules.Second)
+			for _, b := range w.broken {
+				if strings.Contains(b, "to run, and its client waits") {
+					t.Error(b)
+				}
+			}
+		})
+	}
+}
+
 // A process that is stopped for a while, or starved, finds its timers due before it has read what came meanwhile: clients
 // that have gone, queries that were killed. Nothing of these is sent to an engine behind that.
 func TestNothingIsSentForWhoLeftDuringAStall(t *testing.T) {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -54,6 +54,7 @@
 	said    []string             // to operators' commands
 	ownWant bool                 // dials fail for want of something at the gateway
 	wanting int                  // that did
+	readAt  rules.Time           // when the last of what came while it was stopped is read
 	thaw    rules.Time           // until when the gateway's process is stopped
 	skew    rules.Time           // by how much the wall clock was stepped
 }
@@ -229,7 +230,8 @@
 	}
 	if w.now < w.thaw { // it waits in the system, and is read a moment after the process goes on
 		e.Data = bytes.Clone(e.Data)
-		w.after(w.thaw-w.now+readAfterStop, func() { w.step(e) })
+		w.readAt = max(w.readAt, w.thaw) + readAfterStop
+		w.after(w.readAt-w.now, func() { w.step(e) })
 		return
 	}
 	if e.Kind == Accepted && w.from != nil {
@@ -242,8 +244,9 @@
 	w.carryOut()
 }
 
-// readAfterStop is how long the process goes on before it has read what came while it was stopped: its timers are first.
-const readAfterStop = 500
+// readAfterStop is how long the process takes to read each of the things that came while it was stopped: its timers are first,
+// and where many have come, or other processes want the processor too, the last is read late.
+const readAfterStop = 600
 
 // stop stops the gateway's process for a while.
 func (w *world) stop(d rules.Time) { w.thaw = w.now + d }
@@ -497,6 +500,17 @@
 	})
 }
 
+// ttlOf is for how long an engine may run what it is asked for.
+func ttlOf(fields string) rules.Time {
+	for _, f := range strings.Split(fields, ",") {
+		if text, ok := strings.CutPrefix(f, "ttl="); ok {
+			ms, _ := strconv.Atoi(text)
+			return rules.Time(ms) * rules.Millisecond
+		}
+	}
+	return 0
+}
+
 // goneFor is how long an attempt may begin after its client has gone, with the way to the engine.
 const goneFor = 100*rules.Millisecond + 5*rules.Millisecond
 
@@ -515,6 +529,9 @@
 	if r.client == nil || r.client.bad {
 		w.t.Fatalf("engine was asked for %s of a bad client", id)
 	}
+	if left := r.due - w.now; ttlOf(fields) > left+150*rules.Millisecond+slack {
+		w.breach(1, "%s came to an engine with %d ms to run, and its client waits for %d ms", r.id, ttlOf(fields)/rules.Millisecond, left/rules.Millisecond)
+	}
 	a := &wattempt{request: r, engine: e, conn: c, at: w.now}
 	r.attempts = append(r.attempts, a)
 	w.sent++
