Read on behind a stall while clients still say something; count what waited against its deadline

Cause: 15 ms were a guess of how long reading takes, and a request that waited in its socket during a stall had its client's patience counted from when it was read. Change: nothing is sent until clients have said nothing for 20 ms, 60 ms at most; what is read until then has waited for as long as the timers were late.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -62,7 +62,8 @@
 	Mailbox     int        // bytes that wait for the reducer before reading stops
 	Arena       int        // of these, the room kept for the next turn
 	StallFrom   rules.Time // how late the reducer's timers are behind a stall of the process
-	SettleFor   rules.Time // and how long what came meanwhile is read until anything is sent
+	SettleFor   rules.Time // nothing is sent behind a stall until clients have said nothing for so long
+	SettleMost  rules.Time // and at most for so long
 	Turn        rules.Time // least time between two turns of the reducer
 	StatsEvery  rules.Time // between lines that count what was done
 	Sweep       rules.Time // how often connections are looked over
@@ -130,7 +131,8 @@
 		Mailbox:     int(min(memory/32, mb)), // what one turn of the reducer works off
 		Arena:       int(memory / 256),
 		StallFrom:   30 * rules.Millisecond,
-		SettleFor:   15 * rules.Millisecond,
+		SettleFor:   20 * rules.Millisecond,
+		SettleMost:  60 * rules.Millisecond,
 		Turn:        2 * rules.Millisecond,
 		StatsEvery:  10 * rules.Second,
 		Sweep:       200 * rules.Millisecond,
--- a/internal/gateway/bad_test.go
+++ b/internal/gateway/bad_test.go
@@ -349,6 +349,7 @@
 	b.step(Connected, b.dials[0], "")
 	b.step(Data, b.dials[0], idA+" served total=1 0\r\n\r\n")
 	b.now += b.g.lim.LinkIdle // before the sweep has seen it
+	b.g.armed = b.now         // and no timer is late: the process did not stand still
 	b.step(Data, 1, ask("load", idB))
 	if len(b.dials) != 2 {
 		t.Errorf("%d dials, want 2", len(b.dials))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,8 +168,7 @@
 	askedNum int
 	source   source // of the list: the name service
 	steps    wallclock.Steps
-	resumed  rules.Time // when the reducer last ran again after a stall
-	settled  rules.Time // until then nothing is sent to engines: what came during a stall is read first
+	stall    stall // the last one
 
 	shelf  *shelf              // nil: no spool is set, results are passed on at once
 	gate   *gate               // nil: the door is off, all requests go to the module at once
@@ -245,15 +244,18 @@
 	g.noteStall()
 	switch e.Kind {
 	case Accepted:
+		g.stillReading()
 		g.accept(e.Conn, e.From)
 	case Data:
 		if c := g.clients[e.Conn]; c != nil {
+			g.stillReading()
 			g.clientData(c, e.Data)
 		} else if l := g.links[e.Conn]; l != nil {
 			g.linkData(l, e.Data)
 		}
 	case Closed:
 		if c := g.clients[e.Conn]; c != nil {
+			g.stillReading()
 			g.noteClose(c, ClosePeer)
 			g.dropClient(c)
 		} else if l := g.links[e.Conn]; l != nil {
--- a/internal/gateway/guards.go
+++ b/internal/gateway/guards.go
@@ -94,8 +94,8 @@
 		return
 	}
 	due := r.due
-	if r.at < g.resumed { // a process that does not run can't answer
-		due = max(due, g.resumed)
+	if r.at <= g.stall.seen+g.lim.SettleMost { // a process that does not run can't answer
+		due = max(due, g.stall.seen)
 	}
 	a := guard.Answer{Now: g.now, Due: due, Answered: r.answered, Refusal: how == endedRefused,
 		Class: &g.cfg.Settings.Rules.Classes[r.class]}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -120,7 +120,7 @@
 		a.spoilt, a.ours = true, true
 		a.engine.notAsked()
 		g.conclude(a, rules.VerdictConnectFailed)
-	case a.link.up && g.now >= g.settled:
+	case a.link.up && !g.settling():
 		g.ask(a)
 	default:
 		a.link.waiting = append(a.link.waiting, a)
@@ -166,7 +166,7 @@
 		case a.done:
 		case a.request.answered || l.engine.state != rules.EngineServing || g.now-a.at > g.lim.Connect:
 			g.conclude(a, rules.VerdictMoot)
-		case g.now < g.settled:
+		case g.settling():
 			l.waiting = append(l.waiting, a)
 		default:
 			g.ask(a)
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -106,7 +106,7 @@
 	}
 	// The client counts from when it sent the request and until it has the answer. Both ways take time,
 	// more where machines are busy, so its answer must leave earlier.
-	due := g.now + patience - min(patience/g.lim.WayPart, g.lim.WayMost)
+	due := g.now + patience - min(patience/g.lim.WayPart, g.lim.WayMost) - g.waitedFor()
 	r := &request{id: id, client: c, class: class, stats: &g.stats.classes[class], at: g.now, due: due,
 		statement: bytes.Clone(q.Statement), once: q.Fields.Once, priority: engine.DefaultPriority}
 	g.guardStart(r)
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -1,22 +1,53 @@
 package gateway
 
+import "foxlane/rules"
+
 // This file owns what happens behind a stall: a stop of the process, or so little processor time that timers fall due
 // long ahead of being seen. Clients may have left or killed their queries meanwhile, and the list may have changed, with
 // word of that unread in sockets. What is to be sent waits until those were read.
 
+// stall is one that the reducer has come out of.
+type stall struct {
+	seen  rules.Time // when the reducer ran again
+	late  rules.Time // how late its timers were then
+	until rules.Time // nothing is sent before
+}
+
 // noteStall looks whether the reducer runs again after a stall.
 func (g *Gateway) noteStall() {
-	if g.armed == 0 || g.now-g.armed < g.lim.StallFrom || g.now < g.settled {
+	late := g.now - g.armed
+	if g.armed == 0 || late < g.lim.StallFrom || g.now < g.stall.until {
 		return
 	}
-	g.log(Info, "stalled: what came meanwhile is read first", Attr{"late_ms", int64((g.now - g.armed) / 1000)})
-	g.resumed = g.now
-	g.settled = g.now + g.lim.SettleFor
-	g.timers.add(timer{at: g.settled, kind: timerSettled})
+	g.log(Info, "stalled: what came meanwhile is read first", Attr{"late_ms", int64(late / rules.Millisecond)})
+	g.stall = stall{seen: g.now, late: late, until: g.now + g.lim.SettleFor}
+	g.timers.add(timer{at: g.stall.until, kind: timerSettled})
+}
+
+// settling answers whether what came during a stall is still being read.
+func (g *Gateway) settling() bool { return g.now < g.stall.until }
+
+// stillReading notes that a client's connection said something: more of what came during the stall may lie behind it.
+func (g *Gateway) stillReading() {
+	if g.settling() {
+		g.stall.until = max(g.stall.until, min(g.now+g.lim.SettleFor, g.stall.seen+g.lim.SettleMost))
+	}
+}
+
+// waitedFor is for how long what is read now may have waited in its socket.
+func (g *Gateway) waitedFor() rules.Time {
+	if g.settling() {
+		return g.stall.late
+	}
+	return 0
 }
 
-// askWaiting writes what has waited since the stall.
-func (g *Gateway) askWaiting() {
+// settled sends what has waited since the stall, unless there was still something to read.
+func (g *Gateway) settled() {
+	if g.settling() {
+		g.timers.add(timer{at: g.stall.until, kind: timerSettled})
+		return
+	}
 	for _, e := range g.order {
 		for _, l := range e.links {
 			if l.up && !l.ended && len(l.waiting) > 0 {
--- a/internal/rig/books.go
+++ b/internal/rig/books.go
@@ -14,23 +14,25 @@
 
 // Books are what clients and engines saw of a run.
 type Books struct {
-	Seconds  []Second
-	Classes  []ClassBooks
-	Breaches []string // of rules, as seen from outside
-	Fallen   int      // times that a cold engine was sent more than it bears
-	Attempts int      // that reached engines
-	Tries    int      // of clients, at gateways
-	RSSMB    float64  // of the gateways, the mean, before they end
-	CPU      float64  // seconds of all gateways
-	Ordered  []string // directives that a gateway said to hold
-	Unheld   int      // orders that got another answer
-	Copies   int      // most entries that a gateway held of all, by its log
-	Cross    int      // attempts that reached another zone than their gateway's
-	Ways     map[string]relay.Counts
-	Verdicts [verdicts]int
-	Kept     int     // results that gateways said to keep, and that were read again
-	Late     int     // answers behind their time that were not lost
-	Events   []Event // faults, and states of zones as gateways logged them, in order
+	Seconds      []Second
+	Classes      []ClassBooks
+	Breaches     []string // of rules, as seen from outside
+	Fallen       int      // times that a cold engine was sent more than it bears
+	Attempts     int      // that reached engines
+	Tries        int      // of clients, at gateways
+	RSSMB        float64  // of the gateways, the mean, before they end
+	CPU          float64  // seconds of all gateways
+	Ordered      []string // directives that a gateway said to hold
+	Unheld       int      // orders that got another answer
+	Copies       int      // most entries that a gateway held of all, by its log
+	Cross        int      // attempts that reached another zone than their gateway's
+	Ways         map[string]relay.Counts
+	Verdicts     [verdicts]int
+	Kept         int // results that gateways said to keep, and that were read again
+	Pauses       int // of the rig itself, which can't judge what came meanwhile
+	LongestPause time.Duration
+	Late         int     // answers behind their time that were not lost
+	Events       []Event // faults, and states of zones as gateways logged them, in order
 
 	rig   *Rig
 	start time.Time
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -65,7 +65,7 @@
 
 // judgeAsk judges one request at an engine by when it came. The books are locked.
 func (b *Books) judgeAsk(t *try, e *engine, now time.Time, ttl time.Duration) {
-	way := b.rig.slowest(t.gateway.party, e.party)
+	way := b.rig.slowest(t.gateway.party, e.party) + b.rig.pauses.since(t.sentAt)
 	if !t.goneAt.IsZero() {
 		if late := now.Sub(t.goneAt); late > goneSlack+sockSlack+rigSlack+way+b.rig.slowest(party{"clients", "", "clients"}, t.gateway.party) {
 			b.judgeLocked(SentAfterGone, "%s came to %s %v after its client had gone from %s", t.id, e.name, late.Round(time.Millisecond), t.gateway.name)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +36,9 @@
 	Seeds, Overlapping, Faults int
 	Requests, Late, Kept       int
 	Verdicts                   map[rig.Verdict]int
+	Pauses                     int // of the rig itself
+	LongestPause               time.Duration
+	Kinds                      map[string]int // troubles played, by kind
 	Failed                     []Failure
 	Broken                     []string // seeds that could not be played to their end, and why
 	Planted                    []Found
@@ -80,7 +85,7 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	r := &Result{Verdicts: map[rig.Verdict]int{}}
+	r := &Result{Verdicts: map[rig.Verdict]int{}, Kinds: map[string]int{}}
 	var mu sync.Mutex
 	next := make(chan uint64)
 	var players sync.WaitGroup
@@ -115,6 +120,9 @@
 	}
 	r.Seeds++
 	r.Faults += len(s.Script.Faults)
+	for _, f := range s.Script.Faults {
+		r.Kinds[f.Kind]++
+	}
 	if s.Overlapping() {
 		r.Overlapping++
 	}
@@ -122,6 +130,8 @@
 		r.Requests += b.Tries
 		r.Late += b.Late
 		r.Kept += b.Kept
+		r.Pauses += b.Pauses
+		r.LongestPause = max(r.LongestPause, b.LongestPause)
 		for v, n := range b.Verdicts {
 			r.Verdicts[rig.Verdict(v)] += n
 		}
@@ -259,6 +269,9 @@
 	for _, f := range r.Planted {
 		fmt.Fprintf(w, "planted_%s_seeds: %d\n", f.Plant, f.Seeds)
 	}
+	for _, kind := range slices.Sorted(maps.Keys(r.Kinds)) {
+		fmt.Fprintf(w, "fault_%s: %d\n", kind, r.Kinds[kind])
+	}
 	fmt.Fprintf(w, "seeds: %d\nseeds_failed: %d\nseeds_not_played: %d\nrequests: %d\nkept_results: %d\nfaults: %d\noverlapping: %d\nviolations: %d\n", r.Seeds, len(r.Failed),
 		len(r.Broken), r.Requests, r.Kept, r.Faults, r.Overlapping, r.Violations())
 	for _, v := range []rig.Verdict{rig.Lost, rig.Duplicated} {
@@ -268,5 +281,6 @@
 	for _, v := range []rig.Verdict{rig.SentAfterGone, rig.PastDeadline, rig.DrainBroken, rig.FailbackBroken, rig.WrongAnswer, rig.Guarded, rig.Crashed, rig.NotReady} {
 		fmt.Fprintf(w, "%s: %d\n", v, r.Verdicts[v])
 	}
+	fmt.Fprintf(w, "rig_pauses: %d\nrig_longest_pause_ms: %d\n", r.Pauses, r.LongestPause.Milliseconds())
 	fmt.Fprintf(w, "planted: %d\nplanted_found: %d\n", len(r.Planted), r.PlantedFound())
 }
