--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -138,7 +138,7 @@
 	g.told = []toldList{{serial: known, at: began, times: 1}}
 	g.toldMu.Unlock()
 	g.mu.Lock()
-	g.run, g.termAt = x, time.Time{}
+	g.run, g.latest, g.termAt = x, x, time.Time{}
 	g.mu.Unlock()
 	for time.Since(began) < startWait {
 		if x.over() {
@@ -167,8 +167,8 @@
 func (g *gateway) signal(s syscall.Signal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.run != nil && !g.run.over() {
-		_ = g.run.cmd.Process.Signal(s)
+	if g.latest != nil && !g.latest.over() { // also one that is being ended: it may have been stopped, and must go on
+		_ = g.latest.cmd.Process.Signal(s)
 	}
 }
 
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -92,6 +92,7 @@
 
 	mu     sync.Mutex
 	run    *running  // nil: it is ended, or being ended
+	latest *running  // the one that was started last
 	termAt time.Time // when it was last asked to end
 	log    cappedLog
 
