--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -63,7 +63,9 @@
 	Arena       int        // of these, the room kept for the next turn
 	StallFrom   rules.Time // how late the reducer's timers are behind a stall of the process
 	SettleFor   rules.Time // nothing is sent behind a stall until clients have said nothing for so long
-	SettleMost  rules.Time // and at most for so long
+	SettleMost  rules.Time // and at most for so long more
+	StallLong   rules.Time // from which a stall is long
+	SettleLong  rules.Time // and what SettleFor is then
 	Turn        rules.Time // least time between two turns of the reducer
 	StatsEvery  rules.Time // between lines that count what was done
 	Sweep       rules.Time // how often connections are looked over
@@ -132,7 +134,9 @@
 		Arena:       int(memory / 256),
 		StallFrom:   30 * rules.Millisecond,
 		SettleFor:   20 * rules.Millisecond,
-		SettleMost:  60 * rules.Millisecond,
+		SettleMost:  40 * rules.Millisecond,
+		StallLong:   100 * rules.Millisecond,
+		SettleLong:  120 * rules.Millisecond,
 		Turn:        2 * rules.Millisecond,
 		StatsEvery:  10 * rules.Second,
 		Sweep:       200 * rules.Millisecond,
--- a/internal/gateway/guards.go
+++ b/internal/gateway/guards.go
@@ -94,7 +94,7 @@
 		return
 	}
 	due := r.due
-	if r.at <= g.stall.seen+g.lim.SettleMost { // a process that does not run can't answer
+	if r.at <= g.stall.seen+g.lim.SettleLong+g.lim.SettleMost { // a process that does not run can't answer
 		due = max(due, g.stall.seen)
 	}
 	a := guard.Answer{Now: g.now, Due: due, Answered: r.answered, Refusal: how == endedRefused,
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -20,17 +20,26 @@
 		return
 	}
 	g.log(Info, "stalled: what came meanwhile is read first", Attr{"late_ms", int64(late / rules.Millisecond)})
-	g.stall = stall{seen: g.now, late: late, until: g.now + g.lim.SettleFor}
+	g.stall = stall{seen: g.now, late: late, until: g.now + g.settleFor(late)}
 	g.timers.add(timer{at: g.stall.until, kind: timerSettled})
 }
 
+// settleFor is how long nothing is sent at least. Behind a long stall reading takes longer, since others may come out of it at
+// the same time, and who has left meanwhile has left for longer than may be in any case.
+func (g *Gateway) settleFor(late rules.Time) rules.Time {
+	if late >= g.lim.StallLong {
+		return g.lim.SettleLong
+	}
+	return g.lim.SettleFor
+}
+
 // settling answers whether what came during a stall is still being read.
 func (g *Gateway) settling() bool { return g.now < g.stall.until }
 
 // stillReading notes that a client's connection said something: more of what came during the stall may lie behind it.
 func (g *Gateway) stillReading() {
 	if g.settling() {
-		g.stall.until = max(g.stall.until, min(g.now+g.lim.SettleFor, g.stall.seen+g.lim.SettleMost))
+		g.stall.until = max(g.stall.until, min(g.now+g.settleFor(g.stall.late), g.stall.seen+g.settleFor(g.stall.late)+g.lim.SettleMost))
 	}
 }
 
