--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -119,7 +119,7 @@
 	if _, err := retry(e, "members", func() (struct{}, error) { return struct{}{}, e.openTalk() }); err != nil {
 		return err
 	}
-	defer e.hushing.Wait()
+	defer e.awaitTalk()
 	defer e.closeTalk()
 	// The sockets come last: once their library's loops are started they must have begun before they are stopped, which a
 	// start that fails behind them does not wait for.
--- a/internal/net/talk.go
+++ b/internal/net/talk.go
@@ -213,6 +213,16 @@
 	}
 }
 
+// talkCloses is how long the end of the process waits until the members were left: some of them may not answer.
+const talkCloses = time.Second
+
+// awaitTalk waits until talks that are being ended have, for a bounded time.
+func (e *Edge) awaitTalk() {
+	if !within(talkCloses, e.hushing.Wait) {
+		e.log.Warn("members: not left in time, the process ends without")
+	}
+}
+
 // closeTalk leaves the members. It takes a while, for which the reducer does not wait: hushing ends with it.
 func (e *Edge) closeTalk() {
 	t := e.talk
