--- a/internal/net/moments_test.go
+++ b/internal/net/moments_test.go
@@ -255,3 +255,18 @@
 }
 
 var errDamaged = errors.New("damaged")
+
+// The end of the process does not wait for members that do not answer.
+func TestEndWaitsForMembersForABoundedTime(t *testing.T) {
+	e := edgeOn(t, System())
+	stopped := make(chan struct{})
+	defer close(stopped)
+	e.hushing.Go(func() { <-stopped })
+	ended := make(chan struct{})
+	go func() { e.awaitTalk(); close(ended) }()
+	select {
+	case <-ended:
+	case <-time.After(talkCloses + 2*time.Second):
+		t.Errorf("still waiting after %v", talkCloses+2*time.Second)
+	}
+}
