Log each change of an engine's state, the list's age, and what waits ahead of a send

The report of a request sent to a draining engine 1.4 to 2.3 s behind the list can't be explained from the log: it has no line for an engine's state, for a list that is refused as older, for the age of the list, for a queue in front of the reducer, nor for bytes that an engine does not take. No behaviour changes. Packages gateway and net pass.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -38,6 +38,12 @@
 	heard  rules.Time // when an answer last came, usable or not
 	turned rules.Time // when it was last asked from a new socket
 	pause  rules.Time // of silence until that is done again
+	fresh  rules.Time // when the latest query was sent that has a usable answer: the list is as of then or later
+
+	// Since the last line of the log.
+	answers int
+	slowest rules.Time // from a query to its answer
+	oldest  rules.Time // age of the list
 }
 
 // turnTo asks the name service at an address from a new socket.
@@ -71,7 +77,7 @@
 
 func (g *Gateway) query() {
 	id := uint16(g.rng.Uint32())
-	g.asked[g.askedNum%len(g.asked)] = id
+	g.asked[g.askedNum%len(g.asked)], g.askedAt[g.askedNum%len(g.asked)] = id, g.now
 	g.askedNum++
 	g.do(Effect{Kind: Query, Data: dns.AppendQuery(nil, id, listName)})
 }
@@ -79,7 +85,8 @@
 // datagram takes an answer. Whatever is wrong with it, the last list stays.
 func (g *Gateway) datagram(msg []byte) {
 	id, ok := dns.ID(msg)
-	if !ok || !g.wasAsked(id) {
+	asked, found := g.whenAsked(id)
+	if !ok || !found {
 		g.log(Warn, "name service: answer to nothing that was asked", Attr{"bytes", len(msg)})
 		return
 	}
@@ -89,7 +96,11 @@
 		g.log(Warn, "name service: unusable answer", Attr{"error", err.Error()})
 		return
 	}
+	g.noteAnswer(asked)
 	if !newer(a.Serial, g.serial) {
+		if a.Serial != g.serial {
+			g.log(Warn, "name service: older list", Attr{"serial", a.Serial}, Attr{"have", g.serial}, Attr{"asked_ms", milliseconds(g.now - asked)})
+		}
 		return
 	}
 	engines := make([]config.Engine, 0, len(a.Hosts))
@@ -102,15 +113,35 @@
 		engines = append(engines, e)
 	}
 	g.serial = a.Serial
-	g.log(Info, "name service: new list", Attr{"serial", a.Serial}, Attr{"engines", len(engines)})
+	g.log(Info, "name service: new list", Attr{"serial", a.Serial}, Attr{"engines", len(engines)}, Attr{"asked_ms", milliseconds(g.now - asked)})
 	g.applyList(engines, rules.ListDelta)
 }
 
-func (g *Gateway) wasAsked(id uint16) bool {
+// whenAsked is when the query with an id was sent, if an answer to it may still come.
+func (g *Gateway) whenAsked(id uint16) (at rules.Time, ok bool) {
 	for i := range min(g.lim.Polls, g.askedNum, len(g.asked)) {
-		if g.asked[(g.askedNum-1-i)%len(g.asked)] == id {
-			return true
+		if n := (g.askedNum - 1 - i) % len(g.asked); g.asked[n] == id {
+			return g.askedAt[n], true
 		}
 	}
-	return false
+	return 0, false
+}
+
+// noteAnswer counts a usable answer, and for how long the list was as old as the answers before it.
+func (g *Gateway) noteAnswer(asked rules.Time) {
+	s := &g.source
+	s.answers++
+	s.slowest = max(s.slowest, g.now-asked)
+	s.oldest = max(s.oldest, g.now-s.fresh)
+	s.fresh = max(s.fresh, asked)
 }
+
+// logSource notes what the name service has said since the last such line.
+func (g *Gateway) logSource() {
+	s := &g.source
+	g.log(Info, "name service", Attr{"serial", g.serial}, Attr{"answers", s.answers}, Attr{"slowest_ms", milliseconds(s.slowest)},
+		Attr{"oldest_ms", milliseconds(max(s.oldest, g.now-s.fresh))})
+	s.answers, s.slowest, s.oldest = 0, 0, 0
+}
+
+func milliseconds(t rules.Time) int64 { return int64(t / rules.Millisecond) }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -60,12 +60,15 @@
 		}
 		if e.state != before {
 			e.told = g.now
+			g.noteState(e, before, mode)
 		}
 		news = append(news, g.translate(e))
 	}
 	for _, e := range g.order {
 		if !listed[e.id] && e.state != rules.EngineGone {
+			before := e.state
 			e.state, e.told = rules.EngineGone, g.now
+			g.noteState(e, before, mode)
 			stale = append(stale, g.retireLinks(e)...)
 			news = append(news, g.translate(e))
 		}
@@ -85,6 +88,21 @@
 	}
 }
 
+var stateNames = map[rules.EngineState]string{rules.EngineServing: "serving", rules.EngineDraining: "draining", rules.EngineGone: "gone"}
+
+// noteState writes a change of an engine's state to the log, but for the list of the start.
+func (g *Gateway) noteState(e *engineState, before rules.EngineState, mode rules.ListMode) {
+	if mode != rules.ListDelta {
+		return
+	}
+	waiting, open := 0, 0
+	for _, l := range e.links {
+		waiting, open = waiting+len(l.waiting), open+len(l.open)
+	}
+	g.log(Info, "engine: new state", Attr{"engine", e.entry.ID}, Attr{"state", stateNames[e.state]}, Attr{"was", stateNames[before]},
+		Attr{"serial", g.serial}, Attr{"open", open}, Attr{"waiting", waiting})
+}
+
 // engineOf finds the engine of a name. Its number is a hash of the name, so
 // that all gateways know it by the same one.
 func (g *Gateway) engineOf(name string) *engineState {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,7 +164,8 @@
 	lastTag  uint64
 
 	serial   uint32
-	asked    [128]uint16 // ids of the latest queries
+	asked    [128]uint16     // ids of the latest queries
+	askedAt  [128]rules.Time // and when they were sent
 	askedNum int
 	source   source // of the list: the name service
 	steps    wallclock.Steps
@@ -217,7 +218,7 @@
 		engines:  map[rules.EngineID]*engineState{},
 		links:    map[ConnID]*link{},
 		serial:   cfg.Known.Seq,
-		source:   source{heard: now, pause: cfg.Limits.ListSilent},
+		source:   source{heard: now, fresh: now, pause: cfg.Limits.ListSilent},
 	}
 	g.session = g.rng.Uint32() >> 1
 	for i, name := range cfg.Settings.ClassNames {
--- a/internal/gateway/guards.go
+++ b/internal/gateway/guards.go
@@ -65,6 +65,11 @@
 	if f := send.Check(); len(f.All()) > 0 {
 		g.broke(f, r.id, e.entry.ID)
 	}
+	if send.State != rules.EngineServing {
+		g.log(Warn, "engine: request sent to one that drains or has gone", Attr{"request", string(r.id)}, Attr{"engine", e.entry.ID},
+			Attr{"state", stateNames[send.State]}, Attr{"told_ms", milliseconds(g.now - e.told)}, Attr{"waited_ms", milliseconds(g.now - a.at)},
+			Attr{"attempt", a.index})
+	}
 }
 
 // coldSend adds a send to what an engine in slow start got from us, and returns that beside all that it bears. Both are 0
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -70,6 +70,7 @@
 	}
 	g.log(Info, "connections", Attr{"clients", len(g.clients)}, Attr{"idle", g.idle.Len()}, Attr{"engines", len(g.links)},
 		Attr{"open", len(g.requests)}, Attr{"result_bytes", g.resultHeld}, Attr{"input_bytes", g.inputHeld})
+	g.logSource()
 	g.logCloses()
 	g.logBroken()
 	g.logGate()
--- a/internal/net/close.go
+++ b/internal/net/close.go
@@ -97,6 +97,9 @@
 	if _, err := c.nb.Write(data); err != nil && !errors.Is(err, stdnet.ErrClosed) {
 		e.plug(c.nb.Hash())
 	}
+	if c.pending.Load() > 0 {
+		c.blocked.CompareAndSwap(0, int64(e.now()))
+	}
 }
 
 // plug holds the number of a descriptor that was closed a moment ago, until the poller has done with its batch. Few are held
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -29,6 +29,9 @@
 	"foxlane/rules"
 )
 
+// slowFrom is how long events or written bytes wait before that is worth a line in the log.
+const slowFrom = 100 * time.Millisecond
+
 const (
 	readBuffer  = 16 << 10
 	readsInTurn = 16 // of one connection before the next has its turn
@@ -44,6 +47,7 @@
 	watched atomic.Bool  // the reducer is to be told once they are
 	client  bool         // accepted, not dialled
 	taken   atomic.Int64 // bytes that the system has taken
+	blocked atomic.Int64 // since when bytes are pending, in the edge's time; 0: none are
 
 	// Under the edge's lock.
 	queued int   // times that bytes of it wait in the mailbox
@@ -203,6 +207,7 @@
 		if c := e.of(nb); c != nil {
 			c.taken.Add(int64(n))
 			if c.pending.Add(-int64(n)) <= 0 {
+				e.noteUnblocked(c)
 				if c.closing.Load() {
 					go e.hangUp(c) // this runs under the connection's lock
 				}
@@ -361,6 +366,9 @@
 		if rest := turns.rest(e.now()); rest > 0 {
 			time.Sleep(time.Duration(rest) * time.Microsecond)
 		}
+		if waited := e.box.waited(); waited >= slowFrom {
+			e.log.Warn("events waited for the reducer", zap.Int64("ms", waited.Milliseconds()))
+		}
 		events, arena = e.box.take(events, arena)
 		e.unqueue(events)
 		now := e.now()
@@ -375,6 +383,17 @@
 	}
 }
 
+// noteUnblocked says for how long an engine did not take what was written to it.
+func (e *Edge) noteUnblocked(c *conn) {
+	since := c.blocked.Swap(0)
+	if since == 0 || c.client {
+		return
+	}
+	if waited := e.now() - rules.Time(since); waited >= rules.Time(slowFrom.Microseconds()) {
+		e.log.Warn("engine: bytes written waited", zap.Uint64("connection", uint64(c.id)&^(1<<63)), zap.Int64("ms", int64(waited/rules.Millisecond)))
+	}
+}
+
 func (e *Edge) carryOut(f *gateway.Effect) {
 	switch f.Kind {
 	case gateway.Write:
--- a/internal/net/mailbox.go
+++ b/internal/net/mailbox.go
@@ -3,6 +3,7 @@
 import (
 	"runtime"
 	"sync"
+	"time"
 
 	"foxlane/internal/config"
 	"foxlane/internal/gateway"
@@ -22,6 +23,7 @@
 	keep   int // room of an arena that is used again
 	ready  chan struct{}
 	closed bool
+	since  time.Time // when the oldest event came
 }
 
 func newMailbox(l config.Limits) *mailbox {
@@ -42,6 +44,9 @@
 		m.bytes += len(e.Data)
 		e.Data = m.arena[from:len(m.arena):len(m.arena)]
 	}
+	if len(m.events) == 0 {
+		m.since = time.Now()
+	}
 	m.events = append(m.events, e)
 	m.mu.Unlock()
 	select {
@@ -51,6 +56,16 @@
 	}
 }
 
+// waited is for how long the oldest event has waited.
+func (m *mailbox) waited() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.events) == 0 {
+		return 0
+	}
+	return time.Since(m.since)
+}
+
 // take swaps what has come for the buffers of the last turn.
 func (m *mailbox) take(events []gateway.Event, arena []byte) ([]gateway.Event, []byte) {
 	clear(events)
