Add failing tests of lists with numbers of another count, on real processes

The rig's name service told every gateway the same numbers for good. By the operators' protocol numbers begin anew with each start of a gateway, and an answer may be lost, late, doubled, cut short, of another id, or bring an older list.

--- a/internal/rig/engine.go
+++ b/internal/rig/engine.go
@@ -30,11 +30,11 @@
 	part    float64 // of the requests that feel it
 	rng     *rand.Rand
 
-	listMu      sync.Mutex
-	draining    bool // as the list says
-	unlisted    bool
-	drainSerial uint32 // of the list that first said so
-	backSerial  uint32 // of the list that first tells of its latest start
+	listMu       sync.Mutex
+	draining     bool // as the list says
+	unlisted     bool
+	drainVersion uint32 // of the list that first said so
+	backVersion  uint32 // of the list that first tells of its latest start
 }
 
 type coldSend struct {
@@ -44,14 +44,14 @@
 }
 
 // listing is how the engine stands in the list of a number, which may be the first that says so.
-func (e *engine) listing(serial uint32) (draining, unlisted bool) {
+func (e *engine) listing(version uint32) (draining, unlisted bool) {
 	e.listMu.Lock()
 	defer e.listMu.Unlock()
 	switch {
 	case !e.draining && !e.unlisted:
-		e.drainSerial = 0
-	case e.drainSerial == 0:
-		e.drainSerial = serial
+		e.drainVersion = 0
+	case e.drainVersion == 0:
+		e.drainVersion = version
 	}
 	return e.draining, e.unlisted
 }
@@ -59,20 +59,20 @@
 // toldDrain is when a gateway was told that the engine drains or is gone; zero: it was not, or the engine does not.
 func (e *engine) toldDrain(gateway int) time.Time {
 	e.listMu.Lock()
-	serial := e.drainSerial
+	version := e.drainVersion
 	e.listMu.Unlock()
-	if serial == 0 {
+	if version == 0 {
 		return time.Time{}
 	}
-	return e.rig.gateways[gateway].toldOf(serial)
+	return e.rig.gateways[gateway].toldOf(version)
 }
 
 // toldStart answers whether a gateway was told of the engine's latest start.
 func (e *engine) toldStart(gateway int) bool {
 	e.listMu.Lock()
-	serial := e.backSerial
+	version := e.backVersion
 	e.listMu.Unlock()
-	return !e.rig.gateways[gateway].toldOf(serial).IsZero()
+	return !e.rig.gateways[gateway].toldOf(version).IsZero()
 }
 
 // begin starts the engine's process anew: it knows nothing of what came before.
@@ -82,10 +82,10 @@
 		return err
 	}
 	e.rig.mu.Lock()
-	serial := e.rig.serial
+	version := e.rig.version
 	e.rig.mu.Unlock()
 	e.listMu.Lock()
-	e.backSerial = serial + 1
+	e.backVersion = version + 1
 	e.listMu.Unlock()
 	e.mu.Lock()
 	e.srv, e.slow, e.sent, e.mode = srv, 1, nil, ""
--- /dev/null
+++ b/internal/rig/names_test.go
@@ -0,0 +1,86 @@
+package rig
+
+import (
+	"testing"
+)
+
+// Drains are heard of whatever number the list has that tells them: numbers begin anew with each start of a gateway, and an
+// answer may bring a list from before that, under the number it had then.
+func TestDrainsAreHeardWhateverTheNumbers(t *testing.T) {
+	const fleet = `
+zone "hall-a" {
+  gateways = 2
+  engines  = 4
+}
+cores  = 8
+load   = 0.4
+length = "7s"
+fault "retire" {
+  of  = "hall-a/e0"
+  at  = "200ms"
+  for = "300ms"
+}
+`
+	const restarted = `
+fault "retire" {
+  of  = "hall-a/e1"
+  at  = "1s"
+  for = "300ms"
+}
+fault "kill" {
+  of  = "gateways"
+  at  = "2s"
+  for = "200ms"
+}
+`
+	for name, faults := range map[string]string{
+		"a list of the life before, and a drain behind it": restarted + `
+fault "lists" {
+  of     = "gateways"
+  text   = "earlier"
+  factor = 1
+  at     = "2700ms"
+  for    = "150ms"
+}
+fault "retire" {
+  of  = "hall-a/e2"
+  at  = "3300ms"
+  for = "3s"
+}
+`,
+		"a drain, and a list of the life before behind it": restarted + `
+fault "retire" {
+  of  = "hall-a/e2"
+  at  = "3s"
+  for = "3s"
+}
+fault "lists" {
+  of     = "gateways"
+  text   = "earlier"
+  factor = 1
+  at     = "3500ms"
+  for    = "150ms"
+}
+`,
+		"numbers that begin anew in the middle of a life": `
+fault "lists" {
+  of   = "gateways"
+  text = "anew"
+  at   = "2s"
+}
+fault "retire" {
+  of  = "hall-a/e2"
+  at  = "2600ms"
+  for = "3s"
+}
+`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := play(t, fleet+faults)
+			if b.Attempts < 100 {
+				t.Errorf("%d attempts at engines: the test has lost its subject", b.Attempts)
+			}
+		})
+	}
+}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -123,6 +123,7 @@
 
 // begin starts the process and waits until it greets clients.
 func (g *gateway) begin() error {
+	g.beginLists()
 	if err := g.write(); err != nil {
 		return err
 	}
@@ -131,12 +132,6 @@
 		return err
 	}
 	began := time.Now()
-	g.rig.mu.Lock()
-	known := g.rig.serial
-	g.rig.mu.Unlock()
-	g.toldMu.Lock()
-	g.told = []toldList{{serial: known, at: began, times: 1}}
-	g.toldMu.Unlock()
 	g.mu.Lock()
 	g.run, g.latest, g.termAt = x, x, time.Time{}
 	g.mu.Unlock()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -53,8 +53,9 @@
 
 	mu      sync.Mutex
 	ways    map[[2]string]*way
-	faults  []*Fault // that are on
-	serial  uint32
+	faults  []*Fault     // that are on
+	version uint32       // of the list, as the rig counts
+	changed []time.Time  // when each version came before the gateways
 	gone    map[int]bool // engines that the list does not name
 	drains  map[string]bool
 	hushed  atomic.Bool  // talk is switched off
@@ -96,15 +97,7 @@
 	termAt time.Time // when it was last asked to end
 	log    cappedLog
 
-	toldMu sync.Mutex
-	told   []toldList // lists that it was told of in this life
-}
-
-// toldList is when a gateway was first told of a list.
-type toldList struct {
-	serial uint32
-	at     time.Time
-	times  int
+	lists lists // what the name service tells it
 }
 
 // cappedLog keeps the beginning of a log.
@@ -136,7 +129,7 @@
 
 // RunProcess plays a script with gateways that run a process.
 func RunProcess(ctx context.Context, p Process, s Script, logs string) (b *Books, err error) {
-	r := &Rig{Script: s, process: p, logs: logs, ways: map[[2]string]*way{}, gone: map[int]bool{}, drains: map[string]bool{}, serial: 1}
+	r := &Rig{Script: s, process: p, logs: logs, ways: map[[2]string]*way{}, gone: map[int]bool{}, drains: map[string]bool{}, version: 1}
 	defer func() {
 		if end := r.close(); err == nil {
 			err = end
@@ -211,6 +204,7 @@
 			return err
 		}
 		g.names.Told(g.heard)
+		g.names.Alter(g.alter)
 		if g.listen, err = unused(g.index); err != nil {
 			return err
 		}
@@ -327,34 +321,6 @@
 
 var errNoPort = errors.New("rig: no port is free")
 
-// news puts the list as it is now before all gateways, after a while.
-func (r *Rig) news(after time.Duration) {
-	r.mu.Lock()
-	r.serial++
-	serial := r.serial
-	lists := make([][]standin.Host, len(r.gateways))
-	for _, e := range r.engines {
-		draining, unlisted := e.listing(serial)
-		if r.gone[e.index] || unlisted {
-			continue
-		}
-		for i := range lists {
-			lists[i] = append(lists[i], e.host(i, draining))
-		}
-	}
-	r.mu.Unlock()
-	put := func() {
-		for i, g := range r.gateways {
-			g.names.Set(serial, lists[i])
-		}
-	}
-	if after <= 0 {
-		put()
-		return
-	}
-	time.AfterFunc(after, put)
-}
-
 // ---- gateways
 
 type object = map[string]any
@@ -362,21 +328,15 @@
 func (g *gateway) config() object {
 	r := g.rig
 	var servers []object
-	r.mu.Lock()
-	for _, e := range r.engines {
-		draining, unlisted := e.listing(r.serial)
-		if r.gone[e.index] || unlisted {
-			continue
-		}
-		h, state := e.host(g.index, draining), "active"
-		if draining {
+	serial, hosts := g.known()
+	for _, h := range hosts {
+		state := "active"
+		if h.Draining {
 			state = "leaving"
 		}
 		servers = append(servers, object{"id": h.ID, "addr": h.Addr.String(), "zone": h.Zone, "kind": h.Kind, "state": state, "weight": 4,
 			"started_ms": h.Started})
 	}
-	serial := r.serial
-	r.mu.Unlock()
 	var list []object
 	var threads []int
 	var loads []bool
@@ -455,40 +415,6 @@
 	return string(bytes.Replace([]byte(text), []byte("sites {\n"), []byte("sites {\n"+zones), 1))
 }
 
-// heard notes that an answer of the name service was sent to the gateway.
-func (g *gateway) heard(serial uint32) {
-	c := g.asks.Back().Conditions()
-	g.toldMu.Lock()
-	defer g.toldMu.Unlock()
-	if c.Cut {
-		return
-	}
-	n := len(g.told)
-	if n == 0 || g.told[n-1].serial < serial {
-		g.told = append(g.told, toldList{serial: serial})
-		n++
-	}
-	t := &g.told[n-1]
-	if t.times++; t.at.IsZero() && (c.Loss == 0 || t.times >= toldDespiteLoss) {
-		t.at = time.Now().Add(c.Delay + c.Jitter)
-	}
-}
-
-// toldDespiteLoss is how many answers are sent over a way that loses some until one has come.
-const toldDespiteLoss = 8
-
-// toldOf is when the gateway was first told of a list, or of a later one; zero: not yet.
-func (g *gateway) toldOf(serial uint32) time.Time {
-	g.toldMu.Lock()
-	defer g.toldMu.Unlock()
-	for _, t := range g.told {
-		if t.serial >= serial && !t.at.IsZero() {
-			return t.at
-		}
-	}
-	return time.Time{}
-}
-
 // disturbed answers whether clients can't count on an answer in time: it is frozen, or cut off from them.
 func (g *gateway) disturbed() bool {
 	if g.frozen.Load() {
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -73,6 +73,7 @@
 	"fifo":    {of: true},   // the configuration is replaced by a pipe, and back
 	"dark":    {},           // the name service says nothing
 	"late":    {},           // what it says is late by `delay`
+	"lists":   {of: true},   // a part (`factor`) of its answers to gateways is `text`: see names.go; late ones by up to `delay`
 	"cut":     {ways: true}, // nothing comes through from one to the other
 	"link":    {ways: true}, // delay, jitter, loss, rate
 }
@@ -180,6 +181,8 @@
 			return fmt.Errorf("%s: %s needs `from` and `to`", at, f.Kind)
 		case (f.Kind == "burst" || f.Kind == "slow") && !(f.Factor > 0):
 			return fmt.Errorf("%s: %s needs a factor over 0", at, f.Kind)
+		case f.Kind == "lists" && checkLists(f, at) != nil:
+			return checkLists(f, at)
 		case f.Loss < 0 || f.Loss > 1 || f.Rate < 0:
 			return fmt.Errorf("%s: loss is a part, 0 to 1, and rate at least 0", at)
 		}
--- a/internal/rig/troubles.go
+++ b/internal/rig/troubles.go
@@ -75,6 +75,11 @@
 	case "leave":
 		r.leaving.Store(int64(f.Factor * 1000))
 		return func() error { r.leaving.Store(int64(r.Leave * 1000)); return nil }, true, nil
+	case "lists": // each answer asks what holds
+		if f.Text == listsAnew {
+			r.each(f.Of, (*gateway).anew)
+		}
+		return nil, true, nil
 	case "fifo":
 		return r.fifo(f.Of)
 	}
--- a/internal/standin/names.go
+++ b/internal/standin/names.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Host is one engine of a list.
@@ -30,9 +31,26 @@
 	hosts  []Host
 	mangle func([]byte) []byte
 	listen func(from string) bool
-	told   func(serial uint32)
+	alter  func(*ListReply)
+	told   func(ListReply)
 }
 
+// ListReply is an answer that is about to be sent, with what is to become of it.
+type ListReply struct {
+	Serial  uint32
+	Hosts   []Host
+	Stale   bool          // it holds an older list than the service has
+	Lost    bool          // it is not sent
+	Failed  bool          // it reports a failure
+	Short   bool          // it is cut short
+	OtherID bool          // it has the id of another query
+	Twice   bool          // it is sent twice
+	After   time.Duration // it is sent so late
+}
+
+// Good answers whether the reply can tell something: it is whole and holds the present list.
+func (r *ListReply) Good() bool { return !r.Stale && !r.Lost && !r.Failed && !r.Short && !r.OtherID }
+
 // NewNames starts a name service that answers for the list under a name.
 func NewNames(addr, name string) (*Names, error) {
 	conn, err := net.ListenPacket("udp", addr)
@@ -68,8 +86,15 @@
 	n.mu.Unlock()
 }
 
-// Told calls for each answer that is sent, with the number of the list in it.
-func (n *Names) Told(f func(serial uint32)) {
+// Alter calls for each answer that is about to be sent; nil stops that.
+func (n *Names) Alter(f func(*ListReply)) {
+	n.mu.Lock()
+	n.alter = f
+	n.mu.Unlock()
+}
+
+// Told calls for each good answer, once it has been sent.
+func (n *Names) Told(f func(ListReply)) {
 	n.mu.Lock()
 	n.told = f
 	n.mu.Unlock()
@@ -92,24 +117,55 @@
 		if size < 12 {
 			continue
 		}
-		n.mu.Lock()
-		msg := Answer(binary.BigEndian.Uint16(buf), n.name, n.serial, n.hosts)
-		if n.mangle != nil {
-			msg = n.mangle(msg)
-		}
-		if n.listen != nil && !n.listen(from.String()) {
-			msg = nil
-		}
-		serial, told := n.serial, n.told
-		n.mu.Unlock()
-		if msg == nil {
-			continue
-		}
+		n.reply(binary.BigEndian.Uint16(buf), from)
+	}
+}
+
+// reply answers one query.
+func (n *Names) reply(id uint16, from net.Addr) {
+	n.mu.Lock()
+	r := ListReply{Serial: n.serial, Hosts: n.hosts}
+	alter, mangle, listen, told := n.alter, n.mangle, n.listen, n.told
+	n.mu.Unlock() // whoever alters it may be about to set the list
+	if alter != nil {
+		alter(&r)
+	}
+	msg := r.message(id, n.name)
+	if mangle != nil {
+		msg = mangle(msg)
+	}
+	if msg == nil || r.Lost || listen != nil && !listen(from.String()) {
+		return
+	}
+	send := func() {
 		_, _ = n.conn.WriteTo(msg, from)
-		if told != nil {
-			told(serial)
+		if r.Twice {
+			_, _ = n.conn.WriteTo(msg, from)
+		}
+		if told != nil && r.Good() {
+			told(r)
 		}
 	}
+	if r.After > 0 {
+		time.AfterFunc(r.After, send)
+		return
+	}
+	send()
+}
+
+// message is the reply as it is sent.
+func (r *ListReply) message(id uint16, name string) []byte {
+	if r.OtherID {
+		id++
+	}
+	msg := Answer(id, name, r.Serial, r.Hosts)
+	if r.Failed {
+		msg[3] |= 2 // SERVFAIL
+	}
+	if r.Short {
+		msg = msg[:len(msg)*2/3]
+	}
+	return msg
 }
 
 // Answer is the whole answer to a query. The name asked for is pointed to, and
