Decide which list of engines holds by all that is told, not by its number alone

Cause: numbers of lists order those of one count only, and a count begins anew with each start.

Change: internal/discovery (pure). A restriction is believed at once whatever the number; it is taken back by a later start of the engine, by three answers in a row with the list that holds or a newer one, or once outweighed. A list with a newer number holds at once, and is given up once three answers (ten, if it was told often) outweigh it. An engine missing from answers that are not newer counts as gone 0.3 s later. Same number, other list: as any other list.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -4,13 +4,14 @@
 	"net/netip"
 
 	"foxlane/internal/config"
+	"foxlane/internal/discovery"
 	"foxlane/internal/dns"
 	"foxlane/internal/spool"
 	"foxlane/rules"
 )
 
-// This file follows the name service: when it is asked, from which socket, and what its answers change. Whatever is wrong
-// with an answer, the last list stays.
+// This file follows the name service: when it is asked, from which socket, and what becomes of its answers. Which list holds
+// is decided by package discovery.
 
 // reload goes over to the name service of a configuration that was read again.
 // Its numbers continue those of the last one, so the list stays until a later
@@ -26,19 +27,24 @@
 		g.atShelf(spool.Event{Kind: spool.Retune, Budget: &budget})
 	}
 	g.turnTo(cfg.DNS)
-	if newer(cfg.Known.Seq, g.serial) {
-		g.serial = cfg.Known.Seq
-		g.applyList(cfg.Known.Engines, rules.ListDelta)
-	}
+	g.list.Read(g.now, cfg.Known.Seq, cfg.Known.Engines)
+	g.applyChanged()
 	g.query()
 }
 
+// applyChanged takes the list over where an answer or the time has changed it.
+func (g *Gateway) applyChanged() {
+	if engines, ok := g.list.Changed(); ok {
+		g.applyList(engines, rules.ListDelta)
+	}
+}
+
 // source is what is remembered of the name service as a way, whatever it says.
 type source struct {
 	heard  rules.Time // when an answer last came, usable or not
 	turned rules.Time // when it was last asked from a new socket
 	pause  rules.Time // of silence until that is done again
-	fresh  rules.Time // when the latest query was sent that has a usable answer: the list is as of then or later
+	fresh  rules.Time // when the latest query was sent whose answer held the list that holds: it is as of then or later
 
 	// Since the last line of the log.
 	answers int
@@ -65,11 +71,10 @@
 	g.turnTo(g.cfg.DNS)
 }
 
-// newer compares numbers of lists as RFC 1982 does serials: they go round.
-func newer(a, b uint32) bool { return int32(a-b) > 0 }
-
 // poll asks the name service, again and again.
 func (g *Gateway) poll() {
+	g.list.Tick(g.now)
+	g.applyChanged()
 	g.listenAnew()
 	g.query()
 	g.timers.add(timer{at: g.now + g.lim.PollEvery, kind: timerPoll})
@@ -85,7 +90,7 @@
 // datagram takes an answer. Whatever is wrong with it, the last list stays.
 func (g *Gateway) datagram(msg []byte) {
 	id, ok := dns.ID(msg)
-	asked, found := g.whenAsked(id)
+	query, found := g.queryOf(id)
 	if !ok || !found {
 		g.log(Warn, "name service: answer to nothing that was asked", Attr{"bytes", len(msg)})
 		return
@@ -96,15 +101,30 @@
 		g.log(Warn, "name service: unusable answer", Attr{"error", err.Error()})
 		return
 	}
-	g.noteAnswer(asked)
-	if !newer(a.Serial, g.serial) {
-		if a.Serial != g.serial {
-			g.log(Warn, "name service: older list", Attr{"serial", a.Serial}, Attr{"have", g.serial}, Attr{"asked_ms", milliseconds(g.now - asked)})
-		}
-		return
+	g.takeAnswer(query, a.Serial, enginesOf(a.Hosts))
+	g.applyChanged()
+}
+
+// takeAnswer hands a usable answer to the list and notes what became of it.
+func (g *Gateway) takeAnswer(query int, serial uint32, engines []config.Engine) {
+	asked, had := g.askedAt[query%len(g.asked)], g.list.Serial()
+	verdict := g.list.Hear(g.now, discovery.Answer{Query: uint64(query) + 1, Serial: serial, Engines: engines})
+	g.noteAnswer(asked, verdict)
+	attrs := []Attr{{"serial", serial}, {"had", had}, {"engines", len(engines)}, {"asked_ms", milliseconds(g.now - asked)}}
+	switch verdict {
+	case discovery.Newer:
+		g.log(Info, "name service: new list", attrs...)
+	case discovery.Other:
+		g.log(Warn, "name service: another list, not a newer one", attrs...)
+	case discovery.Recounted:
+		g.log(Warn, "name service: numbers have begun anew", attrs...)
 	}
-	engines := make([]config.Engine, 0, len(a.Hosts))
-	for _, h := range a.Hosts {
+}
+
+// enginesOf translates the hosts of an answer.
+func enginesOf(hosts []dns.Host) []config.Engine {
+	engines := make([]config.Engine, 0, len(hosts))
+	for _, h := range hosts {
 		e := config.Engine{ID: h.ID, Addr: h.Addr, Zone: h.Zone, Kind: h.Kind, Cell: h.Cell,
 			State: config.StateActive, Weight: float64(h.Weight) / weightScale, Started: h.Started}
 		if h.Priority > 0 {
@@ -112,26 +132,27 @@
 		}
 		engines = append(engines, e)
 	}
-	g.serial = a.Serial
-	g.log(Info, "name service: new list", Attr{"serial", a.Serial}, Attr{"engines", len(engines)}, Attr{"asked_ms", milliseconds(g.now - asked)})
-	g.applyList(engines, rules.ListDelta)
+	return engines
 }
 
-// whenAsked is when the query with an id was sent, if an answer to it may still come.
-func (g *Gateway) whenAsked(id uint16) (at rules.Time, ok bool) {
+// queryOf is the place of the query with an id among all that were sent, if an answer to it may still come.
+func (g *Gateway) queryOf(id uint16) (query int, ok bool) {
 	for i := range min(g.lim.Polls, g.askedNum, len(g.asked)) {
-		if n := (g.askedNum - 1 - i) % len(g.asked); g.asked[n] == id {
-			return g.askedAt[n], true
+		if query = g.askedNum - 1 - i; g.asked[query%len(g.asked)] == id {
+			return query, true
 		}
 	}
 	return 0, false
 }
 
-// noteAnswer counts a usable answer, and for how long the list was as old as the answers before it.
-func (g *Gateway) noteAnswer(asked rules.Time) {
+// noteAnswer counts a usable answer, and notes as of when the list is known to hold.
+func (g *Gateway) noteAnswer(asked rules.Time, verdict discovery.Verdict) {
 	s := &g.source
 	s.answers++
 	s.slowest = max(s.slowest, g.now-asked)
+	if verdict == discovery.Other || verdict == discovery.Late {
+		return
+	}
 	s.oldest = max(s.oldest, g.now-s.fresh)
 	s.fresh = max(s.fresh, asked)
 }
@@ -139,7 +160,7 @@
 // logSource notes what the name service has said since the last such line.
 func (g *Gateway) logSource() {
 	s := &g.source
-	g.log(Info, "name service", Attr{"serial", g.serial}, Attr{"answers", s.answers}, Attr{"slowest_ms", milliseconds(s.slowest)},
+	g.log(Info, "name service", Attr{"serial", g.list.Serial()}, Attr{"answers", s.answers}, Attr{"slowest_ms", milliseconds(s.slowest)},
 		Attr{"oldest_ms", milliseconds(max(s.oldest, g.now-s.fresh))})
 	s.answers, s.slowest, s.oldest = 0, 0, 0
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -100,7 +100,7 @@
 		waiting, open = waiting+len(l.waiting), open+len(l.open)
 	}
 	g.log(Info, "engine: new state", Attr{"engine", e.entry.ID}, Attr{"state", stateNames[e.state]}, Attr{"was", stateNames[before]},
-		Attr{"serial", g.serial}, Attr{"open", open}, Attr{"waiting", waiting})
+		Attr{"serial", g.list.Serial()}, Attr{"open", open}, Attr{"waiting", waiting})
 }
 
 // engineOf finds the engine of a name. Its number is a hash of the name, so
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"foxlane/internal/config"
 	"foxlane/internal/directives"
+	"foxlane/internal/discovery"
 	"foxlane/internal/guard"
 	"foxlane/internal/spool"
 	"foxlane/internal/wallclock"
@@ -163,7 +164,7 @@
 	lastLink ConnID
 	lastTag  uint64
 
-	serial   uint32
+	list     *discovery.List
 	asked    [128]uint16     // ids of the latest queries
 	askedAt  [128]rules.Time // and when they were sent
 	askedNum int
@@ -217,7 +218,7 @@
 		classes:  map[string]int{},
 		engines:  map[rules.EngineID]*engineState{},
 		links:    map[ConnID]*link{},
-		serial:   cfg.Known.Seq,
+		list:     discovery.New(cfg.Known.Seq, cfg.Known.Engines),
 		source:   source{heard: now, fresh: now, pause: cfg.Limits.ListSilent},
 	}
 	g.session = g.rng.Uint32() >> 1
@@ -231,7 +232,8 @@
 	}
 	g.beginOrders()
 	g.beginPeers()
-	g.applyList(cfg.Known.Engines, rules.ListSaved)
+	engines, _ := g.list.Changed()
+	g.applyList(engines, rules.ListSaved)
 	g.poll()
 	g.timers.add(timer{at: now + g.lim.Sweep, kind: timerSweep})
 	g.timers.add(timer{at: now + g.lim.StatsEvery, kind: timerStats})
