--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -6,8 +6,8 @@
 // may bring a list of another count. So no single number decides:
 //
 //   - A restriction (an engine drains, or has gone) is believed at once, whatever the number of the list that tells it.
-//   - It is taken back by a later start of the engine; by a few answers in a row that hold the list that holds, or newer ones, and
-//     list the engine as active; or by so many others that they outweigh it.
+//   - It is taken back by a later start of the engine, or by a few answers in a row that hold the list that holds, or newer ones,
+//     and list the engine as active.
 //   - A list with a newer number is taken at once. It is given up, for the list that is told instead, once several answers
 //     brought other lists and none with its number or a newer one outweighs them.
 package discovery
@@ -22,8 +22,9 @@
 // Answers are 100 ms apart. Three are well under the grace of a drain, and more than the name service brings from before
 // in a row; ten, one second's, are what it takes against a list that was told again and again.
 const (
-	firstWeight = 3
-	mostWeight  = 10
+	firstWeight   = 3
+	mostWeight    = 10
+	vouchesWanted = 3
 )
 
 // absentFor is how long an engine may be missing from answers that are not newer than the list that holds until it counts
@@ -33,17 +34,6 @@
 // tombstones is how many engines that have gone are remembered: a list from before may name them again.
 const tombstones = 256
 
-// weight is how much speaks for something that was told: an answer that agrees adds one, any other takes one away.
-type weight int
-
-func (w *weight) agree() { *w = min(*w+1, mostWeight) }
-
-// disagree answers whether nothing speaks for it any more.
-func (w *weight) disagree() bool {
-	*w--
-	return *w <= 0
-}
-
 // Verdict is what became of an answer.
 type Verdict int
 
@@ -68,7 +58,7 @@
 	serial   uint32
 	held     []config.Engine
 	places   map[string]int // in held, by id
-	support  weight         // of the list that holds
+	support  int            // of the list that holds: an answer with it adds one, one with another list takes one away
 	answered uint64         // the latest query that was answered
 	doubts   map[string]*doubt
 	graves   []string // ids of engines that have gone, the longest gone first
@@ -78,7 +68,6 @@
 // doubt is what speaks against sending to an engine.
 type doubt struct {
 	restricted bool       // it drains or has gone, as far as is known
-	support    weight     // of that
 	vouched    int        // answers in a row that held the list that holds, or a newer one, and list the engine as active
 	started    int64      // its latest start that is known: a later one is another process
 	absentAt   rules.Time // since when it is missing from answers that are not newer; 0: it is not
@@ -93,7 +82,6 @@
 	for i := range engines {
 		if engines[i].State == config.StateLeaving {
 			l.restrict(engines[i].ID, engines[i].Started)
-			l.doubts[engines[i].ID].support = mostWeight
 		}
 	}
 	return l
@@ -139,9 +127,11 @@
 		return Late
 	case a.Serial == l.serial && l.same(a.Engines):
 		verdict = Confirmed
-		l.support.agree()
-	case l.support.disagree():
-		verdict = Recounted
+		l.support = min(l.support+1, mostWeight)
+	default:
+		if l.support--; l.support <= 0 {
+			verdict = Recounted
+		}
 	}
 	if verdict == Confirmed {
 		l.weighHeld()
@@ -201,8 +191,8 @@
 		switch {
 		case held && l.held[at].State != config.StateLeaving:
 			l.vouch(&l.held[at], Confirmed)
-		case d.restricted:
-			d.again()
+		default:
+			d.vouched = 0
 		}
 	}
 }
@@ -223,8 +213,8 @@
 		}
 	}
 	for id, d := range l.doubts {
-		if _, held := l.places[id]; !held && !named[id] && d.restricted {
-			d.again()
+		if !named[id] {
+			d.vouched = 0
 		}
 	}
 	for i := range l.held {
@@ -238,17 +228,8 @@
 func (l *List) restrict(id string, started int64) {
 	d := l.doubtOf(id)
 	d.absentAt, d.started = 0, max(d.started, started)
-	if d.restricted {
-		d.again()
-		return
-	}
-	d.restricted, d.support, d.vouched, l.changed = true, firstWeight, 0, true
-}
-
-// again notes that a restriction was told once more.
-func (d *doubt) again() {
-	d.vouched = 0
-	d.support.agree()
+	l.changed = l.changed || !d.restricted
+	d.restricted, d.vouched = true, 0
 }
 
 // vouch notes that an engine was listed as active.
@@ -259,11 +240,10 @@
 	}
 	d.absentAt = 0
 	d.vouched++
-	if verdict == Other || verdict == Recounted {
+	if verdict == Other {
 		d.vouched = 0
 	}
-	outweighed := d.support.disagree()
-	if !d.restricted || e.Started > d.started || d.vouched >= firstWeight || outweighed {
+	if !d.restricted || e.Started > d.started || d.vouched >= vouchesWanted {
 		l.clear(e.ID, d)
 	}
 }
@@ -275,11 +255,7 @@
 		l.bury(e.ID)
 		return
 	}
-	d := l.doubtOf(e.ID)
-	switch {
-	case d.restricted:
-		d.again()
-	case d.absentAt == 0:
+	if d := l.doubtOf(e.ID); !d.restricted && d.absentAt == 0 {
 		d.absentAt, d.started = now, e.Started
 	}
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -153,7 +153,7 @@
 func TestReturn(t *testing.T) {
 	w := newWorld(t, 1, engine("a", on), engine("b", on))
 	w.hear(2, engine("a", off), engine("b", off))
-	for i := range firstWeight {
+	for i := range vouchesWanted {
 		w.expect(fmt.Sprint("behind ", i, " answers"), "a", off)
 		w.hear(3, engine("a", on), engine("b", on, 5000))
 		w.expect("started anew", "b", on)
--- a/internal/double/double.go
+++ b/internal/double/double.go
@@ -30,8 +30,8 @@
 
 // Order is what the process is told on standard input, a JSON object a line.
 type Order struct {
-	Kind  string  `json:"kind"`            // step, calls or disk
-	MS    int64   `json:"ms,omitempty"`    // step: by how much the wall clock is stepped
+	Kind  string  `json:"kind"`            // step, calls, disk or late
+	MS    int64   `json:"ms,omitempty"`    // step: by how much the wall clock is stepped; late: by how much dials are late, at most
 	Calls string  `json:"calls,omitempty"` // which calls fail: dial, accept, udp; write, sync, open
 	Errno string  `json:"errno,omitempty"` // as Linux names it
 	Part  float64 `json:"part,omitempty"`  // of the calls that fail
@@ -43,6 +43,7 @@
 	OrderStep  = "step"
 	OrderCalls = "calls"
 	OrderDisk  = "disk"
+	OrderLate  = "late"
 )
 
 var errnos = map[string]syscall.Errno{
@@ -63,9 +64,33 @@
 
 // faults are the calls that fail now, by name.
 type faults struct {
-	mu  sync.Mutex
-	rng *rand.Rand
-	on  map[string]fault
+	mu   sync.Mutex
+	rng  *rand.Rand
+	on   map[string]fault
+	late lateDials
+}
+
+// lateDials are dials that come up late.
+type lateDials struct {
+	by    time.Duration
+	part  float64
+	until time.Time
+}
+
+func (f *faults) setLate(o Order) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.late = lateDials{time.Duration(o.MS) * time.Millisecond, o.Part, time.Now().Add(time.Duration(o.ForMS) * time.Millisecond)}
+}
+
+// lateness is by how much a dial that begins now comes up late.
+func (f *faults) lateness() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.late.by <= 0 || time.Now().After(f.late.until) || f.rng.Float64() >= f.late.part {
+		return 0
+	}
+	return time.Duration(f.rng.Int64N(int64(f.late.by)))
 }
 
 type fault struct {
@@ -114,6 +139,8 @@
 			c.step(time.Duration(o.MS) * time.Millisecond)
 		case o.Kind == OrderCalls || o.Kind == OrderDisk:
 			err = f.set(o)
+		case o.Kind == OrderLate:
+			f.setLate(o)
 		default:
 			err = fmt.Errorf("double: unknown order %q", o.Kind)
 		}
--- a/internal/double/plants.go
+++ b/internal/double/plants.go
@@ -23,7 +23,7 @@
 // Plants are the defects that can be planted, to see whether the soak finds them.
 var Plants = []string{
 	PlantDrainIgnored, PlantUnsafeTwice, PlantSentAfterGone, PlantColdOverload, PlantAnswerLate, PlantCloseUnanswered, PlantWallDeadline,
-	PlantSyncIgnored,
+	PlantSyncIgnored, PlantNumberOnly, PlantListAtStart, PlantBytesLeft, PlantOlderList, PlantKeyTwice,
 }
 
 // Planted defects.
@@ -36,6 +36,11 @@
 	PlantCloseUnanswered = "close_unanswered"
 	PlantWallDeadline    = "wall_deadline"
 	PlantSyncIgnored     = "sync_ignored"
+	PlantNumberOnly      = "number_only"           // lists are told apart by their number alone
+	PlantListAtStart     = "list_ignored_at_start" // for the first seconds of the process
+	PlantBytesLeft       = "bytes_left"            // in a write buffer to an engine that drains
+	PlantOlderList       = "older_list"            // the list before the last one is taken
+	PlantKeyTwice        = "key_twice"             // the key of ordered requests is not read
 )
 
 // plant puts a defect between sockets and reducer, or into the folder.
@@ -60,7 +65,8 @@
 	make := p.Reducer
 	p.Reducer = func(cfg config.Config, now rules.Time) net.Reducer {
 		return &planted{Reducer: make(cfg, now), name: name, clock: clock, engines: map[gateway.ConnID]bool{}, clients: map[gateway.ConnID]string{},
-			asks: map[string]ask{}, dials: map[gateway.ConnID]netip.AddrPort{}, cold: map[netip.AddrPort]rules.Time{}}
+			asks: map[string]ask{}, dials: map[gateway.ConnID]netip.AddrPort{}, cold: map[netip.AddrPort]rules.Time{},
+			highest: cfg.Known.Seq, began: now, draining: map[netip.AddrPort]bool{}}
 	}
 	return p, nil
 }
@@ -79,6 +85,12 @@
 	later   []delayed
 	answers int
 	out     []gateway.Effect
+
+	highest  uint32     // number of a list so far
+	began    rules.Time // when the process started
+	last     *dns.Msg   // the latest list, and the one before it
+	before   *dns.Msg
+	draining map[netip.AddrPort]bool
 }
 
 type ask struct {
@@ -113,11 +125,18 @@
 		}
 		delete(p.clients, e.Conn)
 	case gateway.Data:
+		if p.name == PlantKeyTwice && e.Conn&dialledBit == 0 {
+			e.Data = bytes.ReplaceAll(e.Data, []byte("subject="), []byte("subjekt="))
+		}
 		if _, after, ok := bytes.Cut(e.Data, []byte("req=")); ok && e.Conn&dialledBit == 0 && len(after) >= 16 {
 			p.clients[e.Conn] = string(after[:16])
 		}
 	case gateway.Datagram:
-		if changed, err := p.list(e.Data); err == nil {
+		changed, err := p.list(e.Data)
+		if errors.Is(err, errDropped) {
+			return
+		}
+		if err == nil {
 			e.Data = changed
 		}
 	}
@@ -126,13 +145,27 @@
 
 // list is an answer of the name service as the defect has it.
 func (p *planted) list(data []byte) ([]byte, error) {
-	if p.name != PlantDrainIgnored && p.name != PlantColdOverload {
+	if !slices.Contains([]string{PlantDrainIgnored, PlantColdOverload, PlantNumberOnly, PlantListAtStart, PlantBytesLeft, PlantOlderList}, p.name) {
 		return data, nil
 	}
 	var m dns.Msg
 	if err := m.Unpack(data); err != nil {
 		return nil, err
 	}
+	switch p.name {
+	case PlantNumberOnly:
+		return data, p.numberOnly(&m)
+	case PlantListAtStart:
+		if p.now-p.began < ignoredFor {
+			return nil, errDropped
+		}
+		return data, nil
+	case PlantBytesLeft:
+		p.hold(&m)
+		return data, nil
+	case PlantOlderList:
+		return p.older(&m)
+	}
 	ports, addrs, started := map[string]uint16{}, map[string]netip.Addr{}, map[string]bool{}
 	for _, r := range slices.Concat(m.Answer, m.Extra) {
 		switch r := r.(type) {
@@ -156,6 +189,79 @@
 	return m.Pack()
 }
 
+var errDropped = errors.New("double: an answer is dropped")
+
+// ignoredFor is for how long lists are ignored at the start.
+const ignoredFor = 3 * rules.Second
+
+func serialOf(m *dns.Msg) (serial uint32, ok bool) {
+	for _, r := range m.Ns {
+		if soa, is := r.(*dns.SOA); is {
+			return soa.Serial, true
+		}
+	}
+	return 0, false
+}
+
+// numberOnly drops lists whose number is lower than one that came before.
+func (p *planted) numberOnly(m *dns.Msg) error {
+	serial, ok := serialOf(m)
+	if ok && serial < p.highest {
+		return errDropped
+	}
+	p.highest = max(p.highest, serial)
+	return nil
+}
+
+// older puts the records of the list before the last one into an answer.
+func (p *planted) older(m *dns.Msg) ([]byte, error) {
+	serial, ok := serialOf(m)
+	if !ok {
+		return nil, errShort
+	}
+	if p.last == nil {
+		p.last = m
+	}
+	if was, _ := serialOf(p.last); was != serial {
+		p.before, p.last = p.last, m
+	}
+	if p.before == nil {
+		return m.Pack()
+	}
+	out := *m
+	out.Answer, out.Extra = p.before.Answer, p.before.Extra
+	return out.Pack()
+}
+
+const (
+	bufferFor = 60 * rules.Millisecond   // how long all that is written to engines waits
+	leftFor   = 1500 * rules.Millisecond // and where the engine begins to drain meanwhile
+)
+
+// hold leaves what waits for engines that begin to drain in its buffer.
+func (p *planted) hold(m *dns.Msg) {
+	addrs := map[string]netip.Addr{}
+	for _, r := range m.Extra {
+		if a, ok := r.(*dns.A); ok {
+			addrs[a.Hdr.Name], _ = netip.AddrFromSlice(a.A.To4())
+		}
+	}
+	for _, r := range m.Answer {
+		srv, ok := r.(*dns.SRV)
+		if !ok {
+			continue
+		}
+		at := netip.AddrPortFrom(addrs[srv.Target], srv.Port)
+		began := srv.Priority > 0 && !p.draining[at]
+		p.draining[at] = srv.Priority > 0
+		for i := range p.later {
+			if began && p.dials[p.later[i].effect.Conn] == at {
+				p.later[i].at += leftFor
+			}
+		}
+	}
+}
+
 // coldFor is for how long the defect overloads an engine that has just started.
 const coldFor = 3 * rules.Second
 
@@ -197,6 +303,11 @@
 		p.out = append(p.out, f)
 		return
 	}
+	if f.Conn&dialledBit != 0 && p.name == PlantBytesLeft {
+		f.Data = bytes.Clone(f.Data)
+		p.later = append(p.later, delayed{p.now + bufferFor, f})
+		return
+	}
 	if f.Conn&dialledBit != 0 {
 		p.out = append(p.out, f)
 		p.asked(f)
--- a/internal/double/platform.go
+++ b/internal/double/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	stdnet "net"
 	"net/netip"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,13 @@
 		if err := f.fail("dial"); err != nil {
 			return nil, &stdnet.OpError{Op: "dial", Net: "tcp", Err: err}
 		}
+		if late := f.lateness(); late > 0 {
+			select {
+			case <-ctx.Done():
+				return nil, &stdnet.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+			case <-time.After(late):
+			}
+		}
 		return system.Dial(ctx, addr)
 	}
 	p.DialUDP = func(addr netip.AddrPort) (stdnet.Conn, error) {
--- a/internal/rig/books.go
+++ b/internal/rig/books.go
@@ -31,8 +31,9 @@
 	Kept         int // results that gateways said to keep, and that were read again
 	Pauses       int // of the rig itself, which can't judge what came meanwhile
 	LongestPause time.Duration
-	Late         int     // answers behind their time that were not lost
-	Events       []Event // faults, and states of zones as gateways logged them, in order
+	Late         int           // answers behind their time that were not lost
+	SlowestDrain time.Duration // longest time from when a gateway was told of a drain to a request of it there
+	Events       []Event       // faults, and states of zones as gateways logged them, in order
 
 	rig   *Rig
 	start time.Time
@@ -40,6 +41,11 @@
 	byID  map[string]*try
 	last  uint64
 	most  int // breaches kept
+
+	byKey  map[turn][]*try       // tries of ordered classes that came to engines
+	atOnce []pair                // of them, such that came while another one with their key ran
+	extras map[*gateway][]extra  // further attempts, by gateway
+	opened map[*gateway][]opened // tries, by gateway
 }
 
 // Second is one of a run, by when clients first asked.
@@ -79,11 +85,15 @@
 	due     time.Time
 	goneAt  time.Time // when its client left, or killed it; zero: it has not
 	ranAt   time.Time // when an engine first took it
+	life    int64     // of its gateway
+	runEnd  time.Time // when its latest run ends, if nothing ends it earlier
+	endedAt time.Time // when its client had the final answer; zero: not yet
 }
 
 func newBooks(r *Rig) *Books {
-	b := &Books{rig: r, start: time.Now(), byID: map[string]*try{}, most: 20, Ways: map[string]relay.Counts{}}
-	for _, c := range classes {
+	b := &Books{rig: r, start: time.Now(), byID: map[string]*try{}, most: 20, byKey: map[turn][]*try{},
+		extras: map[*gateway][]extra{}, opened: map[*gateway][]opened{}, Ways: map[string]relay.Counts{}}
+	for _, c := range r.classes {
 		b.Classes = append(b.Classes, ClassBooks{Name: c.name})
 	}
 	return b
@@ -94,7 +104,7 @@
 	i := max(0, int(t.Sub(b.start)/time.Second))
 	for len(b.Seconds) <= i {
 		b.Seconds = append(b.Seconds, Second{To: make([]float64, len(b.rig.Zones)), Foreign: make([]float64, len(b.rig.Zones)),
-			Refused: make([]int, len(classes))})
+			Refused: make([]int, len(b.rig.classes))})
 	}
 	return &b.Seconds[i]
 }
@@ -107,7 +117,7 @@
 
 func (b *Books) offer(q *request) {
 	b.mu.Lock()
-	b.at(q.at).Offered += classes[q.class].worth
+	b.at(q.at).Offered += b.rig.classes[q.class].worth
 	b.Classes[q.class].Asked++
 	b.mu.Unlock()
 }
@@ -120,7 +130,8 @@
 	b.Tries++
 	id := fmt.Sprintf("%08x%08x", uint32(b.rig.Seed*2654435761), b.last)
 	now := time.Now()
-	b.byID[id] = &try{id: id, request: q, gateway: g, work: q.work, zone: g.zone, sentAt: now, due: now.Add(left)}
+	b.opened[g] = append(b.opened[g], opened{now, g.life.Load()})
+	b.byID[id] = &try{id: id, request: q, gateway: g, work: q.work, zone: g.zone, sentAt: now, due: now.Add(left), life: g.life.Load()}
 	return id
 }
 
@@ -131,6 +142,13 @@
 	b.mu.Unlock()
 }
 
+// answered notes that a client had its final answer, or an end without one.
+func (b *Books) answered(id string) {
+	b.mu.Lock()
+	b.byID[id].endedAt = time.Now()
+	b.mu.Unlock()
+}
+
 // gone notes that a client has left its try, or killed it.
 func (b *Books) gone(id string) {
 	b.mu.Lock()
@@ -163,10 +181,11 @@
 			}
 		}
 	}
-	c := &classes[t.request.class]
+	c := &b.rig.classes[t.request.class]
 	if t.ran++; t.ran == 1 {
 		t.ranAt = now
 	}
+	b.judgeKeeping(t, e, now)
 	outside := c.window > 0 && now.Sub(t.ranAt) > c.window+sockSlack+rigSlack+b.rig.slowest(t.gateway.party, e.party)
 	if t.ran > 1 && (c.unsafe || outside) {
 		b.judgeLocked(Duplicated, "%s of class %s came to an engine %d times, %v apart", id, c.name, t.ran, now.Sub(t.ranAt).Round(time.Millisecond))
@@ -188,7 +207,7 @@
 		return
 	}
 	q.served = true
-	c := classes[q.class]
+	c := b.rig.classes[q.class]
 	if took <= c.aim+time.Duration(aimStretch*float64(q.work)) {
 		b.at(q.at).Worth += c.worth
 		b.Classes[q.class].InTime++
--- a/internal/rig/clients.go
+++ b/internal/rig/clients.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,18 +24,50 @@
 	worth  float64
 	unsafe bool
 	window time.Duration // for which its repeats are dropped; 0: it is not keyed
+	inTurn bool          // requests with the same key run one after another, in the order in which they came
+	placed bool          // it runs in the first zone only
 }
 
-// classes are few and round: many short look-ups, reports that are most of the work, loads that must not run twice.
-var classes = []class{
-	{"point", 0.7, 20 * time.Millisecond, 400 * time.Millisecond, 1500 * time.Millisecond, 1, false, 0},
-	{"report", 0.25, 250 * time.Millisecond, 1200 * time.Millisecond, 4 * time.Second, 6, false, 0},
-	{"load", 0.05, 300 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second, 10, true, 0},
-	{"note", 0, 30 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second, 2, false, 800 * time.Millisecond},
+// usualClasses are few and round: many short look-ups, reports that are most of the work, loads that must not run twice, and a
+// keyed, an ordered and a placed class, of which scripts say how many.
+var usualClasses = []class{
+	{name: "point", part: 0.7, work: 20 * time.Millisecond, aim: 400 * time.Millisecond, giveUp: 1500 * time.Millisecond, worth: 1},
+	{name: "report", part: 0.25, work: 250 * time.Millisecond, aim: 1200 * time.Millisecond, giveUp: 4 * time.Second, worth: 6},
+	{name: "load", part: 0.05, work: 300 * time.Millisecond, aim: 1500 * time.Millisecond, giveUp: 4 * time.Second, worth: 10, unsafe: true},
+	{name: "note", work: 30 * time.Millisecond, aim: 400 * time.Millisecond, giveUp: 2 * time.Second, worth: 2, window: 800 * time.Millisecond},
+	{name: "step", work: 30 * time.Millisecond, aim: 600 * time.Millisecond, giveUp: 2500 * time.Millisecond, worth: 3, inTurn: true},
+	{name: "local", work: 30 * time.Millisecond, aim: 400 * time.Millisecond, giveUp: 2 * time.Second, worth: 2, placed: true},
+}
+
+// classesOf are the classes of a script, which may make their deadlines and windows shorter.
+func classesOf(s *Script) []class {
+	out := slices.Clone(usualClasses)
+	for i := range out {
+		if s.Deadlines > 0 {
+			out[i].giveUp = time.Duration(float64(out[i].giveUp) * s.Deadlines)
+			out[i].aim = min(out[i].aim, out[i].giveUp)
+		}
+		if s.Windows > 0 {
+			out[i].window = time.Duration(float64(out[i].window) * s.Windows)
+		}
+	}
+	return out
+}
+
+// longest is the longest deadline of all classes.
+func (r *Rig) longest() (d time.Duration) {
+	for _, c := range r.classes {
+		d = max(d, c.giveUp)
+	}
+	return d
 }
 
 const (
 	noteClass  = 3
+	stepClass  = 4
+	localClass = 5
+	orderKeys  = 6                      // of the ordered class
+	keyRest    = 300 * time.Millisecond // of a key behind an attempt that may still run
 	aimStretch = 2.5
 	scatter    = 0.5 // deviation of the logarithm of work
 	avoidFor   = time.Second
@@ -42,8 +75,8 @@
 	mostTries  = 3
 )
 
-func meanWork() (sum float64) {
-	for _, c := range classes {
+func (r *Rig) meanWork() (sum float64) {
+	for _, c := range r.classes {
 		sum += c.part * float64(c.work)
 	}
 	return sum
@@ -53,7 +86,8 @@
 type request struct {
 	id     string // of the latest try
 	class  int
-	zone   int // of its client
+	zone   int    // of its client
+	key    string // of an ordered class
 	work   time.Duration
 	at     time.Time
 	served bool
@@ -127,8 +161,10 @@
 	f.mu.Unlock()
 }
 
-// take returns a connection that was used before, if there is one.
-func (f *front) take(i int, addr string) (c *standin.Client, fresh bool, err error) {
+var errNoNew = errors.New("rig: no new connections are made to a gateway that ends")
+
+// take returns a connection that was used before, if there is one, else a new one where these are made.
+func (f *front) take(i int, addr string, fresher bool) (c *standin.Client, fresh bool, err error) {
 	for {
 		select {
 		case x := <-f.pools[i]:
@@ -137,6 +173,9 @@
 			}
 			x.client.Close()
 		default:
+			if !fresher {
+				return nil, true, errNoNew
+			}
 			c, err = standin.Connect(addr, netip.Addr{}, 300*time.Millisecond)
 			return c, true, err
 		}
@@ -163,16 +202,21 @@
 		case <-time.After(time.Until(next)):
 		}
 		x, c := rng.Float64(), 0
-		for c = range classes {
-			if x -= classes[c].part; x < 0 {
+		for c = range r.classes {
+			if x -= r.classes[c].part; x < 0 {
 				break
 			}
 		}
-		if rng.Float64() < r.Notes {
-			c = noteClass
+		for other, part := range map[int]float64{noteClass: r.Notes, stepClass: r.InTurn, localClass: r.Placed} {
+			if part > 0 && rng.Float64() < part {
+				c = other
+			}
 		}
 		q := &request{class: c, zone: zone, at: time.Now(),
-			work: time.Duration(float64(classes[c].work) * math.Exp(rng.NormFloat64()*scatter-scatter*scatter/2))}
+			work: time.Duration(float64(r.classes[c].work) * math.Exp(rng.NormFloat64()*scatter-scatter*scatter/2))}
+		if r.classes[c].inTurn {
+			q.key = fmt.Sprint("k", rng.IntN(orderKeys))
+		}
 		seed := rng.Uint64()
 		wg.Go(func() { r.want(ctx, q, rand.New(rand.NewPCG(seed, 1))) })
 	}
@@ -180,7 +224,7 @@
 
 // want has one client try until it is served or gives up.
 func (r *Rig) want(ctx context.Context, q *request, rng *rand.Rand) {
-	c := classes[q.class]
+	c := r.classes[q.class]
 	r.books.offer(q)
 	due := q.at.Add(c.giveUp)
 	for try := range mostTries {
@@ -203,8 +247,8 @@
 
 // try asks one gateway. It answers whether the client comes again, and after how long.
 func (r *Rig) try(q *request, i int, left time.Duration, resent bool) (wait time.Duration, again bool) {
-	c, g := classes[q.class], r.gateways[i]
-	conn, fresh, err := r.front.take(i, g.front.Addr().String())
+	c, g := r.classes[q.class], r.gateways[i]
+	conn, fresh, err := r.front.take(i, g.front.Addr().String(), g.takesNew())
 	if err != nil { // nothing was sent
 		r.front.avoid(i)
 		r.books.count(func(s *Second) { s.Turned++ })
@@ -215,6 +259,9 @@
 	if resent {
 		text += ",resent=1"
 	}
+	if c.inTurn {
+		text += ",subject=" + q.key
+	}
 	began := time.Now()
 	rows := 0
 	wrong := false
@@ -228,6 +275,7 @@
 		conn.Close()
 		return 0, false
 	}
+	r.books.answered(id)
 	if late := took - left; late > sockSlack+r.pauses.since(began) && err == nil && !g.disturbedSince(began) {
 		r.books.late()
 	}
@@ -254,6 +302,13 @@
 	return 10 * time.Millisecond, !c.unsafe
 }
 
+// takesNew answers whether clients make new connections to the gateway: not for long once it was asked to end.
+func (g *gateway) takesNew() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.termAt.IsZero() || time.Since(g.termAt) < newStop
+}
+
 // lostTry is a request whose connection ended, or said nothing, before its answer.
 type lostTry struct {
 	id, class  string
@@ -266,7 +321,7 @@
 
 const (
 	crossing    = 50 * time.Millisecond  // a request that crosses the close of a resting connection is sent again
-	openStop    = 400 * time.Millisecond // requests on open connections come so long after SIGTERM, at most
+	newStop     = 400 * time.Millisecond // new connections come so long after SIGTERM, at most
 	killedClose = 500 * time.Millisecond // a client closes its connection so long after KILL QUERY
 )
 
@@ -276,21 +331,20 @@
 	silent := x.took >= x.left+answerPad
 	within := func(unix int64) bool { return unix > x.began.Add(-time.Second).UnixNano() && unix <= end.UnixNano() }
 	g.mu.Lock()
-	term, runs := g.termAt, g.run != nil
+	runs := g.run != nil
 	g.mu.Unlock()
+	ended := time.Unix(0, g.ended.Load())
 	switch {
 	case silent && r.pauses.since(x.began) > 0:
 		return
 	case within(g.killed.Load()), g.disturbedSince(x.began.Add(-time.Second)):
 		return
-	case !term.IsZero() && x.began.After(term.Add(openStop-crossing)): // nothing is owed for what comes so late
+	case !runs && x.began.After(ended.Add(-crossing-sockSlack)): // nobody was there any more
 		return
 	case !silent && !x.fresh && x.took < crossing+sockSlack: // it crossed the close of a resting connection
 		return
 	case !silent && g.strain.Load() > x.began.UnixNano() && x.fresh && x.took < crossing:
 		return
-	case !runs && term.IsZero():
-		return
 	}
 	r.books.judge(Lost, "%s of class %s at %s: %v after %v of %v", x.id, x.class, g.name, x.err, x.took.Round(time.Millisecond), x.left)
 }
--- a/internal/rig/engine.go
+++ b/internal/rig/engine.go
@@ -154,6 +154,9 @@
 	k := e.rig.books.asked(a, e, now)
 	informed := k.gateway != nil && e.toldStart(k.gateway.index)
 	reply, broken := e.run(a, k, now, informed)
+	if reply.Word == "served" && !reply.Break {
+		e.rig.books.runs(k, now.Add(reply.After))
+	}
 	if broken != "" {
 		e.rig.books.judge(FailbackBroken, "%s", broken)
 	}
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -111,7 +111,7 @@
 				c.Cut = true
 				continue
 			}
-			c.Delay += f.delay
+			c.Delay += f.By
 			c.Jitter += f.jitter
 			c.Loss = 1 - (1-c.Loss)*(1-f.Loss)
 			if f.Rate > 0 && (c.Rate == 0 || f.Rate < c.Rate) {
@@ -119,7 +119,7 @@
 			}
 		case "late":
 			if w.from.kind == "names" {
-				c.Delay += f.delay
+				c.Delay += f.By
 			}
 		}
 	}
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -25,12 +25,15 @@
 	WrongAnswer                   // rows that no engine made for the request
 	Crashed                       // a process ended by itself, or not when it was asked to, or not with 0
 	NotReady                      // a process was not ready within 10 s
+	OrderBroken                   // two requests of an ordered class with one key ran at once
+	Misplaced                     // a request ran in a zone that its class must not use
+	RationBroken                  // a gateway made more further attempts than its settings allow
 	Guarded                       // an invariant that a gateway checks itself
 	verdicts
 )
 
 var verdictNames = [...]string{"lost", "duplicated", "sent_after_gone", "past_deadline", "drain_broken", "failback_broken", "wrong_answer",
-	"crashed", "not_ready_10s", "guarded"}
+	"crashed", "not_ready_10s", "order_broken", "misplaced", "ration_broken", "guarded"}
 
 func (v Verdict) String() string { return verdictNames[v] }
 
@@ -74,6 +77,9 @@
 	if left := t.due.Sub(now); ttl > 0 && ttl > left+ttlSlack+sockSlack+rigSlack+way && !t.gateway.disturbedSince(t.sentAt) {
 		b.judgeLocked(PastDeadline, "%s came to %s with %v to run, and its client waits for %v", t.id, e.name, ttl, left.Round(time.Millisecond))
 	}
+	if told := e.toldDrain(t.gateway.index); !told.IsZero() {
+		b.SlowestDrain = max(b.SlowestDrain, now.Sub(told)-way)
+	}
 	if told := e.toldDrain(t.gateway.index); !told.IsZero() && now.Sub(told) > drainGrace+sockSlack+rigSlack+way {
 		b.judgeLocked(DrainBroken, "%s came from %s to %s, which it knew to drain for %v", t.id, t.gateway.name, e.name, now.Sub(told).Round(time.Millisecond))
 	}
@@ -112,7 +118,7 @@
 // judgeCold judges what came to a cold engine. Its lock is held.
 func (e *engine) judgeCold(now time.Time) (broken string) {
 	warm := e.warmth(now)
-	mean := meanWork()
+	mean := e.rig.meanWork()
 	n := e.rig.overload() * warm * float64(e.rig.Cores) * float64(tipAfter) / mean
 	sum, informed := 0.0, 0.0
 	for _, s := range e.sent {
--- a/internal/rig/names.go
+++ b/internal/rig/names.go
@@ -274,7 +274,7 @@
 	case listsTwice:
 		reply.Twice = true
 	case listsLate:
-		reply.After = time.Duration(l.rng.Int64N(int64(max(f.delay, time.Millisecond))))
+		reply.After = time.Duration(l.rng.Int64N(int64(max(f.By, time.Millisecond))))
 	}
 }
 
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -66,7 +67,11 @@
 		return nil, err
 	}
 	cmd.Stderr = w
-	err = cmd.Start()
+	if g.rig.OneCore {
+		err = startOnCore(cmd, int(g.rig.Seed))
+	} else {
+		err = cmd.Start()
+	}
 	w.Close()
 	if err != nil {
 		r.Close()
@@ -75,12 +80,42 @@
 	x.reader = readLog(r, &g.log)
 	go func() {
 		x.err = cmd.Wait()
+		g.ended.Store(time.Now().UnixNano())
 		x.reader.done.Wait()
 		close(x.ended)
 	}()
 	return x, nil
 }
 
+// startOnCore starts a process that may run on one core only, the n-th of those that this one may use, in turn.
+func startOnCore(cmd *exec.Cmd, n int) error {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	var all, one unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &all); err != nil {
+		return err
+	}
+	left := n % all.Count()
+	for i := range maxCores {
+		if !all.IsSet(i) {
+			continue
+		}
+		if left == 0 {
+			one.Set(i)
+			break
+		}
+		left--
+	}
+	if err := unix.SchedSetaffinity(0, &one); err != nil {
+		return err
+	}
+	defer func() { _ = unix.SchedSetaffinity(0, &all) }()
+	return cmd.Start()
+}
+
+// maxCores is how many cores are looked at.
+const maxCores = 1024
+
 // over answers whether the process has ended.
 func (x *running) over() bool {
 	select {
@@ -123,6 +158,12 @@
 
 // begin starts the process and waits until it greets clients.
 func (g *gateway) begin() error {
+	g.mu.Lock()
+	former := g.latest
+	g.mu.Unlock()
+	if former != nil { // no two processes have one address
+		<-former.ended
+	}
 	g.beginLists()
 	if err := g.write(); err != nil {
 		return err
@@ -158,6 +199,13 @@
 	return fmt.Errorf("rig: %s does not serve: %s", g.name, g.log.String())
 }
 
+// stoppedSince answers whether the process was stopped at any time since some time.
+func (g *gateway) stoppedSince(t time.Time) bool {
+	return g.frozen.Load() || g.thawed.Load() > t.UnixNano()
+}
+
+var errNotEnded = errors.New("rig: a process did not end")
+
 // signal sends one, if the process runs.
 func (g *gateway) signal(s syscall.Signal) {
 	g.mu.Lock()
@@ -168,11 +216,20 @@
 }
 
 // end ends the process by a signal, and returns how it ended. One that had ended by itself has crashed.
-func (g *gateway) end(s syscall.Signal) error {
+func (g *gateway) end(s syscall.Signal) error { return g.endBy(s, endWait) }
+
+// endBy ends the process by a signal, and by SIGKILL where it has not ended within that.
+func (g *gateway) endBy(s syscall.Signal, within time.Duration) error {
+	began := time.Now()
 	g.mu.Lock()
-	x := g.run
-	g.run, g.termAt = nil, time.Now()
+	x, ending := g.run, g.latest
+	g.run, g.termAt = nil, began
 	g.mu.Unlock()
+	if x == nil && s == syscall.SIGKILL && ending != nil && !ending.over() { // it is being ended, and is killed over that
+		g.killed.Store(began.UnixNano())
+		_ = ending.cmd.Process.Kill()
+		<-ending.ended
+	}
 	if x == nil {
 		return nil
 	}
@@ -187,14 +244,17 @@
 	_ = x.cmd.Process.Signal(s)
 	select {
 	case <-x.ended:
-		if s == syscall.SIGKILL {
+		if s == syscall.SIGKILL || g.killed.Load() > began.UnixNano() {
 			return nil
 		}
 		return x.err
-	case <-time.After(endWait):
+	case <-time.After(within):
+		if g.stoppedSince(began) { // it can't know when it was asked
+			g.killed.Store(time.Now().UnixNano())
+		}
 		_ = x.cmd.Process.Kill()
 		<-x.ended
-		return errors.New("rig: " + g.name + " did not end")
+		return fmt.Errorf("%w within %v: %s", errNotEnded, within, g.name)
 	}
 }
 
--- a/internal/rig/restart_test.go
+++ b/internal/rig/restart_test.go
@@ -9,14 +9,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	_ "github.com/go-sql-driver/mysql"
-	"golang.org/x/sys/unix"
 )
 
 // darkConfig is that of a gateway whose engines and name service say nothing.
@@ -29,27 +27,6 @@
  "membershipMode":"push","siblings":30,"tick":1000,"zones":["a"]}}`, name, listen, dns, engine)
 }
 
-// onOneCore starts a process that may run on one core only.
-func onOneCore(cmd *exec.Cmd) error {
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	var all, one unix.CPUSet
-	if err := unix.SchedGetaffinity(0, &all); err != nil {
-		return err
-	}
-	for i := range 1024 {
-		if all.IsSet(i) {
-			one.Set(i)
-			break
-		}
-	}
-	if err := unix.SchedSetaffinity(0, &one); err != nil {
-		return err
-	}
-	defer func() { _ = unix.SchedSetaffinity(0, &all) }()
-	return cmd.Start()
-}
-
 // Thirty processes start at once on one core, with engines and the name service dark and clients that come before they
 // are ready: nine in ten answer a ping within 10 s, none ends by it. A burst of SIGHUPs hides no SIGTERM, and each
 // then ends with 0.
@@ -82,7 +59,7 @@
 		p.cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_NAME=", "LB_LISTEN=")
 		p.cmd.Stderr = &p.log
 		all[i] = p
-		if err := onOneCore(p.cmd); err != nil {
+		if err := startOnCore(p.cmd, 0); err != nil {
 			t.Fatal(err)
 		}
 		wg.Go(func() {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -41,6 +41,7 @@
 type Rig struct {
 	Script
 	books    *Books
+	classes  []class
 	front    *front
 	gateways []*gateway
 	engines  []*engine
@@ -89,6 +90,7 @@
 	thawed atomic.Int64 // when it last went on after a stop; Unix nanoseconds, as those that follow
 	resets atomic.Int64 // when its clients' connections were last reset
 	killed atomic.Int64 // when it was last killed outright
+	ended  atomic.Int64 // when a process of it last ended
 	strain atomic.Int64 // until when it may lack descriptors or calls that work
 
 	mu     sync.Mutex
@@ -129,7 +131,7 @@
 
 // RunProcess plays a script with gateways that run a process.
 func RunProcess(ctx context.Context, p Process, s Script, logs string) (b *Books, err error) {
-	r := &Rig{Script: s, process: p, logs: logs, ways: map[[2]string]*way{}, gone: map[int]bool{}, drains: map[string]bool{}, version: 1}
+	r := &Rig{Script: s, classes: classesOf(&s), process: p, logs: logs, ways: map[[2]string]*way{}, gone: map[int]bool{}, drains: map[string]bool{}, version: 1}
 	defer func() {
 		if end := r.close(); err == nil {
 			err = end
@@ -340,7 +342,7 @@
 	var list []object
 	var threads []int
 	var loads []bool
-	for _, c := range classes {
+	for _, c := range r.classes {
 		effect := "pure"
 		if c.unsafe {
 			effect = "side_effect"
@@ -348,8 +350,12 @@
 		if c.window > 0 {
 			effect = "token"
 		}
-		list = append(list, object{"dedupWindow": c.window.Microseconds(), "name": c.name, "aim": c.aim.Microseconds(), "aimStretch": aimStretch, "giveUp": c.giveUp.Microseconds(),
-			"effect": effect, "group": "all", "lateValue": 0.2, "worth": c.worth})
+		entry := object{"dedupWindow": c.window.Microseconds(), "name": c.name, "aim": c.aim.Microseconds(), "aimStretch": aimStretch, "giveUp": c.giveUp.Microseconds(),
+			"effect": effect, "group": "all", "lateValue": 0.2, "worth": c.worth, "serialByKey": c.inTurn}
+		if c.placed {
+			entry["staysIn"] = []int{0}
+		}
+		list = append(list, entry)
 		threads, loads = append(threads, 1), append(loads, false)
 	}
 	var zones []string
@@ -368,12 +374,21 @@
 				"multiplex": 32, "retryAfter": true, "maxRetryAfter": 2_000_000, "probes": true},
 			"machineTypes": []string{"std"}, "membershipMode": "push", "me": g.index, "siblings": len(r.gateways), "tick": 1000, "zone": g.zoneAt,
 			"zones": zones,
-			"rules": object{"answerSlack": 5000, "stopSendingWithin": 1_000_000, "overloadFactor": r.overload(), "cold": r.Cold.Microseconds(),
-				"coldFrom": r.ColdFrom, "tipAfter": tipAfter.Microseconds()},
+			"rules": r.duties(),
 		},
 	}
 }
 
+// duties are the figures of the rules.
+func (r *Rig) duties() object {
+	out := object{"answerSlack": 5000, "stopSendingWithin": 1_000_000, "overloadFactor": r.overload(), "cold": r.Cold.Microseconds(),
+		"coldFrom": r.ColdFrom, "tipAfter": tipAfter.Microseconds(), "keyRest": keyRest.Microseconds()}
+	if r.Ration > 0 {
+		out["freeResends"], out["extraPerRequest"], out["lookBack"] = freeResends, r.Ration, lookBack.Microseconds()
+	}
+	return out
+}
+
 func (g *gateway) path(name string) string {
 	return filepath.Join(g.rig.dir, fmt.Sprintf("g%d-%s", g.index, name))
 }
@@ -461,7 +476,7 @@
 	}
 	var asking sync.WaitGroup
 	for i, z := range r.Zones {
-		if rate := r.Load * whole / meanWork() * float64(time.Second) * z.weight() / total; rate > 0 {
+		if rate := r.Load * whole / r.meanWork() * float64(time.Second) * z.weight() / total; rate > 0 {
 			asking.Go(func() { r.ask(ctx, i, rate, &clients) })
 		}
 	}
@@ -503,6 +518,7 @@
 // finish takes the last figures, and ends all gateways as operators do.
 func (r *Rig) finish() {
 	r.judgeOrders()
+	r.books.judgePairs()
 	for _, g := range r.gateways {
 		if pid := g.pid(); pid != 0 {
 			if u, err := UsageOf(pid); err == nil {
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -42,40 +42,43 @@
 	Unlisted string    `hcl:"unlisted,optional"` // from a loss until the list says so
 
 	At, For time.Duration
-	delay   time.Duration
+	By      time.Duration // as Delay says
 	jitter  time.Duration
 	unlist  time.Duration
 }
 
 // Kinds of faults, and what each needs.
 var kinds = map[string]struct{ of, ways bool }{
-	"lose":    {of: true},   // a zone, gateways killed and engines silent; it comes back cold after `for`
-	"silence": {of: true},   // nothing comes to or from it
-	"freeze":  {of: true},   // gateways are stopped and go on after `for`
-	"kill":    {of: true},   // gateways are killed, and started after `for`
-	"restart": {of: true},   // gateways are asked to end, and started again once they have
-	"reset":   {of: true},   // its connections are reset
-	"drain":   {of: true},   // the operator's file drains a zone
-	"burst":   {of: true},   // clients of a zone ask `factor` times as much
-	"slow":    {of: true},   // engines take `factor` times as long
-	"order":   {of: true},   // a gateway is asked for a directive: `text` is its kind and subject
-	"hush":    {},           // the operator's file switches the gateways' talk off
-	"mode":    {of: true},   // engines meet a part (`factor`) of requests with `text`: hang, error, spoil, break
-	"retire":  {of: true},   // engines drain, end after `for`, and come back cold
-	"reload":  {of: true},   // gateways read their files again
-	"step":    {of: true},   // the wall clock is stepped by `factor` seconds (test doubles)
-	"calls":   {of: true},   // a part (`factor`) of calls fails: `text` is "dial,accept ENETUNREACH" (test doubles)
-	"disk":    {of: true},   // a part of calls on the folder of results fails: `text` is "write,sync EIO" (test doubles)
-	"files":   {of: true},   // gateways may open few descriptors beyond those that are open
-	"log":     {of: true},   // nobody reads the log
-	"rogue":   {of: true},   // clients that keep to no protocol
-	"leave":   {},           // a part (`factor`) of clients leave before their answer
-	"fifo":    {of: true},   // the configuration is replaced by a pipe, and back
-	"dark":    {},           // the name service says nothing
-	"late":    {},           // what it says is late by `delay`
-	"lists":   {of: true},   // a part (`factor`) of its answers to gateways is `text`: see names.go; late ones by up to `delay`
-	"cut":     {ways: true}, // nothing comes through from one to the other
-	"link":    {ways: true}, // delay, jitter, loss, rate
+	"lose":       {of: true},   // a zone, gateways killed and engines silent; it comes back cold after `for`
+	"silence":    {of: true},   // nothing comes to or from it
+	"freeze":     {of: true},   // gateways are stopped and go on after `for`
+	"kill":       {of: true},   // gateways are killed, and started after `for`
+	"restart":    {of: true},   // gateways are asked to end, and started again once they have
+	"reset":      {of: true},   // its connections are reset
+	"drain":      {of: true},   // the operator's file drains a zone
+	"burst":      {of: true},   // clients of a zone ask `factor` times as much
+	"slow":       {of: true},   // engines take `factor` times as long
+	"order":      {of: true},   // a gateway is asked for a directive: `text` is its kind and subject
+	"hush":       {},           // the operator's file switches the gateways' talk off
+	"mode":       {of: true},   // engines meet a part (`factor`) of requests with `text`: hang, error, spoil, break
+	"retire":     {of: true},   // engines drain, end after `for`, and come back cold; `text` is gone, both, flap or newid: see troubles.go
+	"term":       {of: true},   // gateways are asked to end, killed as early as the pages allow, and started again
+	"signals":    {of: true},   // gateways get a series: `text` is "HUP TERM STOP CONT"; behind a TERM as with term
+	"late-dials": {of: true},   // a part (`factor`) of connections to engines come up late by up to `delay` (test doubles)
+	"reload":     {of: true},   // gateways read their files again
+	"step":       {of: true},   // the wall clock is stepped by `factor` seconds (test doubles)
+	"calls":      {of: true},   // a part (`factor`) of calls fails: `text` is "dial,accept ENETUNREACH" (test doubles)
+	"disk":       {of: true},   // a part of calls on the folder of results fails: `text` is "write,sync EIO" (test doubles)
+	"files":      {of: true},   // gateways may open few descriptors beyond those that are open
+	"log":        {of: true},   // nobody reads the log
+	"rogue":      {of: true},   // clients that keep to no protocol
+	"leave":      {},           // a part (`factor`) of clients leave before their answer
+	"fifo":       {of: true},   // the configuration is replaced by a pipe, and back
+	"dark":       {},           // the name service says nothing
+	"late":       {},           // what it says is late by `delay`
+	"lists":      {of: true},   // a part (`factor`) of its answers to gateways is `text`: see names.go; late ones by up to `delay`
+	"cut":        {ways: true}, // nothing comes through from one to the other
+	"link":       {ways: true}, // delay, jitter, loss, rate
 }
 
 // Script is a rig, and what befalls it.
@@ -87,12 +90,18 @@
 	Seed       uint64  `hcl:"seed,optional"`
 	ColdText   string  `hcl:"cold,optional"` // until an engine that has started has all of its speed
 	ColdFrom   float64 `hcl:"cold_from,optional"`
-	Operator   string  `hcl:"operator,optional"` // text of the operator's file
-	Talk       bool    `hcl:"talk,optional"`     // gateways talk to one another, through relays by pair
-	Overload   float64 `hcl:"overload,optional"` // times its speed that a cold engine bears; 0: 3
-	Leave      float64 `hcl:"leave,optional"`    // part of clients that leave before their answer
-	Notes      float64 `hcl:"notes,optional"`    // part of requests of a keyed class
-	Voters     int     `hcl:"voters,optional"`   // of these, the first ones vote on directives
+	Operator   string  `hcl:"operator,optional"`  // text of the operator's file
+	Talk       bool    `hcl:"talk,optional"`      // gateways talk to one another, through relays by pair
+	Overload   float64 `hcl:"overload,optional"`  // times its speed that a cold engine bears; 0: 3
+	Leave      float64 `hcl:"leave,optional"`     // part of clients that leave before their answer
+	Notes      float64 `hcl:"notes,optional"`     // part of requests of a keyed class
+	InTurn     float64 `hcl:"in_turn,optional"`   // of an ordered class
+	Placed     float64 `hcl:"placed,optional"`    // of a class that runs in the first zone only
+	Ration     float64 `hcl:"ration,optional"`    // further attempts allowed for each request taken; 0: any
+	Deadlines  float64 `hcl:"deadlines,optional"` // times the usual deadlines; 0: once
+	Windows    float64 `hcl:"windows,optional"`   // times the usual windows for repeats; 0: once
+	OneCore    bool    `hcl:"one_core,optional"`  // all gateways share one core
+	Voters     int     `hcl:"voters,optional"`    // of these, the first ones vote on directives
 	Faults     []Fault `hcl:"fault,block"`
 
 	Length time.Duration
@@ -168,7 +177,7 @@
 		for _, t := range []struct {
 			what, text string
 			to         *time.Duration
-		}{{"at", f.AtText, &f.At}, {"for", f.ForText, &f.For}, {"delay", f.Delay, &f.delay}, {"jitter", f.Jitter, &f.jitter},
+		}{{"at", f.AtText, &f.At}, {"for", f.ForText, &f.For}, {"delay", f.Delay, &f.By}, {"jitter", f.Jitter, &f.jitter},
 			{"unlisted", f.Unlisted, &f.unlist}} {
 			span(at+": "+t.what, t.text, t.to)
 		}
@@ -181,6 +190,8 @@
 			return fmt.Errorf("%s: %s needs `from` and `to`", at, f.Kind)
 		case (f.Kind == "burst" || f.Kind == "slow") && !(f.Factor > 0):
 			return fmt.Errorf("%s: %s needs a factor over 0", at, f.Kind)
+		case f.Kind == "signals" && !knownSignals(f.Text):
+			return fmt.Errorf("%s: signals needs a text of HUP, TERM, STOP and CONT", at)
 		case f.Kind == "lists" && checkLists(f, at) != nil:
 			return checkLists(f, at)
 		case f.Loss < 0 || f.Loss > 1 || f.Rate < 0:
@@ -195,6 +206,12 @@
 	return nil
 }
 
+// knownSignals answers whether a series of signals can be sent.
+func knownSignals(text string) bool {
+	names := strings.Fields(text)
+	return len(names) > 0 && !slices.ContainsFunc(names, func(n string) bool { return signalNames[n] == 0 })
+}
+
 // knows answers whether a selector names something.
 func (s *Script) knows(sel string) bool {
 	if slices.Contains([]string{"*", "clients", "names", "gateways", "engines"}, sel) {
--- a/internal/rig/troubles.go
+++ b/internal/rig/troubles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -40,7 +41,16 @@
 		r.mode(f.Of, f.Text, f.Factor)
 		return func() error { r.mode(f.Of, "", 0); return nil }, true, nil
 	case "retire":
-		return r.retire(f.Of), true, nil
+		return r.retire(f), true, nil
+	case "term":
+		return nil, true, r.term(f, syscall.SIGTERM)
+	case "signals":
+		return nil, true, r.signals(f)
+	case "late-dials":
+		r.each(f.Of, func(g *gateway) {
+			g.tellDouble(order{Kind: "late", MS: f.By.Milliseconds(), Part: f.Factor, ForMS: f.For.Milliseconds()})
+		})
+		return nil, true, nil
 	case "reload":
 		return nil, true, r.rereadOf(f.Of)
 	case "step":
@@ -96,9 +106,33 @@
 	}
 }
 
-// retire has engines drain, end, and come back as new processes, cold.
-func (r *Rig) retire(of string) func() error {
-	r.listAs(of, func(e *engine) { e.draining = true })
+// Ways in which engines leave the list, by the text of the fault.
+const (
+	retireDrain = ""      // they drain
+	retireGone  = "gone"  // they are not named any more, and still run for a while
+	retireBoth  = "both"  // one list says that the first of them has gone and the others drain
+	retireFlap  = "flap"  // they drain, are active again, and drain again within half a second
+	retireNewID = "newid" // as retireDrain, and come back under new ids at the addresses of the old ones
+)
+
+const flapPause = 200 * time.Millisecond
+
+// retire has engines leave the list, end, and come back as new processes, cold.
+func (r *Rig) retire(f *Fault) func() error {
+	of, first := f.Of, true
+	leave := func(e *engine) {
+		e.draining = f.Text != retireGone && (f.Text != retireBoth || !first)
+		e.unlisted = !e.draining
+		first = false
+	}
+	stay := func(e *engine) { e.draining = false }
+	r.listAs(of, leave)
+	if f.Text == retireFlap {
+		time.Sleep(flapPause)
+		r.listAs(of, stay)
+		time.Sleep(flapPause)
+		r.listAs(of, leave)
+	}
 	return func() error {
 		r.listAs(of, func(e *engine) { e.draining, e.unlisted = false, true })
 		time.Sleep(2 * newsWithin)
@@ -114,24 +148,110 @@
 				t.Reset()
 				t.Turn(e.addr())
 			}
+			if f.Text == retireNewID {
+				r.rename(e)
+			}
 		}
 		r.listAs(of, func(e *engine) { e.unlisted = false })
 		return nil
 	}
 }
 
+// rename gives an engine a new id.
+func (r *Rig) rename(e *engine) {
+	r.mu.Lock()
+	id := r.newID()
+	r.mu.Unlock()
+	e.mu.Lock()
+	e.id = id
+	e.mu.Unlock()
+}
+
 // listAs changes how engines stand in the list, and tells it.
 func (r *Rig) listAs(of string, change func(*engine)) {
 	for _, e := range r.engines {
 		if e.is(of) {
-			e.mu.Lock()
+			e.listMu.Lock()
 			change(e)
-			e.mu.Unlock()
+			e.listMu.Unlock()
 		}
 	}
 	r.news(0)
 }
 
+const (
+	killBehind = 700 * time.Millisecond // SIGKILL comes so long behind the longest deadline after SIGTERM,
+	killMost   = 3 * time.Second        // which counts as that at most
+)
+
+// killAfter is how long after SIGTERM SIGKILL comes, at the earliest that the operators' pages name.
+func (r *Rig) killAfter() time.Duration { return min(r.longest(), killMost) + killBehind }
+
+// term asks gateways to end, kills those that have not when their time is over, and starts them again. Clients use their open
+// connections on.
+func (r *Rig) term(f *Fault, s syscall.Signal) error {
+	var ends sync.WaitGroup
+	r.each(f.Of, func(g *gateway) {
+		ends.Go(func() {
+			began := time.Now()
+			g.judgeEnd(g.endBy(s, r.killAfter()), began)
+		})
+	})
+	ends.Wait()
+	return r.begin(f.Of)
+}
+
+// judgeEnd judges how the process ended that was asked to since some time. One that was stopped meanwhile may have to be killed.
+func (g *gateway) judgeEnd(err error, since time.Time) {
+	if err == nil || errors.Is(err, errNotEnded) && g.stoppedSince(since) {
+		return
+	}
+	g.rig.books.judge(Crashed, "%s ended with %v: %s", g.name, err, tail(g.log.String()))
+}
+
+// signalPause lies between two signals of a series.
+const signalPause = 20 * time.Millisecond
+
+var signalNames = map[string]syscall.Signal{"HUP": syscall.SIGHUP, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+
+// signals sends gateways a series of signals, and has them end with the first SIGTERM among them.
+func (r *Rig) signals(f *Fault) error {
+	var ends sync.WaitGroup
+	r.each(f.Of, func(g *gateway) {
+		ends.Go(func() {
+			ending := make(chan error, 1)
+			asked, began := false, time.Now()
+			for _, name := range strings.Fields(f.Text) {
+				time.Sleep(signalPause)
+				switch {
+				case name == "TERM" && !asked:
+					asked = true
+					go func() { ending <- g.endBy(syscall.SIGTERM, r.killAfter()) }()
+				case name == "STOP":
+					g.frozen.Store(true)
+					g.signal(syscall.SIGSTOP)
+					time.Sleep(stopFor)
+				case name == "CONT":
+					g.signal(syscall.SIGCONT)
+					g.thawed.Store(time.Now().UnixNano())
+					time.AfterFunc(time.Second, func() { g.frozen.Store(false) })
+				default:
+					g.signal(signalNames[name])
+				}
+			}
+			if !asked {
+				return
+			}
+			g.judgeEnd(<-ending, began)
+		})
+	})
+	ends.Wait()
+	return r.begin(f.Of)
+}
+
+// stopFor is for how long a series of signals stops a process.
+const stopFor = 150 * time.Millisecond
+
 // rereadOf has gateways read their files again.
 func (r *Rig) rereadOf(of string) (err error) {
 	r.each(of, func(g *gateway) {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -28,12 +28,30 @@
 	mostFor   = 2500 * time.Millisecond
 )
 
+const (
+	crowdFrom  = 8  // a fleet of as many processes may be a crowd,
+	crowdEvery = 5  // which every such seed is
+	crowdLeast = 20 // processes, on one core together
+	crowdMost  = 40
+)
+
 // Draw returns the fleet of a seed and what befalls it.
 func Draw(seed uint64, processes int, length time.Duration) Schedule {
 	rng := rand.New(rand.NewPCG(seed, 0x50a6))
+	crowd := processes >= crowdFrom && seed%crowdEvery == 0
+	if crowd {
+		processes = crowdLeast + rng.IntN(crowdMost-crowdLeast+1)
+	}
 	s := rig.Script{
 		Zones: []rig.Zone{{Name: "hall-a", Gateways: processes - processes/2, Engines: engines / 2}, {Name: "hall-b", Gateways: processes / 2, Engines: engines / 2}},
 		Cores: coreCount, Load: 0.2 + 0.5*rng.Float64(), Seed: seed, ColdFrom: 0.33, Cold: coldFor, Overload: 0.3, Length: length, Notes: 0.1, Leave: 0.08,
+		InTurn: 0.08, Placed: 0.05, OneCore: crowd,
+	}
+	if rng.IntN(3) == 0 {
+		s.Ration = 0.1 + 0.2*rng.Float64()
+	}
+	if rng.IntN(3) == 0 {
+		s.Deadlines, s.Windows = 0.25+0.5*rng.Float64(), 0.4+0.6*rng.Float64()
 	}
 	var operator []string
 	if rng.IntN(2) == 0 {
@@ -47,10 +65,13 @@
 		operator = append(operator, "fair {\n}")
 	}
 	s.Operator = strings.Join(operator, "\n")
-	s.Talk = rng.IntN(8) == 0
+	s.Talk = rng.IntN(8) == 0 && !crowd
 	for range 2 + rng.IntN(3) {
 		s.Faults = append(s.Faults, drawFault(rng, &s, spooled, length))
 	}
+	if rng.IntN(4) > 0 {
+		s.Faults = append(s.Faults, drawLists(rng, &s, length)...)
+	}
 	return Schedule{seed, s}
 }
 
@@ -66,6 +87,48 @@
 	return f
 }
 
+// drawLists draws engines that leave the list and answers of the name service that don't say so, at times behind a kill of
+// several gateways.
+func drawLists(rng *rand.Rand, s *rig.Script, length time.Duration) (out []rig.Fault) {
+	if rng.IntN(3) == 0 {
+		return drawRestarted(rng, s, length)
+	}
+	if rng.IntN(2) == 0 {
+		out = append(out, rig.Fault{Kind: "retire", Of: oneEngine(rng, s), At: 100 * time.Millisecond, For: 300 * time.Millisecond},
+			rig.Fault{Kind: "kill", Of: someGateways(rng, s), At: firstAt + 300*time.Millisecond, For: 200 * time.Millisecond})
+	}
+	from := firstAt + 700*time.Millisecond + time.Duration(rng.Int64N(int64(spread/2)))
+	lists := rig.Fault{Kind: "lists", Of: someGateways(rng, s), At: from - time.Duration(rng.Int64N(int64(time.Second/2))),
+		For: 200*time.Millisecond + time.Duration(rng.Int64N(int64(2*time.Second)))}
+	lists.Text = pick(rng, "stale", "stale", "earlier", "earlier", "mixed", "mixed", "lost", "late", "twice", "short", "failed", "other-id", "anew")
+	lists.Factor = 0.05 + 0.25*rng.Float64()
+	switch lists.Text {
+	case "lost":
+		lists.Factor = 0.3 + 0.6*rng.Float64()
+	case "late":
+		lists.Factor, lists.By = 0.3+0.7*rng.Float64(), time.Duration(rng.Int64N(int64(7*time.Second)))
+	case "mixed":
+		lists.By = 2 * time.Second
+	}
+	leave := rig.Fault{Kind: "retire", Of: pick(rng, oneEngine(rng, s), oneEngine(rng, s), s.Zones[1].Name), Text: pick(rng, "", "", "gone", "both", "flap", "newid"), At: from}
+	leave.For = length - from - 700*time.Millisecond
+	return append(out, lists, leave)
+}
+
+// drawRestarted draws gateways that are killed and started again, lists from before that, and engines that leave behind it.
+func drawRestarted(rng *rand.Rand, s *rig.Script, length time.Duration) []rig.Fault {
+	const killAt, begun = 900 * time.Millisecond, 1300 * time.Millisecond
+	of := someGateways(rng, s)
+	from := begun + 200*time.Millisecond + time.Duration(rng.Int64N(int64(time.Second)))
+	return []rig.Fault{
+		{Kind: "retire", Of: oneEngine(rng, s), At: 100 * time.Millisecond, For: 300 * time.Millisecond},
+		{Kind: "kill", Of: of, At: killAt, For: 200 * time.Millisecond},
+		{Kind: "lists", Of: of, Text: pick(rng, "earlier", "stale", "mixed"), Factor: 0.05 + 0.25*rng.Float64(), By: time.Second, At: begun,
+			For: from - begun + time.Duration(rng.Int64N(int64(time.Second)))},
+		{Kind: "retire", Of: oneEngine(rng, s), Text: pick(rng, "", "gone", "both"), At: from, For: length - from - 700*time.Millisecond},
+	}
+}
+
 // trouble completes a fault whose time is drawn.
 type trouble func(rng *rand.Rand, s *rig.Script, f *rig.Fault)
 
@@ -99,6 +162,17 @@
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "freeze", someGateways(rng, s) },
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "kill", oneGateway(rng, s) },
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "restart", oneGateway(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "kill", someGateways(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "term", someGateways(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.Of, f.Text = "signals", oneGateway(rng, s), pick(rng, "HUP TERM TERM HUP", "TERM HUP", "HUP HUP HUP HUP", "HUP STOP CONT TERM TERM", "TERM STOP CONT HUP")
+	},
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.Of, f.Factor, f.By = "late-dials", someGateways(rng, s), 0.2+0.5*rng.Float64(), 300*time.Millisecond+time.Duration(rng.Int64N(int64(1200*time.Millisecond)))
+	},
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.From, f.To, f.Both = "cut", oneGateway(rng, s), "names", true
+	},
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "reload", someGateways(rng, s) },
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "fifo", oneGateway(rng, s) },
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "log", someGateways(rng, s) },
@@ -112,7 +186,9 @@
 			"accept ENFILE", "accept EPROTO", "udp ENOBUFS", "send ENETUNREACH", "send ENOBUFS", "receive EHOSTUNREACH", "dial,accept,udp ENFILE")
 	},
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "retire", oneEngine(rng, s) },
-	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) { f.Kind, f.Of = "retire", oneEngine(rng, s) },
+	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
+		f.Kind, f.Of, f.Text = "retire", oneEngine(rng, s), pick(rng, "", "gone", "flap", "newid")
+	},
 	func(rng *rand.Rand, s *rig.Script, f *rig.Fault) {
 		f.Kind, f.Of, f.Text, f.Factor = "mode", pick(rng, oneEngine(rng, s), "engines"), pick(rng, "hang", "error", "spoil", "break"), 0.1+0.4*rng.Float64()
 	},
@@ -146,6 +222,14 @@
 	},
 }
 
+// processes is how many gateways the fleet has.
+func (s *Schedule) processes() (n int) {
+	for _, z := range s.Script.Zones {
+		n += z.Gateways
+	}
+	return n
+}
+
 // Overlapping answers whether two troubles hold at once.
 func (s *Schedule) Overlapping() bool {
 	for i, a := range s.Script.Faults {
@@ -161,8 +245,9 @@
 // String tells the schedule, a line a trouble.
 func (s *Schedule) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d+%d gateways, load %.2f, talk %v, operator %q\n", s.Seed, s.Script.Zones[0].Gateways, s.Script.Zones[1].Gateways,
-		s.Script.Load, s.Script.Talk, strings.Join(strings.Fields(s.Script.Operator), " "))
+	fmt.Fprintf(&b, "seed %d: %d+%d gateways, load %.2f, one core %v, ration %.2f, deadlines %.2f, windows %.2f, talk %v, operator %q\n", s.Seed,
+		s.Script.Zones[0].Gateways, s.Script.Zones[1].Gateways, s.Script.Load, s.Script.OneCore, s.Script.Ration, s.Script.Deadlines, s.Script.Windows,
+		s.Script.Talk, strings.Join(strings.Fields(s.Script.Operator), " "))
 	for _, f := range s.Script.Faults {
 		fmt.Fprintf(&b, "  %5.2f s for %.2f s: %s %s%s %s %s", f.At.Seconds(), f.For.Seconds(), f.Kind, f.Of, f.From, f.To, f.Text)
 		if f.Factor != 0 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -40,6 +40,8 @@
 	LongestPause               time.Duration
 	Kinds                      map[string]int // troubles played, by kind
 	Failed                     []Failure
+	SlowestDrain               time.Duration
+	Crowds                     int      // seeds with twenty processes or more
 	Broken                     []string // seeds that could not be played to their end, and why
 	Planted                    []Found
 }
@@ -74,12 +76,20 @@
 		return fmt.Errorf("soak: %d processes, 2 to %d are possible", o.Processes, mostProcesses)
 	case o.Length < 3*time.Second || o.Length > time.Minute:
 		return fmt.Errorf("soak: a length of %v, 3 s to a minute are possible", o.Length)
-	case o.Parallel < 1 || o.Parallel*o.Processes > 200:
-		return fmt.Errorf("soak: %d seeds at once with %d processes each; 200 processes at most", o.Parallel, o.Processes)
+	case o.Parallel < 1 || o.Parallel*max(o.Processes, o.largest()) > 200:
+		return fmt.Errorf("soak: %d seeds at once with up to %d processes each; 200 processes at most", o.Parallel, max(o.Processes, o.largest()))
 	}
 	return nil
 }
 
+// largest is how many processes a seed may have.
+func (o *Options) largest() int {
+	if o.Processes >= crowdFrom {
+		return crowdMost
+	}
+	return o.Processes
+}
+
 // Run plays all seeds, then looks for planted defects. It returns what it has when the context ends.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	if err := o.check(); err != nil {
@@ -126,12 +136,16 @@
 	if s.Overlapping() {
 		r.Overlapping++
 	}
+	if s.processes() >= crowdLeast {
+		r.Crowds++
+	}
 	if b != nil {
 		r.Requests += b.Tries
 		r.Late += b.Late
 		r.Kept += b.Kept
 		r.Pauses += b.Pauses
 		r.LongestPause = max(r.LongestPause, b.LongestPause)
+		r.SlowestDrain = max(r.SlowestDrain, b.SlowestDrain)
 		for v, n := range b.Verdicts {
 			r.Verdicts[rig.Verdict(v)] += n
 		}
@@ -278,9 +292,10 @@
 		fmt.Fprintf(w, "%s: %d\n", v, r.Verdicts[v])
 	}
 	fmt.Fprintf(w, "late: %d\n", r.Late)
-	for _, v := range []rig.Verdict{rig.SentAfterGone, rig.PastDeadline, rig.DrainBroken, rig.FailbackBroken, rig.WrongAnswer, rig.Guarded, rig.Crashed, rig.NotReady} {
+	for _, v := range []rig.Verdict{rig.SentAfterGone, rig.PastDeadline, rig.DrainBroken, rig.FailbackBroken, rig.WrongAnswer, rig.OrderBroken, rig.Misplaced, rig.RationBroken, rig.Guarded, rig.Crashed, rig.NotReady} {
 		fmt.Fprintf(w, "%s: %d\n", v, r.Verdicts[v])
 	}
+	fmt.Fprintf(w, "crowds: %d\ndrain_slowest_ms: %d\n", r.Crowds, r.SlowestDrain.Milliseconds())
 	fmt.Fprintf(w, "rig_pauses: %d\nrig_longest_pause_ms: %d\n", r.Pauses, r.LongestPause.Milliseconds())
 	fmt.Fprintf(w, "planted: %d\nplanted_found: %d\n", len(r.Planted), r.PlantedFound())
 }
