Give each test process its own loopback addresses, and start a rig's gateway once at a time

Cause: TestThirtyStartAtOnce-like scenes of internal/rig failed once with address already in use while internal/soak ran beside it: addresses were taken from pid*31 + n, so that two processes with near pids shared some after 31 of them, and both found the port free before either had started its gateway. Now the address follows from the pid alone and the port from n. Two faults could also start one gateway twice at once; starts of a gateway now wait for one another.

--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -138,13 +138,8 @@
 func (r *Rig) begin(of string) error {
 	for _, g := range r.gateways {
 		if g.is(of) {
-			g.mu.Lock()
-			runs := g.run != nil
-			g.mu.Unlock()
-			if !runs {
-				if err := g.begin(); err != nil {
-					return err
-				}
+			if err := g.beginAgain(); err != nil {
+				return err
 			}
 		}
 	}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -156,6 +156,19 @@
 
 func (r *logReader) stall(d time.Duration) { r.until.Store(time.Now().Add(d).UnixNano()) }
 
+// beginAgain starts the process, unless it runs.
+func (g *gateway) beginAgain() error {
+	g.begins.Lock()
+	defer g.begins.Unlock()
+	g.mu.Lock()
+	runs := g.run != nil
+	g.mu.Unlock()
+	if runs {
+		return nil
+	}
+	return g.begin()
+}
+
 // begin starts the process and waits until it greets clients.
 func (g *gateway) begin() error {
 	g.mu.Lock()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -78,6 +78,7 @@
 	rig    *Rig
 	index  int
 	zoneAt int
+	begins sync.Mutex // one start at a time
 	names  *standin.Names
 	asks   *relay.UDP
 	front  *relay.TCP
@@ -302,12 +303,12 @@
 	portCount = 10_000
 )
 
-// unused is an address of this machine that nobody listens on, and nobody else is given: each rig has a part of the loopback
-// range to itself.
+// unused is an address of this machine that nobody listens on, and nobody else is given: each process has a part of the loopback
+// range to itself, and each call another port.
 func unused(i int) (string, error) {
-	n := uint32(os.Getpid())*31 + rigs.Add(1)
+	pid, n := uint32(os.Getpid()), rigs.Add(1)
 	for try := range uint32(portCount) {
-		at := fmt.Sprintf("127.%d.%d.%d:%d", 64+n>>8%128, n%256, i+1, portsFrom+(n+try)%portCount)
+		at := fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>8%128, pid%256, i+1, portsFrom+(n+try)%portCount)
 		ln, err := net.Listen("tcp", at)
 		if errors.Is(err, syscall.EADDRINUSE) {
 			continue
