Add a failing test of requests that wait in our own buffer for an engine that drains

Found by going through the ways from a list to the first byte at an engine: nothing takes back what was written to a connection whose engine does not read. Real sockets with buffers of 32 KB.

--- a/internal/net/edge_test.go
+++ b/internal/net/edge_test.go
@@ -53,6 +53,12 @@
 
 // newStageOf has a gateway with other limits.
 func newStageOf(t *testing.T, limits string, answers ...func(standin.Ask) standin.Reply) *stage {
+	t.Helper()
+	return newStageOn(t, System(), limits, answers...)
+}
+
+// newStageOn has a gateway on a platform that may be a double.
+func newStageOn(t *testing.T, platform Platform, limits string, answers ...func(standin.Ask) standin.Reply) *stage {
 	t.Helper()
 	s := &stage{t: t, stop: make(chan os.Signal, 1), hup: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	goroutines, files, heap := runtime.NumGoroutine(), descriptors(t), heapAlloc()
@@ -85,7 +91,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { s.ended <- Run(cfg, zap.NewNop(), Signals{Reload: s.hup, End: s.stop}) }()
+	go func() { s.ended <- RunOn(platform, cfg, zap.NewNop(), Signals{Reload: s.hup, End: s.stop}) }()
 	if s.db, err = sql.Open("mysql", "app@tcp("+s.addr+")/main?interpolateParams=true"); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/net/unread_test.go
@@ -0,0 +1,132 @@
+package net
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	stdnet "net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"foxlane/internal/standin"
+)
+
+// smallBuffer is what the system holds of a connection, so that the rest waits in ours.
+const smallBuffer = 32 << 10
+
+// unreadEngine is an engine that reads nothing until it is told to.
+type unreadEngine struct {
+	ln   stdnet.Listener
+	read chan struct{} // closed: it reads from now on
+	asks atomic.Int64  // that have come whole
+	done sync.WaitGroup
+}
+
+func newUnreadEngine(t *testing.T) *unreadEngine {
+	t.Helper()
+	small := stdnet.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer)
+		})
+		return errors.Join(err, failed)
+	}}
+	ln, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &unreadEngine{ln: ln, read: make(chan struct{})}
+	e.done.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			e.done.Go(func() { e.serve(c) })
+		}
+	})
+	return e
+}
+
+func (e *unreadEngine) close() {
+	e.ln.Close()
+	e.done.Wait()
+}
+
+// serve counts the requests that come on a connection.
+func (e *unreadEngine) serve(c stdnet.Conn) {
+	defer c.Close()
+	<-e.read
+	_ = c.SetReadDeadline(time.Now().Add(time.Second))
+	in := bufio.NewReader(c)
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		words, length := strings.Fields(line), 0
+		if len(words) != 4 || words[0] != "ASK" {
+			continue
+		}
+		if _, err := fmt.Sscan(words[3], &length); err != nil {
+			return
+		}
+		if _, err := io.CopyN(io.Discard, in, int64(length+2)); err != nil {
+			return
+		}
+		e.asks.Add(1)
+	}
+}
+
+// An engine stops reading, so that requests to it wait in the gateway's own buffer, and leaves the list: what has not left by the
+// end of the grace never does, and its clients are answered from elsewhere.
+func TestNothingLeavesTheBufferBehindADrain(t *testing.T) {
+	for name, leave := range map[string]func(stuck standin.Host) []standin.Host{
+		"drains": func(stuck standin.Host) []standin.Host { stuck.Draining = true; return []standin.Host{stuck} },
+		"gone":   func(standin.Host) []standin.Host { return nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			platform := System()
+			platform.Dial = func(ctx context.Context, addr netip.AddrPort) (stdnet.Conn, error) {
+				c, err := dialTCP(ctx, addr)
+				if tcp, ok := c.(*stdnet.TCPConn); ok {
+					err = tcp.SetWriteBuffer(smallBuffer)
+				}
+				return c, err
+			}
+			stuck := newUnreadEngine(t)
+			s := newStageOn(t, platform, `{"cores":1,"memory_mb":192,"sockets":1024}`, served(time.Millisecond, "a\tb\tc\n"))
+			defer stuck.close()
+			defer s.end()
+			host := s.hosts[0]
+			host.ID, host.Addr = "s-unread", netip.MustParseAddrPort(stuck.ln.Addr().String())
+			s.names.Set(2, []standin.Host{host})
+			time.Sleep(300 * time.Millisecond)
+			var asked sync.WaitGroup
+			for i := range 8 {
+				asked.Go(func() {
+					text := fmt.Sprintf("/* kind=point,req=%016x,timeout=7000,ms=20 */ SELECT day FROM sales_1.orders WHERE tag = '%s'", 0xe00+i, strings.Repeat("x", 60_000))
+					if _, err := rows(t.Context(), s.db, text); err != nil {
+						t.Errorf("query %d: %v", i, err)
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			s.names.Set(3, append(leave(host), s.hosts...))
+			time.Sleep(1300 * time.Millisecond) // it is told within 0.1 s, and has 1 s to stop
+			close(stuck.read)
+			asked.Wait()
+			time.Sleep(700 * time.Millisecond) // for it to read what comes
+			if n := stuck.asks.Load(); n > 3 {
+				t.Errorf("%d requests came behind the grace", n)
+			}
+		})
+	}
+}
