Take back, at the end of a grace, what an engine that leaves the list has not read

Cause: what was written to a connection whose engine does not read waits in our own buffer and leaves whenever it reads again, behind the drain too. Change: the edge tells when an engine does not take what was written to it; nothing more goes on that connection; and 0.9 of the grace behind the list, connections that have been so since before it are reset. Requests whose bytes never left were never executed and are tried elsewhere; others may have run. Reason engine_unread; a log line names them.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -61,6 +61,9 @@
 		if e.state != before {
 			e.told = g.now
 			g.noteState(e, before, mode)
+			if before == rules.EngineServing {
+				g.watchGrace(e)
+			}
 		}
 		news = append(news, g.translate(e))
 	}
@@ -69,6 +72,9 @@
 			before := e.state
 			e.state, e.told = rules.EngineGone, g.now
 			g.noteState(e, before, mode)
+			if before == rules.EngineServing {
+				g.watchGrace(e)
+			}
 			stale = append(stale, g.retireLinks(e)...)
 			news = append(news, g.translate(e))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,7 @@
 	Inquiry                          // an operator's command asks something
 	VoterOpened                      // the voter's log was read: Kept
 	KeptIt                           // what Keep asked for is on the disk, or Err
+	Blocked                          // a connection to an engine does not take what was written to it; Drained follows once it has
 )
 
 // Event is something that happened outside. Data is valid during the call only.
@@ -92,6 +93,7 @@
 	Hush                         // leave them
 	Answer                       // Data answers the Inquiry of Conn
 	Keep                         // put Keep on the voter's disk, synced, and tell KeptIt
+	Abort                        // reset a connection: what it has not taken is never sent; Closed follows
 )
 
 // Level is the weight of a log line.
@@ -287,6 +289,12 @@
 	case Drained:
 		if c := g.clients[e.Conn]; c != nil {
 			g.drained(c)
+		} else if l := g.links[e.Conn]; l != nil {
+			l.blockedAt = 0
+		}
+	case Blocked:
+		if l := g.links[e.Conn]; l != nil {
+			l.blockedAt = g.now
 		}
 	case Peer:
 		g.peer(e)
--- a/internal/gateway/guards.go
+++ b/internal/gateway/guards.go
@@ -121,7 +121,7 @@
 
 // guardLinkClose checks a connection to an engine that is about to be closed by us.
 func (g *Gateway) guardLinkClose(l *link, why CloseReason) {
-	if why == LinkMalformed {
+	if why == LinkMalformed || why == LinkUnread {
 		return
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.open)) {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -30,6 +30,9 @@
 	watched bool       // a timer looks whether an answer is whole by then
 	dialled rules.Time // when its dial began
 	took    rules.Time // how long that took
+
+	blockedAt rules.Time // since when its engine does not take what was written; 0: it does
+	aborted   bool       // by us, over what its engine had not taken
 }
 
 type probe struct {
@@ -50,10 +53,10 @@
 	return r != nil && slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.link == l })
 }
 
-// usable answers whether the link may take a request now: it is on its way, or up and not so long idle
-// that its engine may be about to close it.
+// usable answers whether the link may take a request now: it is on its way, or up, read by its engine and not so long idle
+// that that may be about to close it.
 func (g *Gateway) usable(l *link, r *request) bool {
-	return !l.retired && l.load() < g.lim.Multiplex && !l.had(r) &&
+	return !l.retired && l.blockedAt == 0 && l.load() < g.lim.Multiplex && !l.had(r) &&
 		(!l.up || l.load() > 0 || g.now-l.used < g.lim.LinkIdle)
 }
 
@@ -236,6 +239,9 @@
 	ours := spoilt && !l.up // it was never made, for want of something here
 	switch {
 	case l.ended: // by us, who have said why
+	case l.aborted:
+		spoilt = true
+		g.noteLinkClose(l, LinkUnread, err)
 	case ours:
 		g.noteLinkClose(l, LinkNotMadeHere, err)
 	case !l.up:
@@ -304,6 +310,35 @@
 	return stale
 }
 
+// watchGrace looks, ahead of the end of the grace of an engine that drains or has gone, whether something for it still waits here.
+func (g *Gateway) watchGrace(e *engineState) {
+	grace := g.cfg.Settings.Rules.Duties.DrainGrace
+	if grace > 0 && len(e.links) > 0 {
+		g.timers.add(timer{at: g.now + grace - grace/graceMargin, kind: timerGrace, engine: e})
+	}
+}
+
+// graceMargin is the part of a grace, as a divisor, that is left for the end of a connection.
+const graceMargin = 10
+
+// endGrace resets connections whose engine has not taken what was written to them before it was told to drain or to be gone: it
+// must not leave any more, and there is no other way to take it back.
+func (g *Gateway) endGrace(e *engineState) {
+	if e.state == rules.EngineServing {
+		return
+	}
+	for _, l := range slices.Clone(e.links) {
+		if l.blockedAt == 0 || l.blockedAt > e.told || l.aborted {
+			continue
+		}
+		g.log(Warn, "engine: connection reset, requests on it were not read", Attr{"engine", e.entry.ID}, Attr{"requests", l.load()},
+			Attr{"blocked_ms", milliseconds(g.now - l.blockedAt)})
+		l.aborted = true
+		l.retire(LinkUnread)
+		g.do(Effect{Kind: Abort, Conn: l.id})
+	}
+}
+
 func (g *Gateway) closeIdle(e *engineState) {
 	if e == nil {
 		return
--- a/internal/gateway/reasons.go
+++ b/internal/gateway/reasons.go
@@ -25,6 +25,7 @@
 	LinkIdle                             // idle for almost as long as engines keep connections
 	LinkRetired                          // its engine is another process now, or has gone, or fell silent on it
 	LinkMalformed                        // an answer on it could not be read
+	LinkUnread                           // its engine drains and has not read what was written on it
 	LinkLost                             // the engine closed it, or it broke
 	LinkNotMade                          // the dial failed
 	LinkNotMadeHere                      // the dial failed for want of something on this machine
@@ -32,7 +33,7 @@
 )
 
 var closeReasonNames = [...]string{"quit", "peer_closed", "killed", "query_killed", "idle", "idle_share", "nothing_asked", "no_room",
-	"too_many", "admission", "protocol", "stopping", "engine_idle", "engine_retired", "engine_malformed", "engine_lost",
+	"too_many", "admission", "protocol", "stopping", "engine_idle", "engine_retired", "engine_malformed", "engine_unread", "engine_lost",
 	"engine_not_reached", "engine_not_reached_from_here"}
 
 func (r CloseReason) String() string { return closeReasonNames[r] }
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -22,6 +22,7 @@
 	timerPeers
 	timerOrders
 	timerSettled
+	timerGrace
 )
 
 type timer struct {
@@ -33,6 +34,7 @@
 	probe   *probe
 	link    *link
 	request *request
+	engine  *engineState
 }
 
 // timers is a heap by time. Timers are not taken back: one that has lost its
@@ -118,6 +120,8 @@
 			g.fail(t.request, EndResultLost)
 		case timerSettled:
 			g.settled()
+		case timerGrace:
+			g.endGrace(t.engine)
 		case timerWhole:
 			g.checkWhole(t.link)
 		}
--- a/internal/net/close.go
+++ b/internal/net/close.go
@@ -63,6 +63,14 @@
 	})
 }
 
+// abort resets a connection: neither side reads what the system still holds of it.
+func (e *Edge) abort(c *conn) {
+	if c.owns() {
+		_ = syscall.SetsockoptLinger(c.nb.Hash(), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1, Linger: 0})
+	}
+	e.cut(c, errNotRead)
+}
+
 // owns answers whether the connection's number is still its own. Nbio tells of a close behind it, from another goroutine:
 // the number may be another connection's by then. No two connections have the same ends.
 func (c *conn) owns() bool {
@@ -97,9 +105,7 @@
 	if _, err := c.nb.Write(data); err != nil && !errors.Is(err, stdnet.ErrClosed) {
 		e.plug(c.nb.Hash())
 	}
-	if c.pending.Load() > 0 {
-		c.blocked.CompareAndSwap(0, int64(e.now()))
-	}
+	e.noteBlocked(c)
 }
 
 // plug holds the number of a descriptor that was closed a moment ago, until the poller has done with its batch. Few are held
--- a/internal/net/edge.go
+++ b/internal/net/edge.go
@@ -47,7 +47,9 @@
 	watched atomic.Bool  // the reducer is to be told once they are
 	client  bool         // accepted, not dialled
 	taken   atomic.Int64 // bytes that the system has taken
-	blocked atomic.Int64 // since when bytes are pending, in the edge's time; 0: none are
+
+	blocking sync.Mutex   // orders what the reducer is told of it
+	blocked  atomic.Int64 // since when bytes of an engine's connection are pending, in the edge's time; 0: none are
 
 	// Under the edge's lock.
 	queued int   // times that bytes of it wait in the mailbox
@@ -383,12 +385,32 @@
 	}
 }
 
-// noteUnblocked says for how long an engine did not take what was written to it.
+// noteBlocked tells the reducer that an engine does not take what was written to it, if it does not.
+func (e *Edge) noteBlocked(c *conn) {
+	if c.client || c.pending.Load() <= 0 || c.blocked.Load() != 0 {
+		return
+	}
+	c.blocking.Lock()
+	c.blocked.Store(int64(e.now()))
+	e.box.put(gateway.Event{Kind: gateway.Blocked, Conn: c.id})
+	c.blocking.Unlock()
+	if c.pending.Load() <= 0 { // it was taken meanwhile
+		e.noteUnblocked(c)
+	}
+}
+
+// noteUnblocked tells the reducer that an engine has taken what it did not before, and the log how long that took.
 func (e *Edge) noteUnblocked(c *conn) {
+	if c.blocked.Load() == 0 {
+		return
+	}
+	c.blocking.Lock()
+	defer c.blocking.Unlock()
 	since := c.blocked.Swap(0)
-	if since == 0 || c.client {
+	if since == 0 {
 		return
 	}
+	e.box.put(gateway.Event{Kind: gateway.Drained, Conn: c.id})
 	if waited := e.now() - rules.Time(since); waited >= rules.Time(slowFrom.Microseconds()) {
 		e.log.Warn("engine: bytes written waited", zap.Uint64("connection", uint64(c.id)&^(1<<63)), zap.Int64("ms", int64(waited/rules.Millisecond)))
 	}
@@ -411,6 +433,10 @@
 		} else {
 			e.giveUpDial(f.Conn)
 		}
+	case gateway.Abort:
+		if c := e.get(f.Conn); c != nil {
+			e.abort(c)
+		}
 	case gateway.Dial:
 		e.beginDial(f.Conn, f.Addr, f.Wait)
 	case gateway.Query:
--- a/internal/net/edge_test.go
+++ b/internal/net/edge_test.go
@@ -30,7 +30,7 @@
  {"name":"load","aim":1300000,"aimStretch":3,"giveUp":4000000,"effect":"side_effect","group":"all","lateValue":0.6,"worth":25}],
 "extra":{"classThreads":[1,2],"cpuOfKind":[16],"ramOfKindMb":[65536],"isLoad":[false,true],"takesGrants":true,"ranksHeeded":true,"tellsCost":true},
 "limits":{"cancel":true,"connIdle":15000000,"connectTimeout":250000,"maxAttempts":3,"maxOpen":20000,"multiplex":32,"parallelTries":true},
-"machineTypes":["std-16"],"membershipMode":"push","rules":{"answerSlack":5000},"siblings":1,"tick":1000,"zones":["hall-a"]}`
+"machineTypes":["std-16"],"membershipMode":"push","rules":{"answerSlack":5000,"stopSendingWithin":1000000},"siblings":1,"tick":1000,"zones":["hall-a"]}`
 
 // stage is a gateway between stand-ins, on loopback.
 type stage struct {
