Look up an engine's zone and kind once a list, not with each send

TestIncredibleFigures enters an engine of no known kind as the list does, since the zero value is the first kind now.

--- a/internal/gateway/bad_test.go
+++ b/internal/gateway/bad_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"foxlane/internal/config"
 	"foxlane/internal/standin"
 	"foxlane/rules"
 )
@@ -745,6 +746,7 @@
 			t.Errorf("%+v: got %v", c, got)
 		}
 		a.engine = &engineState{}
+		b.g.enter(a.engine, config.Engine{})
 		if !b.g.credible(a) {
 			t.Errorf("%+v: nothing is known of that kind", c)
 		}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -21,6 +21,8 @@
 type engineState struct {
 	id       rules.EngineID
 	entry    config.Engine
+	zone     int // of entry, by their places in the settings
+	kind     int
 	state    rules.EngineState
 	told     rules.Time  // when we were told of its present state
 	coldSent *window.Sum // what we have sent it, while it is cold
@@ -54,7 +56,8 @@
 			e.began = g.beganAt(entry)
 		}
 		before := e.state
-		e.entry, e.state, e.ordered = entry, rules.EngineServing, g.drainsEngine(entry.ID)
+		g.enter(e, entry)
+		e.state, e.ordered = rules.EngineServing, g.drainsEngine(entry.ID)
 		if entry.State == config.StateLeaving {
 			e.state = rules.EngineDraining
 		}
@@ -118,7 +121,8 @@
 	for {
 		e := g.engines[id]
 		if e == nil {
-			e = &engineState{id: id, state: rules.EngineGone, entry: config.Engine{ID: name, Addr: netip.AddrPort{}}}
+			e = &engineState{id: id, state: rules.EngineGone}
+			g.enter(e, config.Engine{ID: name, Addr: netip.AddrPort{}})
 			g.engines[id] = e
 			g.order = append(g.order, e)
 		}
@@ -129,6 +133,13 @@
 	}
 }
 
+// enter takes an engine's entry of the list. Its names are looked up here, since each send needs their places.
+func (g *Gateway) enter(e *engineState, entry config.Engine) {
+	e.entry = entry
+	e.zone = indexOf(g.cfg.Settings.ZoneNames, entry.Zone)
+	e.kind = indexOf(g.cfg.Settings.KindNames, entry.Kind)
+}
+
 // beganAt is when an engine started, in our time.
 func (g *Gateway) beganAt(entry config.Engine) rules.Time {
 	if entry.Started == 0 {
@@ -145,8 +156,8 @@
 	return rules.Engine{
 		ID:        e.id,
 		Cell:      e.entry.Cell,
-		Zone:      indexOf(g.cfg.Settings.ZoneNames, e.entry.Zone),
-		Kind:      indexOf(g.cfg.Settings.KindNames, e.entry.Kind),
+		Zone:      e.zone,
+		Kind:      e.kind,
 		StartedAt: e.began,
 		State:     state,
 		Scale:     e.entry.Weight,
--- a/internal/gateway/guards.go
+++ b/internal/gateway/guards.go
@@ -44,7 +44,7 @@
 		}
 		p := guard.Past{At: a.at, Sent: a.sent, Ended: a.done, NeverRan: a.done && a.verdict.NeverRan()}
 		if a.engine != nil {
-			p.Zone, p.Cell = g.zoneOf(a.engine), a.engine.entry.Cell
+			p.Zone, p.Cell = a.engine.zone, a.engine.entry.Cell
 		}
 		out = append(out, p)
 	}
@@ -81,8 +81,7 @@
 		e.coldSent = nil
 		return 0, 0
 	}
-	kind := indexOf(g.cfg.Settings.KindNames, e.entry.Kind)
-	if kind >= len(g.cfg.Settings.Rules.Kinds) {
+	if e.kind >= len(g.cfg.Settings.Rules.Kinds) {
 		return 0, 0
 	}
 	if e.coldSent == nil {
@@ -90,7 +89,7 @@
 	}
 	e.coldSent.Add(g.now, float64(r.work))
 	warmth := d.ColdFrom + (1-d.ColdFrom)*max(float64(age), 0)/float64(d.ColdFor)
-	return e.coldSent.Now(g.now), d.OverloadFactor * warmth * g.cfg.Settings.Rules.Kinds[kind].Cores * float64(d.TipAfter)
+	return e.coldSent.Now(g.now), d.OverloadFactor * warmth * g.cfg.Settings.Rules.Kinds[e.kind].Cores * float64(d.TipAfter)
 }
 
 // guardAnswer checks a final answer that is about to be given.
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -396,11 +396,10 @@
 // tells. Of one that was spoilt without a sign the module must not learn.
 func (g *Gateway) credible(a *attempt) bool {
 	kinds := g.cfg.Settings.Rules.Kinds
-	i := indexOf(g.cfg.Settings.KindNames, a.engine.entry.Kind)
-	if i >= len(kinds) {
+	if a.engine.kind >= len(kinds) {
 		return true // nothing is known of it
 	}
-	k := kinds[i]
+	k := kinds[a.engine.kind]
 	return (k.Cores <= 0 || a.work <= k.Cores*float64(a.took/rules.Millisecond+1)) &&
 		(k.MemoryMB <= 0 || a.memory <= k.MemoryMB)
 }
--- a/internal/gateway/sites.go
+++ b/internal/gateway/sites.go
@@ -116,8 +116,6 @@
 	}
 }
 
-func (g *Gateway) zoneOf(e *engineState) int { return indexOf(g.cfg.Settings.ZoneNames, e.entry.Zone) }
-
 // sights is what is held of each engine that serves.
 func (g *Gateway) sights() []zones.EngineSight {
 	out := g.seen[:0]
@@ -127,10 +125,10 @@
 			continue
 		}
 		cores := 1.0
-		if k := indexOf(g.cfg.Settings.KindNames, e.entry.Kind); k < len(g.cfg.Settings.Rules.Kinds) {
+		if k := e.kind; k < len(g.cfg.Settings.Rules.Kinds) {
 			cores = max(g.cfg.Settings.Rules.Kinds[k].Cores, 1)
 		}
-		out = append(out, zones.EngineSight{Engine: b.Engine, Zone: g.zoneOf(e), Cores: cores, Warm: b.Warm, Slow: b.Slow,
+		out = append(out, zones.EngineSight{Engine: b.Engine, Zone: e.zone, Cores: cores, Warm: b.Warm, Slow: b.Slow,
 			LeftOut: b.LeftOut, Late: b.Late > 0, Asked: e.asked, Heard: e.heard, Fault: e.fault})
 	}
 	g.seen = out
@@ -171,7 +169,7 @@
 // looked takes what a probe said.
 func (g *Gateway) looked(e *engineState, ok bool) {
 	if g.sites != nil {
-		g.sites.zones.Answered(g.zoneOf(e), ok)
+		g.sites.zones.Answered(e.zone, ok)
 	}
 }
 
