Add a failing test of a late list behind many reloads

An answer counts if its query is among the latest 70, which are 7 s of polling; each reload asks as well, so that behind 80 of them a list that is 3 s late is let pass as an answer to nothing. Found by going through the ways in which a list is refused.

--- a/internal/gateway/crossings_test.go
+++ b/internal/gateway/crossings_test.go
@@ -500,6 +500,24 @@
 	}
 }
 
+// Behind many reloads, each of which asks as well, an answer that is seconds late still counts.
+func TestLateListBehindManyReloads(t *testing.T) {
+	b := newBench(t)
+	id := b.g.asked[0]
+	for range 80 {
+		cfg := b.g.cfg
+		b.g.Step(b.now, Event{Kind: Reload, Config: &cfg})
+		b.g.Flush()
+	}
+	b.pass(3 * rules.Second)
+	drained := oneHost
+	drained.Draining = true
+	b.step(Datagram, 0, string(standin.Answer(id, listName, 2, []standin.Host{drained})))
+	if b.g.order[0].state != rules.EngineDraining {
+		t.Error("a drain in an answer that is 3 s late was not heard")
+	}
+}
+
 // A reload that moves the name service: an older list in the file changes nothing, a newer one counts, and going back
 // to the first address asks there again, on a new socket each time.
 func TestReloadBackAndForth(t *testing.T) {
