--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -211,7 +211,7 @@
 		if n := l.Clients + l.AcceptAhead + l.AllLinks + l.Plugs + own; n > sockets {
 			t.Fatalf("%d descriptors at a time, %d are allowed", n, sockets)
 		}
-		if l.Lingering >= l.AcceptAhead || l.Polls < int(l.ListTold/l.PollEvery) || l.ListSilent >= l.ListTold {
+		if l.Lingering >= l.AcceptAhead || l.ListSilent >= l.ListTold {
 			t.Fatalf("%d sockets: %+v", sockets, l)
 		}
 	}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -53,7 +53,6 @@
 	// The name service.
 	PollEvery  rules.Time
 	Datagram   int
-	Polls      int        // queries that an answer may still come to
 	ListTold   rules.Time // after it everything that the name service has to tell counts as told
 	ListSilent rules.Time // of the name service until it is asked from a new socket
 
@@ -144,7 +143,6 @@
 		StopLinger:  900 * rules.Millisecond,
 		FlushWithin: 300 * rules.Millisecond,
 	}
-	l.Polls = int(l.ListTold / l.PollEvery)
 	if s.ConnIdle <= 0 {
 		l.LinkIdle = 60 * rules.Second // engines are not said to close idle connections
 	}
--- a/internal/gateway/crossings_test.go
+++ b/internal/gateway/crossings_test.go
@@ -503,6 +503,9 @@
 // Behind many reloads, each of which asks as well, an answer that is seconds late still counts.
 func TestLateListBehindManyReloads(t *testing.T) {
 	b := newBench(t)
+	if polls := int(b.g.lim.ListTold / b.g.lim.PollEvery); askedMost < 2*polls {
+		t.Errorf("%d queries are remembered, %d are sent while an answer may come", askedMost, polls)
+	}
 	id := b.g.asked[0]
 	for range 80 {
 		cfg := b.g.cfg
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -137,8 +137,12 @@
 
 // queryOf is the place of the query with an id among all that were sent, if an answer to it may still come.
 func (g *Gateway) queryOf(id uint16) (query int, ok bool) {
-	for i := range min(g.lim.Polls, g.askedNum, len(g.asked)) {
-		if query = g.askedNum - 1 - i; g.asked[query%len(g.asked)] == id {
+	for i := range min(g.askedNum, len(g.asked)) {
+		query = g.askedNum - 1 - i
+		if g.now-g.askedAt[query%len(g.asked)] > g.lim.ListTold {
+			return 0, false // what it could tell counts as told
+		}
+		if g.asked[query%len(g.asked)] == id {
 			return query, true
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,8 +167,8 @@
 	lastTag  uint64
 
 	list     *discovery.List
-	asked    [128]uint16     // ids of the latest queries
-	askedAt  [128]rules.Time // and when they were sent
+	asked    [askedMost]uint16     // ids of the latest queries
+	askedAt  [askedMost]rules.Time // and when they were sent
 	askedNum int
 	source   source // of the list: the name service
 	steps    wallclock.Steps
@@ -190,6 +190,10 @@
 	lingered bool
 }
 
+// askedMost is how many queries to the name service are remembered: those of the time in which an answer may come, polls and as
+// many again for reloads.
+const askedMost = 192
+
 const (
 	keepOut   = 2048 // bytes of a buffer that a connection keeps
 	keepSpare = 64   // larger buffers kept for all
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,7 +45,7 @@
 // A few seeds, with troubles that overlap, break nothing.
 func TestSeeds(t *testing.T) {
 	o := options(t)
-	o.Seeds = 4
+	o.Seeds = 10
 	r, err := Run(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
@@ -61,7 +61,7 @@
 // Defects that are planted are found.
 func TestPlantsAreFound(t *testing.T) {
 	o := options(t)
-	o.Plants, o.Only = 3, []string{double.PlantUnsafeTwice, double.PlantCloseUnanswered, double.PlantAnswerLate}
+	o.Plants, o.Only = 3, []string{double.PlantUnsafeTwice, double.PlantCloseUnanswered, double.PlantAnswerLate, double.PlantListAtStart}
 	r, err := Run(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
