--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -22,17 +22,17 @@
 // Answers are 100 ms apart. Three are well under the grace of a drain, and more than the name service brings from before
 // in a row; ten, one second's, are what it takes against a list that was told again and again.
 const (
-	firstWeight   = 3
-	mostWeight    = 10
-	vouchesWanted = 3
+	firstWeight         = 3
+	mostWeight          = 10
+	confirmationsNeeded = 3
 )
 
 // absentFor is how long an engine may be missing from answers that are not newer than the list that holds until it counts
 // as gone: an older list lacks what came behind it, and the next answer says so.
 const absentFor = 300 * rules.Millisecond
 
-// tombstones is how many engines that have gone are remembered: a list from before may name them again.
-const tombstones = 256
+// maxTombstones is how many engines that have gone are remembered: a list from before may name them again.
+const maxTombstones = 256
 
 // Verdict is what became of an answer.
 type Verdict int
@@ -55,28 +55,28 @@
 
 // List is the list of engines as it holds now.
 type List struct {
-	serial   uint32
-	held     []config.Engine
-	places   map[string]int // in held, by id
-	support  int            // of the list that holds: an answer with it adds one, one with another list takes one away
-	answered uint64         // the latest query that was answered
-	doubts   map[string]*doubt
-	graves   []string // ids of engines that have gone, the longest gone first
-	changed  bool
+	serial     uint32
+	held       []config.Engine
+	places     map[string]int // in held, by id
+	support    int            // of the list that holds: an answer with it adds one, one with another list takes one away
+	answered   uint64         // the latest query that was answered
+	records    map[string]*record
+	tombstones []string // ids of engines that have gone, the longest gone first
+	changed    bool
 }
 
-// doubt is what speaks against sending to an engine.
-type doubt struct {
-	restricted bool       // it drains or has gone, as far as is known
-	vouched    int        // answers in a row that held the list that holds, or a newer one, and list the engine as active
-	started    int64      // its latest start that is known: a later one is another process
-	absentAt   rules.Time // since when it is missing from answers that are not newer; 0: it is not
-	buried     bool       // it is in graves
+// record is what is remembered of an engine that something speaks against.
+type record struct {
+	restricted    bool       // it drains or has gone, as far as is known
+	confirmations int        // answers in a row that held the list that holds, or a newer one, and list the engine as active
+	started       int64      // its latest start that is known: a later one is another process
+	absentAt      rules.Time // since when it is missing from answers that are not newer; 0: it is not
+	tombstone     bool       // it is in tombstones
 }
 
 // New returns the list that a gateway knows at its start.
 func New(serial uint32, engines []config.Engine) *List {
-	l := &List{serial: serial, support: mostWeight, doubts: map[string]*doubt{}}
+	l := &List{records: map[string]*record{}}
 	l.hold(serial, engines)
 	l.support = mostWeight
 	for i := range engines {
@@ -99,7 +99,7 @@
 	l.changed = false
 	engines = slices.Clone(l.held)
 	for i := range engines {
-		if d := l.doubts[engines[i].ID]; d != nil && d.restricted {
+		if d := l.records[engines[i].ID]; d != nil && d.restricted {
 			engines[i].State = config.StateLeaving
 		}
 	}
@@ -140,14 +140,14 @@
 	l.weigh(now, a, verdict)
 	if verdict != Other {
 		l.hold(a.Serial, a.Engines)
-		l.forget()
+		l.trimTombstones()
 	}
 	return verdict
 }
 
 // Tick lets time pass.
 func (l *List) Tick(now rules.Time) {
-	for id, d := range l.doubts {
+	for id, d := range l.records {
 		if d.absentAt > 0 && now-d.absentAt >= absentFor {
 			l.restrict(id, d.started)
 		}
@@ -186,13 +186,13 @@
 
 // weighHeld takes once more what the list that holds says of engines that are in doubt.
 func (l *List) weighHeld() {
-	for id, d := range l.doubts {
+	for id, d := range l.records {
 		at, held := l.places[id]
 		switch {
 		case held && l.held[at].State != config.StateLeaving:
-			l.vouch(&l.held[at], Confirmed)
+			l.confirm(&l.held[at], Confirmed)
 		default:
-			d.vouched = 0
+			d.confirmations = 0
 		}
 	}
 }
@@ -207,14 +207,14 @@
 		_, known := l.places[e.ID]
 		switch {
 		case e.State != config.StateLeaving:
-			l.vouch(e, verdict)
-		case known || l.doubts[e.ID] != nil || verdict != Other:
+			l.confirm(e, verdict)
+		case known || l.records[e.ID] != nil || verdict != Other:
 			l.restrict(e.ID, e.Started)
 		}
 	}
-	for id, d := range l.doubts {
+	for id, d := range l.records {
 		if !named[id] {
-			d.vouched = 0
+			d.confirmations = 0
 		}
 	}
 	for i := range l.held {
@@ -226,25 +226,25 @@
 
 // restrict notes that an engine drains or has gone.
 func (l *List) restrict(id string, started int64) {
-	d := l.doubtOf(id)
+	d := l.recordOf(id)
 	d.absentAt, d.started = 0, max(d.started, started)
 	l.changed = l.changed || !d.restricted
-	d.restricted, d.vouched = true, 0
+	d.restricted, d.confirmations = true, 0
 }
 
-// vouch notes that an engine was listed as active.
-func (l *List) vouch(e *config.Engine, verdict Verdict) {
-	d := l.doubts[e.ID]
+// confirm notes that an engine was listed as active.
+func (l *List) confirm(e *config.Engine, verdict Verdict) {
+	d := l.records[e.ID]
 	if d == nil {
 		return
 	}
 	d.absentAt = 0
-	d.vouched++
+	d.confirmations++
 	if verdict == Other {
-		d.vouched = 0
+		d.confirmations = 0
 	}
-	if !d.restricted || e.Started > d.started || d.vouched >= vouchesWanted {
-		l.clear(e.ID, d)
+	if !d.restricted || e.Started > d.started || d.confirmations >= confirmationsNeeded {
+		l.release(e.ID, d)
 	}
 }
 
@@ -252,48 +252,48 @@
 func (l *List) miss(now rules.Time, e *config.Engine, verdict Verdict) {
 	if verdict != Other {
 		l.restrict(e.ID, e.Started)
-		l.bury(e.ID)
+		l.addTombstone(e.ID)
 		return
 	}
-	if d := l.doubtOf(e.ID); !d.restricted && d.absentAt == 0 {
+	if d := l.recordOf(e.ID); !d.restricted && d.absentAt == 0 {
 		d.absentAt, d.started = now, e.Started
 	}
 }
 
-func (l *List) doubtOf(id string) *doubt {
-	d := l.doubts[id]
+func (l *List) recordOf(id string) *record {
+	d := l.records[id]
 	if d == nil {
-		d = &doubt{}
-		l.doubts[id] = d
+		d = &record{}
+		l.records[id] = d
 	}
 	return d
 }
 
-func (l *List) clear(id string, d *doubt) {
+func (l *List) release(id string, d *record) {
 	l.changed = l.changed || d.restricted
-	delete(l.doubts, id)
-	if d.buried {
-		l.graves = slices.DeleteFunc(l.graves, func(o string) bool { return o == id })
+	delete(l.records, id)
+	if d.tombstone {
+		l.tombstones = slices.DeleteFunc(l.tombstones, func(o string) bool { return o == id })
 	}
 }
 
-// bury remembers an engine that has gone.
-func (l *List) bury(id string) {
-	if d := l.doubts[id]; !d.buried {
-		d.buried = true
-		l.graves = append(l.graves, id)
+// addTombstone remembers an engine that has gone.
+func (l *List) addTombstone(id string) {
+	if d := l.records[id]; !d.tombstone {
+		d.tombstone = true
+		l.tombstones = append(l.tombstones, id)
 	}
 }
 
-// forget forgets the engines that have been gone for longest, where too many are remembered.
-func (l *List) forget() {
-	for len(l.graves) > tombstones {
-		id := l.graves[0]
-		l.graves = l.graves[1:]
+// trimTombstones forgets the engines that have been gone for longest, where too many are remembered.
+func (l *List) trimTombstones() {
+	for len(l.tombstones) > maxTombstones {
+		id := l.tombstones[0]
+		l.tombstones = l.tombstones[1:]
 		if _, held := l.places[id]; held {
-			l.doubts[id].buried = false
+			l.records[id].tombstone = false
 		} else {
-			delete(l.doubts, id)
+			delete(l.records, id)
 		}
 	}
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -153,7 +153,7 @@
 func TestReturn(t *testing.T) {
 	w := newWorld(t, 1, engine("a", on), engine("b", on))
 	w.hear(2, engine("a", off), engine("b", off))
-	for i := range vouchesWanted {
+	for i := range confirmationsNeeded {
 		w.expect(fmt.Sprint("behind ", i, " answers"), "a", off)
 		w.hear(3, engine("a", on), engine("b", on, 5000))
 		w.expect("started anew", "b", on)
@@ -226,8 +226,8 @@
 			w.hear(1, engine(fmt.Sprint("stale", i), off))
 		}
 	}
-	if len(w.list.doubts) > tombstones+2 || len(w.list.graves) > tombstones {
-		t.Errorf("%d doubts, %d graves", len(w.list.doubts), len(w.list.graves))
+	if len(w.list.records) > maxTombstones+2 || len(w.list.tombstones) > maxTombstones {
+		t.Errorf("%d records, %d tombstones", len(w.list.records), len(w.list.tombstones))
 	}
 }
 
