--- a/internal/rig/clients.go
+++ b/internal/rig/clients.go
@@ -35,7 +35,7 @@
 	{name: "report", part: 0.25, work: 250 * time.Millisecond, aim: 1200 * time.Millisecond, giveUp: 4 * time.Second, worth: 6},
 	{name: "load", part: 0.05, work: 300 * time.Millisecond, aim: 1500 * time.Millisecond, giveUp: 4 * time.Second, worth: 10, unsafe: true},
 	{name: "note", work: 30 * time.Millisecond, aim: 400 * time.Millisecond, giveUp: 2 * time.Second, worth: 2, window: 800 * time.Millisecond},
-	{name: "step", work: 30 * time.Millisecond, aim: 600 * time.Millisecond, giveUp: 2500 * time.Millisecond, worth: 3, inTurn: true},
+	{name: "step", work: 300 * time.Millisecond, aim: 1500 * time.Millisecond, giveUp: 4 * time.Second, worth: 3, inTurn: true},
 	{name: "local", work: 30 * time.Millisecond, aim: 400 * time.Millisecond, giveUp: 2 * time.Second, worth: 2, placed: true},
 }
 
@@ -66,7 +66,7 @@
 	noteClass  = 3
 	stepClass  = 4
 	localClass = 5
-	orderKeys  = 6                      // of the ordered class
+	orderKeys  = 2                      // of the ordered class
 	keyRest    = 300 * time.Millisecond // of a key behind an attempt that may still run
 	aimStretch = 2.5
 	scatter    = 0.5 // deviation of the logarithm of work
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -45,7 +45,7 @@
 	s := rig.Script{
 		Zones: []rig.Zone{{Name: "hall-a", Gateways: processes - processes/2, Engines: engines / 2}, {Name: "hall-b", Gateways: processes / 2, Engines: engines / 2}},
 		Cores: coreCount, Load: 0.2 + 0.5*rng.Float64(), Seed: seed, ColdFrom: 0.33, Cold: coldFor, Overload: 0.3, Length: length, Notes: 0.1, Leave: 0.08,
-		InTurn: 0.08, Placed: 0.05, OneCore: crowd,
+		InTurn: 0.06, Placed: 0.05, OneCore: crowd,
 	}
 	if rng.IntN(3) == 0 {
 		s.Ration = 0.1 + 0.2*rng.Float64()
