Count what the system holds of each connection in the test of buffers behind a drain

Traced: an engine that does not read gets its requests over several connections, since one that it does not read takes no more, and beside load more of them; the system holds two requests of 60 KB of each, whose first byte left ahead of the list. The test now allows two a connection, as strict for one connection and exact for more.

--- a/internal/net/unread_test.go
+++ b/internal/net/unread_test.go
@@ -21,11 +21,15 @@
 // smallBuffer is what the system holds of a connection, so that the rest waits in ours.
 const smallBuffer = 32 << 10
 
+// heldBySystem is how many of the test's requests of 60 KB the system holds of a connection: it doubles both sides' buffers.
+const heldBySystem = 2
+
 // unreadEngine is an engine that reads nothing until it is told to.
 type unreadEngine struct {
 	ln   stdnet.Listener
 	read chan struct{} // closed: it reads from now on
 	asks atomic.Int64  // that have come whole
+	made atomic.Int64  // connections to it
 	done sync.WaitGroup
 }
 
@@ -49,6 +53,7 @@
 			if err != nil {
 				return
 			}
+			e.made.Add(1)
 			e.done.Go(func() { e.serve(c) })
 		}
 	})
@@ -124,8 +129,8 @@
 			close(stuck.read)
 			asked.Wait()
 			time.Sleep(700 * time.Millisecond) // for it to read what comes
-			if n := stuck.asks.Load(); n > 3 {
-				t.Errorf("%d requests came behind the grace", n)
+			if n, most := stuck.asks.Load(), heldBySystem*stuck.made.Load(); n > most {
+				t.Errorf("%d requests came behind the grace, the system holds %d", n, most)
 			}
 		})
 	}
