Play a seed of the reducer's simulation the same way each time

What was seen: a failing seed of internal/gateway could not be traced, since the next play of it was another one.

Cause: in the simulation, the connections of an engine were reset in the order of a map, and each takes a latency from the generator.

Each of them now has an order of its own: by connection, by what was written first, by tag. Of attempts of one time the first that was written counts against the engine. The checks, bounds, seeds and faults of the randomized tests are as they were; the flags -seed and -seeds play other seeds.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -39,7 +39,7 @@
 // weights and networks while requests are queued, up to the end by SIGTERM.
 func TestRulesWithAdmissionControl(t *testing.T) {
 	for _, faultRate := range []float64{0, 0.4, 1} {
-		for seed := range uint64(6) {
+		for seed := range seeds(6) {
 			t.Run(fmt.Sprintf("fault rate %v seed %d", faultRate, seed), func(t *testing.T) {
 				sim := newSimulationWith(t, seed, faultRate, withAdmission(t, fmt.Sprintf(admissionText, 1), 70, 60))
 				sim.nextClientAddr = func() netip.Addr {
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"container/list"
 	"net/netip"
+	"slices"
 
 	"foxlane/internal/admission"
 	"foxlane/internal/mysql"
@@ -174,12 +176,27 @@
 		}
 		g.closeClient(client, CloseIdle)
 	}
-	for _, client := range g.clients {
+	for _, client := range g.overdueClients() {
 		switch {
-		case client.killed && g.now-client.lastActive >= g.limits.LoginTimeout:
+		case client.closed: // together with one before it
+		case client.killed:
 			g.closeClient(client, CloseQueryKilled)
-		case client.partialBytes > 0 && g.now-client.partialSince >= g.limits.LoginTimeout:
+		default:
 			g.protocolError(client, 1, errPacketUnfinished)
 		}
 	}
 }
+
+// overdueClients lists the clients that were killed and stay, or leave a packet unfinished. They are sorted, since the order in which
+// connections end decides what is sent next, and must not be that of a map.
+func (g *Gateway) overdueClients() (overdue []*clientConn) {
+	for _, client := range g.clients {
+		stays := client.killed && g.now-client.lastActive >= g.limits.LoginTimeout
+		unfinished := client.partialBytes > 0 && g.now-client.partialSince >= g.limits.LoginTimeout
+		if stays || unfinished {
+			overdue = append(overdue, client)
+		}
+	}
+	slices.SortFunc(overdue, func(left, right *clientConn) int { return cmp.Compare(left.id, right.id) })
+	return overdue
+}
--- a/internal/gateway/commands.go
+++ b/internal/gateway/commands.go
@@ -87,14 +87,20 @@
 		g.handleAdmission(admission.Event{Kind: admission.InputBuffered, Conn: client.admissionSlot, Bytes: held})
 	}
 	for g.partialBytes > g.limits.MaxInputBytes {
-		most := client
-		for _, other := range g.clients {
-			if other.partialBytes > most.partialBytes {
-				most = other
-			}
+		g.protocolError(g.mostUnfinished(client), 1, errUnfinishedInput)
+	}
+}
+
+// mostUnfinished is the client that holds most of unfinished packets: of several, the one that connected first, since the order of
+// a map must not decide.
+func (g *Gateway) mostUnfinished(client *clientConn) *clientConn {
+	most := client
+	for _, other := range g.clients {
+		if other.partialBytes > most.partialBytes || other.partialBytes == most.partialBytes && other.id < most.id {
+			most = other
 		}
-		g.protocolError(most, 1, errUnfinishedInput)
 	}
+	return most
 }
 
 // protocolError ends a session that breaks the protocol, with an error unless its client waits for another answer.
--- /dev/null
+++ b/internal/gateway/determinism_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"foxlane/internal/config"
+	"foxlane/rules"
+)
+
+// A seed that fails has to fail again, or no failure can be traced: the reducer is a function of its configuration, its
+// seed and the events with their times, and so is the simulation around it. Each play happens in maps with other hash seeds.
+func TestOneSeedGivesTheSameEffects(t *testing.T) {
+	for _, scene := range []struct {
+		name   string
+		change func(*config.Config)
+		flood  bool
+	}{
+		{name: "plain"},
+		{name: "admission control", change: withAdmission(t, fmt.Sprintf(admissionText, 1), 70, 60), flood: true},
+		{name: "results in memory", change: withSpool(t, memorySpool)},
+		{name: "results on a disk", change: withSpool(t, diskSpool)},
+	} {
+		for seed := range seeds(4) {
+			t.Run(fmt.Sprintf("%s seed %d", scene.name, seed), func(t *testing.T) {
+				var plays [2][]string
+				for i := range plays {
+					plays[i] = recordEffects(t, seed, scene.change, scene.flood)
+				}
+				for i, effect := range plays[0] {
+					if i >= len(plays[1]) || plays[1][i] != effect {
+						other := "nothing"
+						if i < len(plays[1]) {
+							other = plays[1][i]
+						}
+						t.Fatalf("effect %d of %d differs:\n%.400s\n%.400s", i, len(plays[0]), effect, other)
+					}
+				}
+				if len(plays[1]) != len(plays[0]) || len(plays[0]) < 2000 {
+					t.Errorf("%d effects, then %d", len(plays[0]), len(plays[1]))
+				}
+			})
+		}
+	}
+}
+
+// recordEffects plays a seed with all faults and returns the effects with their times, in order.
+func recordEffects(t *testing.T, seed uint64, change func(*config.Config), flood bool) (effects []string) {
+	sim := newSimulationWith(t, seed, 1, change)
+	sim.onEffect = func(effect Effect) {
+		effects = append(effects, fmt.Sprintf("%d us %T %v", sim.now-sim.start, effect, effect))
+	}
+	const length = 6 * rules.Second
+	for at := rules.Time(0); flood && at < length; at += 3 * rules.Millisecond {
+		sim.schedule(at, sim.sendRequest)
+	}
+	sim.play(length)
+	return effects
+}
--- a/internal/gateway/engineclose.go
+++ b/internal/gateway/engineclose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 
 	"foxlane/rules"
@@ -65,7 +66,7 @@
 	case conn.up:
 		status = rules.StatusReset
 	}
-	for _, probe := range conn.probes {
+	for _, probe := range conn.probesInOrder() {
 		probe.localExhaustion = localExhaustion
 		g.finishProbe(probe, status, nil)
 	}
@@ -101,7 +102,10 @@
 	for _, attempt := range conn.inFlight {
 		lost = append(lost, attempt)
 	}
-	slices.SortFunc(lost, func(attempt, other *engineAttempt) int { return int(attempt.startedAt - other.startedAt) })
+	slices.SortFunc(lost, func(attempt, other *engineAttempt) int {
+		// Of those that the module asked for at one time, the first that was written: the order of a map must not decide.
+		return cmp.Or(cmp.Compare(attempt.startedAt, other.startedAt), cmp.Compare(attempt.endOffset, other.endOffset))
+	})
 	for i, attempt := range lost {
 		attempt.blameless = blameless || i > 0
 		if attempt.endOffset > accepted {
--- a/internal/gateway/engineconn.go
+++ b/internal/gateway/engineconn.go
@@ -153,7 +153,7 @@
 func (g *Gateway) engineConnected(conn *engineConn) {
 	conn.up, conn.lastUsed, conn.dialTime = true, g.now, g.now-conn.dialledAt
 	g.writeWaiting(conn)
-	for _, probe := range conn.probes {
+	for _, probe := range conn.probesInOrder() {
 		conn.output = engine.AppendProbe(conn.output, probe.tag)
 		g.markDirty(&conn.outputBuffer)
 	}
--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 
 	"foxlane/internal/engine"
@@ -20,6 +22,14 @@
 	done            bool
 }
 
+// probesInOrder lists the health checks on a connection in an order that is not that of a map.
+func (c *engineConn) probesInOrder() (probes []*healthProbe) {
+	for _, tag := range slices.Sorted(maps.Keys(c.probes)) {
+		probes = append(probes, c.probes[tag])
+	}
+	return probes
+}
+
 // startProbe checks an engine's health for the module or the zones.
 func (g *Gateway) startProbe(id rules.EngineID) { g.probeEngine(id, false) }
 
--- a/internal/gateway/resultstore_test.go
+++ b/internal/gateway/resultstore_test.go
@@ -30,7 +30,7 @@
 func TestRulesWithResultsKept(t *testing.T) {
 	for name, text := range map[string]string{"memory": memorySpool, "disk": diskSpool, "disk and admission control": diskSpool + "fair {\n}\n"} {
 		for _, faultRate := range []float64{0, 0.4, 1} {
-			for seed := range uint64(5) {
+			for seed := range seeds(5) {
 				t.Run(fmt.Sprintf("%s fault rate %v seed %d", name, faultRate, seed), func(t *testing.T) {
 					sim := newSimulationWith(t, seed, faultRate, withSpool(t, text))
 					sim.play(6 * rules.Second)
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -140,24 +141,23 @@
 	if req.finished {
 		return
 	}
-	for _, conn := range sim.conns {
-		if conn.client && conn.request == req && !conn.closed {
-			if sim.rng.IntN(2) == 0 || conn.session == 0 { // it has no number to kill by
-				sim.connEnded(conn, true)
-				return
-			}
-			if killer := sim.connect(nil); !killer.closed && !req.finished && conn.request == req { // neither was evicted for the other
-				req.killed, req.finished, req.goneAt = true, true, sim.now
-				sim.step(&DataReceived{Conn: killer.id, Data: queryPacket(fmt.Sprintf("KILL QUERY %d", conn.session))})
-			}
-			sim.schedule(500*rules.Millisecond, func() {
-				if !conn.closed && (req.killed || conn.request == req) {
-					sim.connEnded(conn, true)
-				}
-			})
-			return
-		}
+	conn := req.client
+	if conn == nil || conn.request != req || conn.closed {
+		return
+	}
+	if sim.rng.IntN(2) == 0 || conn.session == 0 { // it has no number to kill by
+		sim.connEnded(conn, true)
+		return
+	}
+	if killer := sim.connect(nil); !killer.closed && !req.finished && conn.request == req { // neither was evicted for the other
+		req.killed, req.finished, req.goneAt = true, true, sim.now
+		sim.step(&DataReceived{Conn: killer.id, Data: queryPacket(fmt.Sprintf("KILL QUERY %d", conn.session))})
 	}
+	sim.schedule(500*rules.Millisecond, func() {
+		if !conn.closed && (req.killed || conn.request == req) {
+			sim.connEnded(conn, true)
+		}
+	})
 }
 
 // clientReads judges what a client gets: greeting, login, then answers.
@@ -432,8 +432,8 @@
 }
 
 func (sim *simulation) resetConns(engine *simEngine) {
-	for _, conn := range sim.conns {
-		if conn.engine == engine && !conn.closed {
+	for _, id := range slices.Sorted(maps.Keys(sim.conns)) { // each takes a latency from the generator
+		if conn := sim.conns[id]; conn.engine == engine && !conn.closed {
 			sim.connEnded(conn, true)
 		}
 	}
@@ -442,7 +442,7 @@
 // The seven rules hold on the bytes that clients and engines see, whatever fails.
 func TestRulesUnderFailures(t *testing.T) {
 	for _, faultRate := range []float64{0, 0.4, 1} {
-		for seed := range uint64(12) {
+		for seed := range seeds(12) {
 			t.Run(fmt.Sprintf("fault rate %v seed %d", faultRate, seed), func(t *testing.T) {
 				sim := newSimulation(t, seed, faultRate)
 				sim.play(6 * rules.Second)
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
+	"flag"
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
@@ -56,6 +59,24 @@
 	lastReadAt        rules.Time           // when the last of what came while it was stopped is read
 	pausedUntil       rules.Time           // the gateway's process is stopped until then
 	clockSkew         rules.Time           // by how much the wall clock was stepped
+	onEffect          func(Effect)         // sees each effect ahead of its execution; nil: nobody does
+}
+
+var (
+	firstSeed = flag.Uint64("seed", 0, "the first seed of a randomized test")
+	seedCount = flag.Uint64("seeds", 0, "how many seeds a randomized test plays; 0: as many as it names")
+)
+
+// seeds are those of a randomized test that names how many it plays, or what the flags say.
+func seeds(named uint64) iter.Seq[uint64] {
+	count := cmp.Or(*seedCount, named)
+	return func(yield func(uint64) bool) {
+		for i := range count {
+			if !yield(*firstSeed + i) {
+				return
+			}
+		}
+	}
 }
 
 // simEvent is something that is to happen in the simulation.
@@ -299,6 +320,9 @@
 
 func (sim *simulation) executeEffects() {
 	for _, effect := range sim.g.Flush() {
+		if sim.onEffect != nil {
+			sim.onEffect(effect)
+		}
 		switch effect := effect.(type) {
 		case *Write:
 			conn := sim.conns[effect.Conn]
