Print what a warming engine was sent and what the gateway counted where rule 4 is broken

What was seen: "rule 4 at 4671 ms: s- got of", from which no cause can be told: not when each request was sent, nor when the gateway was notified of the start, nor what it took the engine's budget and its own use of it to be.

The simulation now notes each request written to an engine since its start and the list that names the start, each with what the module counts and its quota (SlowStartUsage has the quota too), and prints the notes with the first violation.

--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -294,15 +294,19 @@
 }
 
 // checkWritten judges attempts as they are written.
-func (sim *simulation) checkWritten(out []byte) {
+func (sim *simulation) checkWritten(engine *simEngine, out []byte) {
 	for line := range bytes.Lines(out) {
 		words := strings.Fields(string(line))
 		if len(words) < 2 || words[0] != "ASK" {
 			continue
 		}
-		if req := sim.requestsByID[words[1]]; req != nil && req.finished && !req.clientLeft { // that a client left takes a while to be known
+		req := sim.requestsByID[words[1]]
+		if req != nil && req.finished && !req.clientLeft { // that a client left takes a while to be known
 			sim.violation(1, "%s is sent after its end", req.id)
 		}
+		if req != nil {
+			sim.traceWarmup(engine, fmt.Sprintf("%s %s of %.0f ms is written", simClasses[req.class].name, req.id, float64(req.work)/float64(rules.Millisecond)))
+		}
 	}
 }
 
@@ -364,10 +368,13 @@
 	}
 }
 
+// warmupPeriod is that of the settings.
+const warmupPeriod = 4 * rules.Second
+
 // checkSlowStart: a cold engine gets at most its budget within any span (rule 4). What was sent before the gateway was told
 // of its start counts, and breaks the rule only if two thirds of it all were sent after that.
 func (sim *simulation) checkSlowStart(req *simRequest, engine *simEngine) {
-	const coldFor, span, cores, from, factor = 4 * rules.Second, rules.Second, 16, 0.3, 2
+	const coldFor, span, cores, from, factor = warmupPeriod, rules.Second, 16, 0.3, 2
 	if engine.warmupSince == 0 || sim.now > engine.warmupSince+coldFor {
 		return
 	}
@@ -384,7 +391,26 @@
 	warm := from + (1-from)*float64(sim.now-engine.warmupSince)/float64(coldFor)
 	if budget := factor * warm * cores * float64(span); sum > budget && informed >= sum*2/3 {
 		sim.violation(4, "%s got %.0f of %.0f", engine.host.ID, sum, budget)
+		if engine.warmupTrace != nil {
+			sim.violation(4, "%s until then:\n%s", engine.host.ID, strings.Join(engine.warmupTrace, "\n"))
+			engine.warmupTrace = nil
+		}
+	}
+}
+
+// traceWarmup notes what happens to an engine that warms up, beside the gateway's own account of its budget.
+func (sim *simulation) traceWarmup(engine *simEngine, what string) {
+	if engine.warmupSince == 0 || sim.now > engine.warmupSince+warmupPeriod {
+		return
+	}
+	counted := "counts nothing"
+	for _, usage := range sim.g.module.SlowStartUsage() {
+		if eng := sim.g.engines[usage.Engine]; eng != nil && eng.entry.ID == engine.host.ID {
+			counted = fmt.Sprintf("counts %.0f of %.0f ms", usage.Work/float64(rules.Millisecond), usage.Quota/float64(rules.Millisecond))
+		}
 	}
+	engine.warmupTrace = append(engine.warmupTrace, fmt.Sprintf("%7.1f ms, %6.1f ms after its start: %s; the gateway %s",
+		float64(sim.now-sim.start)/float64(rules.Millisecond), float64(sim.now-engine.warmupSince)/float64(rules.Millisecond), what, counted))
 }
 
 // injectFaults has engines and the list fail now and then.
@@ -399,6 +425,7 @@
 				sim.schedule(600*rules.Millisecond, func() {
 					engine.refusing, engine.delisted, engine.notifiedAt, engine.host.Draining = false, false, 0, false
 					engine.warmupSince, engine.warmupSends, engine.startNotifiedAt = sim.now, nil, 0
+					engine.warmupTrace = nil
 					engine.host.Started = int64(sim.now / rules.Millisecond)
 					sim.serial++
 				})
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -117,6 +117,7 @@
 	warmupSince     rules.Time
 	warmupSends     []timedWork
 	startNotifiedAt rules.Time // when the gateway was notified of its start
+	warmupTrace     []string   // what the gateway wrote to it since its start and what it counted, for a violation of rule 4
 }
 
 type timedWork struct {
@@ -335,7 +336,7 @@
 				sim.clientReads(conn)
 				continue
 			}
-			sim.checkWritten(effect.Data)
+			sim.checkWritten(conn.engine, effect.Data)
 			data := bytes.Clone(effect.Data)
 			sim.schedule(conn.delay, func() {
 				if !conn.closed {
@@ -431,6 +432,7 @@
 			for _, host := range hosts {
 				if engine := sim.engines[host.ID]; engine.startNotifiedAt == 0 && engine.warmupSince != 0 && host.Started == engine.host.Started {
 					engine.startNotifiedAt = sim.now
+					sim.traceWarmup(engine, "the list with its start reaches the gateway")
 				}
 			}
 			for _, engine := range sim.engines {
--- a/rules/api.go
+++ b/rules/api.go
@@ -242,6 +242,7 @@
 type SlowStartUsage struct {
 	Engine EngineID
 	Work   float64 // predicted, all threads together, in microseconds
+	Quota  float64 // this gateway's even part of what the engine bears in that window, likewise
 }
 
 // ZonePlan decides in which zones a query may run, where operators have planned it. It must be pure, as the module
--- a/rules/views.go
+++ b/rules/views.go
@@ -18,7 +18,7 @@
 func (m *Module) SlowStartUsage() (usage []SlowStartUsage) {
 	for _, eng := range m.engines {
 		if m.warmingUp(eng) && eng.State == EngineServing {
-			usage = append(usage, SlowStartUsage{eng.ID, m.slowStartWork(eng)})
+			usage = append(usage, SlowStartUsage{eng.ID, m.slowStartWork(eng), m.slowStartQuota(eng)})
 		}
 	}
 	return usage
