Tell by the order of events, not by their times, which query a KILL QUERY means

What callers saw: a KILL QUERY was answered with OK, and the killed query ran and was answered 27 ms later.

Cause: so that a KILL that is late does not hit the session's next query, the query was left alone where the last answer was not before the killer's connection: answeredAt >= openedAt. All events of one batch may have one time, and then the KILL counted as late.

Why the mend holds: events are numbered as they are handled, and the numbers are compared. Where one event both opens the connection and answers the session (an eviction) the KILL still means the answered query, as before.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -24,9 +24,9 @@
 	request       *queryRequest
 	killed        bool // its query was killed: no answer follows, so the session can't go on
 	lastActive    rules.Time
-	openedAt      rules.Time
+	openedBy      uint64        // the number of the event that opened it
 	commands      int           // that it has sent
-	answeredAt    rules.Time    // when a request of it last ended
+	answeredBy    uint64        // the number of the event by which a request of it last ended
 	partialBytes  int           // bytes of an unfinished packet
 	partialSince  rules.Time    // when that packet began
 	badCommands   int           // that could not be used
@@ -41,7 +41,7 @@
 		outputBuffer: outputBuffer{id: id},
 		loginPending: true,
 		lastActive:   g.now,
-		openedAt:     g.now,
+		openedBy:     g.eventNumber,
 		decoder:      mysql.Decoder{MaxPayload: g.limits.MaxLoginBytes},
 	}
 	if g.stopped || g.admission == nil && len(g.clients) >= g.limits.MaxClients && !g.evictOne() {
--- a/internal/gateway/commands.go
+++ b/internal/gateway/commands.go
@@ -235,7 +235,7 @@
 		return
 	}
 	g.writeOK(client)
-	late := client.commands == 1 && target.answeredAt >= client.openedAt
+	late := client.commands == 1 && target.answeredBy >= client.openedBy // by number: events of one batch have one time
 	if !query {
 		g.closeClient(target, CloseKilled)
 	} else if req := target.request; req != nil && !late {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	module       *rules.Module
 	rng          *rand.Rand
 	now          rules.Time
+	eventNumber  uint64       // of the event that is handled
 	effects      *effectBatch // since the last Flush
 	lastEffects  *effectBatch // that Flush returned last
 	freeBuffers  [][]byte     // large buffers
@@ -124,6 +125,7 @@
 // Step handles one event at a time that is never before that of the last.
 func (g *Gateway) Step(now rules.Time, event Event) {
 	g.now = max(g.now, now)
+	g.eventNumber++
 	g.detectStall()
 	switch e := event.(type) {
 	case ConnectionAccepted:
--- a/internal/gateway/interleaving_test.go
+++ b/internal/gateway/interleaving_test.go
@@ -372,6 +372,34 @@
 	}
 }
 
+// A session is answered, sends its next query and is told to end it by a new connection, all in one moment, as when they are read in one
+// batch: the KILL means the query that is in flight. The times of the answer and of the new connection were compared, and where
+// they were the same the KILL was taken to be late: OK was its answer, and the query ran on and was answered 27 ms later (seed 35378 of
+// TestRulesWithAdmissionControl at fault rate 1: "the query was refused" to a killed query).
+func TestKillInTheMomentOfAnAnswer(t *testing.T) {
+	for _, openedFirst := range []bool{false, true} {
+		gw := newTestGateway(t)
+		gw.client(1)
+		session := gw.g.clients[1].session
+		gw.receive(1, askText("point", idA))
+		connID := gw.dials[0]
+		gw.step(DialSucceeded{Conn: connID})
+		gw.now += rules.Millisecond
+		if openedFirst { // in the same moment, and meant for the query that is answered next
+			gw.client(2)
+		}
+		gw.receive(connID, idA+" served total=1 0\r\n\r\n")
+		gw.receive(1, askText("point", idB))
+		if !openedFirst {
+			gw.client(2)
+		}
+		gw.receive(2, string(queryPacket(fmt.Sprintf("KILL QUERY %d", session))))
+		if hit := gw.g.requests[idB] == nil; hit == openedFirst {
+			t.Errorf("opened ahead of the answer %v: the next query was killed %v", openedFirst, hit)
+		}
+	}
+}
+
 // During a shutdown clients that have sent no command get an error, new ones too; idle ones stay until the last close; and a request that
 // is read while the process exits is answered first.
 func TestEndAnswersWhatComesMeanwhile(t *testing.T) {
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -182,7 +182,7 @@
 	if client := req.client; client != nil {
 		req.client, client.request = nil, nil
 		if client.reader == nil {
-			client.answeredAt = g.now
+			client.answeredBy = g.eventNumber
 		}
 		g.clientBecameIdle(client)
 	}
--- a/internal/gateway/resultread.go
+++ b/internal/gateway/resultread.go
@@ -133,7 +133,7 @@
 func (g *Gateway) removeReader(client *clientConn) {
 	if client.reader != nil {
 		g.results.readers.release(client.reader.slot)
-		client.reader, client.answeredAt = nil, g.now
+		client.reader, client.answeredBy = nil, g.eventNumber
 	}
 }
 
