Count what a new process was sent before the list named its start against its budget

Cause: send recorded work only while the engine was known to warm up, and slowStartBudgetLeft cleared the record while it was not, so the 1.6 to 4.9 s that the new process got in the 67 to 401 ms before the list came never counted.

Why the mend holds: what is sent to any engine counts for an overload window, so the record is there when the list says that the process is another one, also where the engine left the list in between or a stale list restored the older start. After the notification only what fits the gateway's part together with that is sent.

The emulator has engines that restart at their address, counts collapses under the work of gateways that had been notified, and the time until an engine has had its share.

--- a/internal/emulator/attempt.go
+++ b/internal/emulator/attempt.go
@@ -11,6 +11,7 @@
 	engine   *engine
 	sentAt   rules.Time
 	job      *job // nil until the engine has accepted it
+	notified bool // the gateway had been notified of the start of the engine's process
 	done     bool // the gateway has its outcome
 	answered bool // the engine has answered
 }
@@ -22,6 +23,7 @@
 func (g *gateway) forward(r *request, id rules.EngineID) {
 	f := g.fleet
 	a := &attempt{request: r, index: len(r.attempts), engine: f.engineByID(id), sentAt: f.now}
+	a.notified = g.startedAt[id] == a.engine.startedAt
 	r.attempts = append(r.attempts, a)
 	f.Metrics.recordAttempt(g, a)
 	g.observationOf(id).lastAttempt = f.now
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -42,7 +42,9 @@
 
 	coldSends      []coldSend // the work of the last OverloadWindow, while cold
 	coldWork       float64    // their sum
+	notifiedWork   float64    // of it, what came from gateways that had been notified of the start
 	peakColdBudget float64    // largest part of the slow-start budget that was used
+	sinceStart     float64    // work that it got since its start, until it carries its share
 }
 
 // band is what runs at one priority.
@@ -55,8 +57,9 @@
 
 // coldSend is work that a cold engine got.
 type coldSend struct {
-	at   rules.Time
-	work float64
+	at       rules.Time
+	work     float64
+	notified bool // its gateway had been notified of the start
 }
 
 // job is an attempt that an engine runs or queues.
@@ -209,7 +212,7 @@
 	}
 	e.advance()
 	work := a.request.work * math.Exp(f.rng.NormFloat64()*f.scenario.Engine.WorkNoise)
-	if e.chargeColdBudget(work); e.collapsed {
+	if e.chargeColdBudget(work, a.notified); e.collapsed {
 		f.answerGateway(a, rules.StatusReset)
 		return
 	}
@@ -227,29 +230,62 @@
 	e.armTimer()
 }
 
+// notifiedPart is the part of a cold engine's work from which a collapse counts against the gateways, as the operators have it: what
+// came from gateways that had been notified of the start.
+const notifiedPart = 2.0 / 3
+
 // chargeColdBudget charges work to the slow-start budget of a cold engine, which collapses if it is exceeded. Work that
 // is rejected afterwards counts, too.
-func (e *engine) chargeColdBudget(work float64) {
+func (e *engine) chargeColdBudget(work float64, notified bool) {
 	c := e.fleet.scenario.Settings.Constraints
 	if e.warmUpSpeed() >= 1 || c.OverloadWindow == 0 {
-		e.coldSends, e.coldWork = nil, 0
+		e.coldSends, e.coldWork, e.notifiedWork = nil, 0, 0
 		return
 	}
-	e.coldSends = append(e.coldSends, coldSend{e.fleet.now, work})
-	e.coldWork += work
+	e.recordShare(work)
+	e.addColdSend(coldSend{e.fleet.now, work, notified}, 1)
+	e.coldSends = append(e.coldSends, coldSend{e.fleet.now, work, notified})
 	for e.coldSends[0].at <= e.fleet.now-c.OverloadWindow {
-		e.coldWork -= e.coldSends[0].work
+		e.addColdSend(e.coldSends[0], -1)
 		e.coldSends = e.coldSends[1:]
 	}
 	used := e.coldWork / (c.OverloadFactor * e.warmUpSpeed() * e.fleet.scenario.Engine.Cores * float64(c.OverloadWindow))
 	e.peakColdBudget = max(e.peakColdBudget, used)
-	if used > 1 {
-		e.collapsed = true
-		e.fleet.Metrics.OverloadCollapses++
-		e.endAll(rules.StatusReset)
+	if used <= 1 {
+		return
+	}
+	e.collapsed = true
+	e.fleet.Metrics.OverloadCollapses++
+	if e.notifiedWork >= notifiedPart*e.coldWork {
+		e.fleet.Metrics.NotifiedCollapses++
+	}
+	e.endAll(rules.StatusReset)
+}
+
+// addColdSend adds work to the sums of a cold engine, or takes it off by a sign of -1.
+func (e *engine) addColdSend(send coldSend, sign float64) {
+	e.coldWork += sign * send.work
+	if send.notified {
+		e.notifiedWork += sign * send.work
 	}
 }
 
+// recordShare records the time until an engine that has started has got as much work as all of its cores do in a second.
+func (e *engine) recordShare(work float64) {
+	share := e.fleet.scenario.Engine.Cores * float64(rules.Second)
+	if e.sinceStart < share && e.sinceStart+work >= share {
+		e.fleet.Metrics.TimesToShare = append(e.fleet.Metrics.TimesToShare, e.fleet.now-e.startedAt)
+	}
+	e.sinceStart += work
+}
+
+// restart has another process take an engine's place at once, cold.
+func (e *engine) restart() {
+	e.endAll(rules.StatusReset)
+	e.startedAt, e.collapsed = e.fleet.now, false
+	e.coldSends, e.coldWork, e.notifiedWork, e.sinceStart = nil, 0, 0, 0
+}
+
 // endAll ends all jobs, queued or running, with one status.
 func (e *engine) endAll(status rules.Status) {
 	e.advance()
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -33,6 +33,22 @@
 	}}
 }
 
+// RestartEngines has another process take the place of a part of the engines, one after another over a span: cold, at once, and at
+// the same address. The gateways are notified when the list reaches them.
+func RestartEngines(at rules.Time, part float64, over rules.Time) Fault {
+	return Fault{at, func(f *Fleet) {
+		serving := f.servingEngines()
+		n := int(part * float64(len(serving)))
+		for i, p := range f.rng.Perm(len(serving))[:n] {
+			e := serving[p]
+			f.after(over*rules.Time(i)/rules.Time(max(1, n)), func() {
+				e.restart()
+				f.announce(e)
+			})
+		}
+	}}
+}
+
 // LoseZone takes a zone away, engines and gateways: connections to it stay silent. Its engines leave the list after
 // unlisted, and all come back, cold, after away; 0 is never.
 func LoseZone(at rules.Time, zone int, unlisted, away rules.Time) Fault {
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -26,8 +26,9 @@
 	byArrival    []*request                    // in the order of arrival, some of them finished
 	lastUsed     map[rules.EngineID]rules.Time // when the connection to an engine was last used
 	observations map[rules.EngineID]*observation
-	serving      map[rules.EngineID]bool // by the list as this gateway has it
-	zones        *zones.Controller       // nil: no plan for the loss of a zone
+	serving      map[rules.EngineID]bool       // by the list as this gateway has it
+	startedAt    map[rules.EngineID]rules.Time // likewise
+	zones        *zones.Controller             // nil: no plan for the loss of a zone
 	shedOrder    shedOrder
 	replica      *replica.Store // nil: no gossip
 	gossip       *gossip.Observations
@@ -86,7 +87,7 @@
 	g.module = rules.New(s, g.fleet.rng.Uint64())
 	g.requests, g.lastUsed, g.byArrival = map[rules.RequestID]*request{}, map[rules.EngineID]rules.Time{}, nil
 	g.pending, g.handling = nil, false
-	g.observations, g.serving = map[rules.EngineID]*observation{}, map[rules.EngineID]bool{}
+	g.observations, g.serving, g.startedAt = map[rules.EngineID]*observation{}, map[rules.EngineID]bool{}, map[rules.EngineID]rules.Time{}
 	g.startZones()
 	g.startGossip()
 	g.applyList(rules.UpdateCached, g.fleet.listEntries())
@@ -95,7 +96,7 @@
 // applyList takes an update of the list.
 func (g *gateway) applyList(mode rules.UpdateMode, list []rules.Engine) {
 	for _, e := range list {
-		g.serving[e.ID] = e.State == rules.EngineServing
+		g.serving[e.ID], g.startedAt[e.ID] = e.State == rules.EngineServing, e.StartedAt
 	}
 	g.handle(rules.FleetUpdate{Mode: mode, Engines: list})
 }
--- a/internal/emulator/metrics.go
+++ b/internal/emulator/metrics.go
@@ -15,6 +15,7 @@
 	Failed            int     // requests answered with another error
 	Unanswered        int     // requests without a final answer by their deadline
 	OverloadCollapses int     // cold engines that got more work than they bear
+	NotifiedCollapses int     // of these, those that got two thirds of it from gateways that had been notified of their start
 	PeakColdBudget    float64 // largest part of its slow-start budget that a cold engine got
 	Attempts          int
 	Retries           int // of the attempts, those after a request's first
@@ -26,7 +27,8 @@
 	GossipBytes       int // sent among gateways
 	ZoneTransitions   int // states that zones have entered, over all gateways
 	Transitions       []Transition
-	Shed              int // of the rejected requests, those shed in favour of requests of a higher value
+	Shed              int          // of the rejected requests, those shed in favour of requests of a higher value
+	TimesToShare      []rules.Time // from an engine's start until it had got as much work as its cores do in a second
 	LostAttempts      [rules.StatusSuperseded + 1]int
 	Seconds           []Second
 
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -37,42 +37,60 @@
 
 // The seven rules hold with admission control on and a flood of requests, under failures, with reloads that change the
 // weights and networks while requests are queued, up to the end by SIGTERM.
+//
+// At fault rate 1 it broke rule 4 in 11 of 31,000 seeds. An engine's process dies and another takes its address, cold. The list
+// says so 67 to 401 ms later; until then the gateway sends the new process 1.6 to 4.9 s of work, which it did not count against the
+// budget, and after it as much as if it had sent nothing. The trace of seed 3916: "list with its start reaches the gateway; the
+// gateway counts nothing", after 4.7 s of work in 15 requests; then 9.7 s in 17 more, where the engine bears 12.3 s in a second.
+// Part of those 9.7 s is that clients name no estimates here and reports of 600 ms counted as 500 ms for ever.
+// docs/incidents/slow-start-after-restart.md has all seeds.
 func TestRulesWithAdmissionControl(t *testing.T) {
 	for _, faultRate := range []float64{0, 0.4, 1} {
 		for seed := range seeds(6) {
-			t.Run(fmt.Sprintf("fault rate %v seed %d", faultRate, seed), func(t *testing.T) {
-				sim := newSimulationWith(t, seed, faultRate, withAdmission(t, fmt.Sprintf(admissionText, 1), 70, 60))
-				sim.nextClientAddr = func() netip.Addr {
-					switch n := sim.rng.IntN(10); {
-					case n < 6:
-						return netip.MustParseAddr("10.0.0.1")
-					case n < 8:
-						return netip.AddrFrom4([4]byte{10, 0, 1, byte(n)})
-					}
-					return netip.AddrFrom4([4]byte{10, 0, 2, byte(sim.rng.IntN(200))})
-				}
-				n := 1
-				sim.reloadChange = func(cfg *config.Config) {
-					n++
-					cfg.Site = parseSite(t, strings.Replace(fmt.Sprintf(admissionText, n), "10.0.1.0/24", fmt.Sprintf("10.0.%d.0/24", 1+n%2), 1))
-				}
-				for at := rules.Time(0); at < 6*rules.Second; at += 3 * rules.Millisecond { // three times the load
-					sim.schedule(at, sim.sendRequest)
-				}
-				sim.play(6 * rules.Second)
-				sim.reportViolations()
-				if sim.served < 100 || sim.rejected < 20 {
-					t.Errorf("only %d served and %d rejected: the test has lost its subject", sim.served, sim.rejected)
-				}
-				stats := sim.g.admission.controller.Stats()
-				if stats.Delayed < 20 {
-					t.Errorf("only %d were delayed: the test has lost its subject", stats.Delayed)
-				}
-				if stats.Queued != 0 || len(sim.g.admission.requests.free) != len(sim.g.admission.requests.entries)-len(sim.g.requests) {
-					t.Errorf("left in admission control: %+v, %d slots of %d free, %d requests", stats, len(sim.g.admission.requests.free), len(sim.g.admission.requests.entries), len(sim.g.requests))
-				}
-			})
+			t.Run(fmt.Sprintf("fault rate %v seed %d", faultRate, seed), func(t *testing.T) { playWithAdmissionControl(t, seed, faultRate) })
+		}
+	}
+}
+
+// Seeds in which the test above broke rule 4 before gateways counted what they had sent a new process ahead of the notification, and
+// one in which it broke rule 1 (TestKillInTheMomentOfAnAnswer).
+func TestSeedsThatBrokeRules(t *testing.T) {
+	for _, seed := range []uint64{3916, 10290, 13333, 16120, 16433, 17329, 24914, 26500, 31388, 33804, 37056, 35378} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playWithAdmissionControl(t, seed, 1) })
+	}
+}
+
+func playWithAdmissionControl(t *testing.T, seed uint64, faultRate float64) {
+	t.Helper()
+	sim := newSimulationWith(t, seed, faultRate, withAdmission(t, fmt.Sprintf(admissionText, 1), 70, 60))
+	sim.nextClientAddr = func() netip.Addr {
+		switch n := sim.rng.IntN(10); {
+		case n < 6:
+			return netip.MustParseAddr("10.0.0.1")
+		case n < 8:
+			return netip.AddrFrom4([4]byte{10, 0, 1, byte(n)})
 		}
+		return netip.AddrFrom4([4]byte{10, 0, 2, byte(sim.rng.IntN(200))})
+	}
+	n := 1
+	sim.reloadChange = func(cfg *config.Config) {
+		n++
+		cfg.Site = parseSite(t, strings.Replace(fmt.Sprintf(admissionText, n), "10.0.1.0/24", fmt.Sprintf("10.0.%d.0/24", 1+n%2), 1))
+	}
+	for at := rules.Time(0); at < 6*rules.Second; at += 3 * rules.Millisecond { // three times the load
+		sim.schedule(at, sim.sendRequest)
+	}
+	sim.play(6 * rules.Second)
+	sim.reportViolations()
+	if sim.served < 100 || sim.rejected < 20 {
+		t.Errorf("only %d served and %d rejected: the test has lost its subject", sim.served, sim.rejected)
+	}
+	stats := sim.g.admission.controller.Stats()
+	if stats.Delayed < 20 {
+		t.Errorf("only %d were delayed: the test has lost its subject", stats.Delayed)
+	}
+	if stats.Queued != 0 || len(sim.g.admission.requests.free) != len(sim.g.admission.requests.entries)-len(sim.g.requests) {
+		t.Errorf("left in admission control: %+v, %d slots of %d free, %d requests", stats, len(sim.g.admission.requests.free), len(sim.g.admission.requests.entries), len(sim.g.requests))
 	}
 }
 
--- a/rules/attempt.go
+++ b/rules/attempt.go
@@ -24,10 +24,7 @@
 	if att.reportedToPeers {
 		m.emit(Broadcast{Payload: eng.encodePeerReport()})
 	}
-	if m.warmingUp(eng) {
-		sent := sentWork{m.now, req.class.requestWork.valueOr(work)}
-		eng.slowStartSends = append(eng.slowStartSends, sent)
-	}
+	m.countAgainstSlowStart(eng, req.class.requestWork.valueOr(work))
 	m.reviewAt(req, m.slowAt(req, &att))
 }
 
--- a/rules/engine.go
+++ b/rules/engine.go
@@ -19,7 +19,7 @@
 	rejections      map[*class]backoff // of the classes that it rejected
 	dataLoads       map[int]int        // data loads of this gateway that run there, by data set
 
-	slowStartSends    []sentWork // while it warms up: what was sent within the overload window
+	recentSends       []sentWork // what was sent within the overload window, a tick apart at least
 	peerSlowStartWork float64    // while it warms up: what peers report to have sent within the window
 }
 
@@ -32,7 +32,7 @@
 	updatedAt Time // 0: never
 }
 
-// sentWork is work sent to an engine at a time.
+// sentWork is work sent to an engine by a time.
 type sentWork struct {
 	at   Time
 	work float64
@@ -67,12 +67,28 @@
 	}
 }
 
-// sentSince sums up the work sent to a warming engine since then, and drops what is older.
-func (e *engine) sentSince(from Time) (sum float64) {
-	for len(e.slowStartSends) > 0 && e.slowStartSends[0].at < from {
-		e.slowStartSends = e.slowStartSends[1:]
+// recordSend adds work sent to an engine, together with what was sent until the same time, and drops what is
+// older than from.
+func (e *engine) recordSend(from, until Time, work float64) {
+	e.forgetSends(from)
+	if last := len(e.recentSends) - 1; last >= 0 && e.recentSends[last].at == until {
+		e.recentSends[last].work += work
+		return
+	}
+	e.recentSends = append(e.recentSends, sentWork{until, work})
+}
+
+// forgetSends drops what was sent to an engine before then.
+func (e *engine) forgetSends(from Time) {
+	for len(e.recentSends) > 0 && e.recentSends[0].at < from {
+		e.recentSends = e.recentSends[1:]
 	}
-	for _, sent := range e.slowStartSends {
+}
+
+// sentSince sums up the work sent to an engine since then, and drops what is older.
+func (e *engine) sentSince(from Time) (sum float64) {
+	e.forgetSends(from)
+	for _, sent := range e.recentSends {
 		sum += sent.work
 	}
 	return sum
@@ -101,19 +117,20 @@
 }
 
 // removeGoneEngines drops engines that have left the list and run no attempt of this gateway. One that warms
-// up is kept: if it is listed again, what was sent to it before still counts against its budget.
+// up, or was sent work within the overload window, is kept: if it is listed again, as a new process perhaps,
+// that work counts against its budget.
 func (m *Module) removeGoneEngines() {
-	kept := m.engines[:0]
-	for _, eng := range m.engines {
-		if eng.State == EngineGone && eng.attempts == 0 && !m.warmingUp(eng) {
+	before := len(m.engines)
+	m.engines = slices.DeleteFunc(m.engines, func(eng *engine) bool {
+		gone := eng.State == EngineGone && eng.attempts == 0 && !m.warmingUp(eng) && m.slowStartWork(eng) == 0
+		if gone {
 			delete(m.engineByID, eng.ID)
-			continue
 		}
-		kept = append(kept, eng)
+		return gone
+	})
+	if len(m.engines) < before {
+		m.forgetPreferences()
 	}
-	m.engines = kept
-	m.forgetPreferences()
-	m.fleetCapacity = m.servingCapacity()
 }
 
 // countEngines counts the engines for which a condition holds to a class.
--- a/rules/fleet.go
+++ b/rules/fleet.go
@@ -21,6 +21,8 @@
 		m.updateEngine(entry)
 	}
 	m.removeGoneEngines()
+	m.forgetPreferences()
+	m.fleetCapacity = m.servingCapacity()
 }
 
 func (m *Module) updateEngine(entry Engine) {
--- a/rules/handle.go
+++ b/rules/handle.go
@@ -71,6 +71,7 @@
 	case timerPoll:
 		m.subscribe()
 	case timerSweep:
+		m.removeGoneEngines()
 		m.sweepPending, m.fleetCapacity = false, m.servingCapacity()
 	}
 }
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -2,7 +2,7 @@
 
 // Slow start: how much a gateway sends to an engine that warms up; the types are in api.go. Invariant: all
 // gateways together send such an engine no more within the overload window than the settings let it bear,
-// whatever part of the traffic each has and whenever each started.
+// whatever part of the traffic each has, whenever each started and however late it is notified of the start.
 
 import "math"
 
@@ -29,7 +29,6 @@
 func (m *Module) slowStartBudgetLeft(req *request, eng *engine) bool {
 	c := &m.settings.Constraints
 	if !m.warmingUp(eng) || c.OverloadWindow <= 0 || c.OverloadFactor <= 0 { // no budget
-		eng.slowStartSends = nil
 		return true
 	}
 	work := max(req.class.requestWork.valueOr(math.Inf(1)), m.predictedWork(req))
@@ -46,11 +45,27 @@
 		spent+work <= slowStartSafety/2*budget && spent+m.sample(eng)*work <= m.sampledQuota(eng, quota, work)
 }
 
-// slowStartWork is what was sent to an engine within the overload window, and a tick for delays.
-func (m *Module) slowStartWork(eng *engine) float64 {
-	return eng.sentSince(m.now - m.settings.Constraints.OverloadWindow - m.settings.Tick)
+// countAgainstSlowStart counts work that is sent to an engine, whether or not it is known to warm up: its
+// process may be another one already, and the list says so only later. The new process has had that work
+// then. Whether the old one got it instead can't be told by the clock of another machine, so it counts.
+func (m *Module) countAgainstSlowStart(eng *engine, work float64) {
+	c := &m.settings.Constraints
+	if c.OverloadWindow <= 0 || c.OverloadFactor <= 0 { // no budget
+		return
+	}
+	tick := max(m.settings.Tick, 1)
+	endOfTick := (m.now + tick - 1) / tick * tick
+	eng.recordSend(m.slowStartWindowStart(), endOfTick, work)
 }
 
+// slowStartWindowStart is when the overload window began, and a tick earlier for delays.
+func (m *Module) slowStartWindowStart() Time {
+	return m.now - m.settings.Constraints.OverloadWindow - m.settings.Tick
+}
+
+// slowStartWork is what was sent to an engine within the overload window.
+func (m *Module) slowStartWork(eng *engine) float64 { return eng.sentSince(m.slowStartWindowStart()) }
+
 // slowStartQuota is this gateway's even part of what a warming engine bears in an overload window.
 func (m *Module) slowStartQuota(eng *engine) float64 {
 	c := &m.settings.Constraints
--- a/rules/slowstart_test.go
+++ b/rules/slowstart_test.go
@@ -37,6 +37,56 @@
 	chk.verify("slow start")
 }
 
+// An engine restarts at its address and the list says so a while later. What the new process got until then is part of what it
+// bears: the gateway sends it the rest of its part, and a full part only once a window has passed. Seen in the reducer's
+// simulation: an engine got 4.6 s of work in the 112 ms before the notification, of which the gateway counted nothing, and 9.9 s
+// after it, where it bore 12.3 s.
+func TestSlowStartBudgetCountsWhatCameBeforeTheNotification(t *testing.T) {
+	for _, between := range []string{"nothing", "a list without it", "a list with its start and one without"} {
+		t.Run(between+" in between", func(t *testing.T) { checkLateNotification(t, between) })
+	}
+}
+
+func checkLateNotification(t *testing.T, between string) {
+	chk := startModule(t, basicSettings(interactive), 1)
+	chk.advance(3 * Second)
+	former, restarted := fleetOf(1), fleetOf(1)
+	restarted[0].StartedAt = chk.now
+	send := func(most int) (work float64) {
+		for range most {
+			work += float64(chk.attempts(chk.submit(0, nil))) * chk.work[0]
+			chk.resolveAll(StatusOK)
+		}
+		return work
+	}
+	before := send(20)
+	chk.advance(200 * Millisecond)
+	switch between {
+	case "a list without it":
+		chk.handle(FleetUpdate{Mode: UpdateFull})
+		chk.advance(100 * Millisecond)
+	case "a list with its start and one without": // the second one is stale
+		chk.handle(FleetUpdate{Mode: UpdateFull, Engines: restarted})
+		chk.handle(FleetUpdate{Mode: UpdateFull, Engines: former})
+		chk.submit(0, nil)
+		chk.resolveAll(StatusOK)
+	}
+	chk.handle(FleetUpdate{Mode: UpdateFull, Engines: restarted})
+	part := slowStartSafety * chk.module.slowStartQuota(chk.module.engineByID[1])
+	after := send(200)
+	if before == 0 || before > part/2 || after == 0 {
+		t.Fatalf("%.0f before and %.0f after the notification of a part of %.0f: the test has lost its subject", before, after, part)
+	}
+	if before+after > part {
+		t.Errorf("%.0f were sent before and %.0f after the notification, together more than the gateway's part of %.0f", before, after, part)
+	}
+	chk.advance(chk.settings.Constraints.OverloadWindow + 10*Millisecond)
+	if again := send(200); again < after {
+		t.Errorf("%.0f were sent a window later, less than the %.0f at first", again, after)
+	}
+	chk.verify("late notification")
+}
+
 // The slow-start budget binds over all gateways together, whatever part of the traffic each has.
 func TestSlowStartBudgetOfAHundredGateways(t *testing.T) {
 	t.Run("light", func(t *testing.T) { checkHundredGateways(t, 20*Millisecond) })
