Count sends ahead of the notification in the check of the slow-start budget too

What operators saw: nothing, which is the fault. The invariant "slow-start budget" is checked at each send, and stayed silent while an engine got 14.5 s of work where it bears 12.3 s.

Cause: slowStartSend (internal/gateway/guards.go) dropped its sum while the engine was not known to warm up, as the decision module did: the check had the same blind spot as what it checks.

Why the mend holds: what an engine is sent is summed at all times, and since the notification beside it. All of it counts unless over a third was sent ahead of the notification, which is out of the gateway's hands; what was sent since counts in any case, as before. TestGuardCountsSendsBeforeTheNotification has both sides of each bound; the first case failed before.

--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"foxlane/internal/config"
-	"foxlane/internal/window"
 	"foxlane/rules"
 )
 
@@ -19,21 +18,21 @@
 
 // engineState is an engine as the reducer knows it.
 type engineState struct {
-	id            rules.EngineID
-	entry         config.Engine
-	zone          int // of the entry, by its index in the settings
-	kind          int // the machine type, by its index in the settings
-	state         rules.EngineState
-	stateSince    rules.Time  // when we were notified of its state
-	slowStartSent *window.Sum // work that we have sent it while it warms up
-	startedAt     rules.Time  // when it started, by the clock of events; 0: long ago
-	conns         []*engineConn
-	lastRead      rules.Time // when something was last read from it
-	lastRequest   rules.Time // when a request was last sent to it, or would have been if it had let us connect
-	lastServed    rules.Time // when it last served something
-	lastFault     rules.Time // when an attempt there last ended otherwise, and may have run
-	lastError     rules.Time // when it last answered an error
-	lastBroken    rules.Time // when a connection with requests last broke
+	id          rules.EngineID
+	entry       config.Engine
+	zone        int // of the entry, by its index in the settings
+	kind        int // the machine type, by its index in the settings
+	state       rules.EngineState
+	stateSince  rules.Time      // when we were notified of its state
+	slowStart   *slowStartSends // nil: nothing was sent to it
+	startedAt   rules.Time      // when it started, by the clock of events; 0: long ago
+	conns       []*engineConn
+	lastRead    rules.Time // when something was last read from it
+	lastRequest rules.Time // when a request was last sent to it, or would have been if it had let us connect
+	lastServed  rules.Time // when it last served something
+	lastFault   rules.Time // when an attempt there last ended otherwise, and may have run
+	lastError   rules.Time // when it last answered an error
+	lastBroken  rules.Time // when a connection with requests last broke
 
 	drainedByDirective bool
 }
@@ -81,6 +80,7 @@
 	}
 	if eng.entry.Started != entry.Started {
 		eng.startedAt = g.startTime(entry)
+		eng.slowStart.processChanged()
 	}
 	g.setEntry(eng, entry)
 	eng.drainedByDirective = g.drainsEngine(entry.ID)
--- a/internal/gateway/guards.go
+++ b/internal/gateway/guards.go
@@ -69,24 +69,49 @@
 	}
 }
 
-// slowStartSend adds an attempt to the work that an engine in slow start got from us, and returns that beside the budget of the engine.
-// Both are 0 for an engine that is warm, or where the settings give no budget.
+// slowStartSends is the work that this gateway has sent an engine within the overload window.
+type slowStartSends struct {
+	all      window.Sum // whether or not the engine was known to be in slow start
+	notified window.Sum // since the gateway was notified of the start
+}
+
+// processChanged has nothing count as sent since the notification: that was of another process.
+func (s *slowStartSends) processChanged() {
+	if s != nil {
+		s.notified = window.Sum{Span: s.notified.Span}
+	}
+}
+
+// notifiedPart is the part of an engine's work from which all of it counts: so the operators have it of a cold engine that falls.
+const notifiedPart = 2.0 / 3
+
+// slowStartSend adds an attempt to the work that an engine got from us, and returns that beside the slow-start budget of the engine.
+// Its process may be another one for a while before the list says so, so what was sent before the notification counts, too, unless
+// it is over a third of all. Both are 0 for an engine that is warm, or where the settings give no budget.
 func (g *Gateway) slowStartSend(req *queryRequest, eng *engineState) (sent, budget float64) {
 	duties := &g.cfg.Settings.Rules.Constraints
+	if duties.SlowStartPeriod <= 0 || duties.OverloadWindow <= 0 || duties.OverloadFactor <= 0 {
+		return 0, 0
+	}
+	if eng.slowStart == nil {
+		eng.slowStart = &slowStartSends{window.Sum{Span: duties.OverloadWindow}, window.Sum{Span: duties.OverloadWindow}}
+	}
+	eng.slowStart.all.Add(g.now, float64(req.work))
 	age := g.now - eng.startedAt
-	if eng.startedAt == 0 || age >= duties.SlowStartPeriod || duties.SlowStartPeriod <= 0 || duties.OverloadWindow <= 0 || duties.OverloadFactor <= 0 {
-		eng.slowStartSent = nil
+	if eng.startedAt == 0 || age >= duties.SlowStartPeriod {
 		return 0, 0
 	}
+	eng.slowStart.notified.Add(g.now, float64(req.work))
 	if eng.kind >= len(g.cfg.Settings.Rules.Kinds) {
 		return 0, 0
 	}
-	if eng.slowStartSent == nil {
-		eng.slowStartSent = &window.Sum{Span: duties.OverloadWindow}
-	}
-	eng.slowStartSent.Add(g.now, float64(req.work))
 	warmth := duties.SlowStartInitialSpeed + (1-duties.SlowStartInitialSpeed)*max(float64(age), 0)/float64(duties.SlowStartPeriod)
-	return eng.slowStartSent.Total(g.now), duties.OverloadFactor * warmth * g.cfg.Settings.Rules.Kinds[eng.kind].Cores * float64(duties.OverloadWindow)
+	budget = duties.OverloadFactor * warmth * g.cfg.Settings.Rules.Kinds[eng.kind].Cores * float64(duties.OverloadWindow)
+	sent = eng.slowStart.notified.Total(g.now)
+	if all := eng.slowStart.all.Total(g.now); sent >= notifiedPart*all {
+		sent = all
+	}
+	return sent, budget
 }
 
 // checkAnswer checks a final answer that is about to be given.
--- a/internal/gateway/guards_test.go
+++ b/internal/gateway/guards_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -81,6 +82,31 @@
 	}
 }
 
+// An engine restarts at its address, and the list says so a while later. What was sent to the new process before counts against its
+// budget, as the operators count it: unless it is over a third of all. The check counted nothing of it, so it was blind to an engine
+// that got 14.5 s of work where it bore 12.3 s.
+func TestGuardCountsSendsBeforeTheNotification(t *testing.T) {
+	for _, c := range []struct {
+		before, after float64 // in budgets
+		over          bool
+	}{{0.3, 0.75, true}, {0.3, 0.65, false}, {0.6, 0.9, false}, {0.6, 1.1, true}, {0, 1.1, true}} {
+		gw := newTestGateway(t)
+		eng := gw.g.engineOrder[0]
+		send := func(work float64) (sent, budget float64) {
+			return gw.g.slowStartSend(&queryRequest{work: rules.Time(work)}, eng)
+		}
+		budget := 2 * 0.3 * 16 * float64(rules.Second) // of simSettings, at the start
+		if sent, of := send(c.before * budget); sent != 0 || of != 0 {
+			t.Errorf("%v: %.0f of %.0f while it is not known to warm up", c, sent, of)
+		}
+		eng.startedAt = gw.g.now
+		sent, of := send(c.after * budget)
+		if math.Abs(of-budget) > 1 || sent > of != c.over {
+			t.Errorf("%v: %.0f of %.0f, where it bears %.0f", c, sent, of, budget)
+		}
+	}
+}
+
 // One request can be followed by its id through the log, and the end of each connection has a reason.
 func TestTraceFollowsARequest(t *testing.T) {
 	gw := newTestGateway(t)
