Count requests without an estimate against a slow-start budget by their measured cost

What callers saw: where clients declare no estimate, a warming engine gets as many times its budget as requests cost more than their class's latency objective, and falls.

Cause: such a request counted with the mean of what was predicted for its class, and that prediction is the mean itself, begun with the latency objective: a guess that was its own only sample.

Why the mend holds: a class's mean measured cost counts where it is more, so never less than before, and the budget is of true work. Requests with an estimate count as before.

--- a/rules/estimate.go
+++ b/rules/estimate.go
@@ -84,6 +84,7 @@
 	}
 	cls, work := req.class, float64(outcome.MeasuredWork)
 	cls.predictionError.add(m.now, math.Log(work/max(predicted, 1)))
+	cls.measuredWork.add(m.now, work, 1)
 	if req.HasEstimate {
 		cls.costRatio.add(m.now, work, float64(req.EstimatedWork))
 	}
--- a/rules/request.go
+++ b/rules/request.go
@@ -6,8 +6,9 @@
 
 type class struct {
 	Class
-	queues          []*queue // by tenant
-	requestWork     decayingMean
+	queues          []*queue     // by tenant
+	requestWork     decayingMean // predicted
+	measuredWork    decayingMean
 	costRatio       decayingMean      // measured over estimated work
 	memoryNeed      decayingDeviation // measured over estimated memory
 	predictionError decayingDeviation // logarithm of measured over predicted work
@@ -15,7 +16,7 @@
 
 // setSpan sets the span over which all learned figures of a class decay.
 func (c *class) setSpan(span Time) {
-	for _, mean := range []*decayingMean{&c.costRatio, &c.requestWork, &c.memoryNeed.mean, &c.memoryNeed.square,
+	for _, mean := range []*decayingMean{&c.costRatio, &c.requestWork, &c.measuredWork, &c.memoryNeed.mean, &c.memoryNeed.square,
 		&c.predictionError.mean, &c.predictionError.square} {
 		mean.span = span
 	}
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -31,7 +31,7 @@
 	if !m.warmingUp(eng) || c.OverloadWindow <= 0 || c.OverloadFactor <= 0 { // no budget
 		return true
 	}
-	work := max(req.class.requestWork.valueOr(math.Inf(1)), m.predictedWork(req))
+	work := max(m.slowStartCost(req), m.predictedWork(req))
 	spent := m.slowStartWork(eng)
 	quota := m.slowStartQuota(eng)
 	budget := quota * float64(m.settings.Gateways)
@@ -45,6 +45,17 @@
 		spent+work <= slowStartSafety/2*budget && spent+m.sample(eng)*work <= m.sampledQuota(eng, quota, work)
 }
 
+// slowStartCost is the work with which a request counts against a budget: the mean of its class. Where its
+// client estimates nothing that mean is of guesses, which no outcome corrects, so what requests of the class
+// were measured to cost counts if it is more.
+func (m *Module) slowStartCost(req *request) float64 {
+	mean := req.class.requestWork.valueOr(math.Inf(1))
+	if req.HasEstimate {
+		return mean
+	}
+	return max(mean, req.class.measuredWork.valueOr(0))
+}
+
 // countAgainstSlowStart counts work that is sent to an engine, whether or not it is known to warm up: its
 // process may be another one already, and the list says so only later. The new process has had that work
 // then. Whether the old one got it instead can't be told by the clock of another machine, so it counts.
@@ -75,7 +86,7 @@
 
 // withinSlowStartQuota reports whether a request fits the part of the quota that is always used.
 func (m *Module) withinSlowStartQuota(req *request, eng *engine) bool {
-	spent := req.class.requestWork.valueOr(math.Inf(1)) + m.slowStartWork(eng)
+	spent := m.slowStartCost(req) + m.slowStartWork(eng)
 	return spent <= slowStartSafety*m.slowStartQuota(eng)
 }
 
--- a/rules/slowstart_test.go
+++ b/rules/slowstart_test.go
@@ -87,6 +87,34 @@
 	chk.verify("late notification")
 }
 
+// Where clients estimate nothing, a warming engine's budget counts what the requests of a class were measured to cost. It counted the
+// latency objective, for ever, so an engine got as many times its budget as its requests cost more than that.
+func TestSlowStartBudgetOfUndeclaredWork(t *testing.T) {
+	chk := startModule(t, basicSettings(interactive), 2)
+	chk.work[0] = float64(1800 * Millisecond) // the objective is 600 ms
+	send := func(most int) (sent int) {
+		for range most {
+			id := chk.submit(0, func(r *Request) { r.HasEstimate, r.EstimatedWork = false, 0 })
+			sent += chk.attempts(id)
+			chk.resolveAll(StatusOK)
+		}
+		return sent
+	}
+	if send(20) < 10 {
+		t.Fatal("warm engines get nothing: the test has lost its subject")
+	}
+	chk.advance(3 * Second)
+	warming := fleetOf(2)
+	for i := range warming {
+		warming[i].StartedAt = chk.now
+	}
+	chk.handle(FleetUpdate{Mode: UpdateFull, Engines: warming})
+	if send(200) < 2 {
+		t.Error("the warming engines get nothing")
+	}
+	chk.verify("undeclared work") // by the true work
+}
+
 // The slow-start budget binds over all gateways together, whatever part of the traffic each has.
 func TestSlowStartBudgetOfAHundredGateways(t *testing.T) {
 	t.Run("light", func(t *testing.T) { checkHundredGateways(t, 20*Millisecond) })
