Let outcomes of an engine's former process say nothing of the new one

What callers saw: an engine that dies without a word and is replaced is ejected for up to 4 s, or taken to be 3.6 times as slow, though the new process is well.

Cause: the list with the new start comes before the attempts at the former process time out or are reset, and learn counted their outcomes against the engine of that id: a failure rate of 0.76 after five of them.

Why the mend holds: the starts that the list names are counted, each attempt has the count at its send, and an outcome under an older count teaches what its class costs and nothing of the engine. TestOutcomesOfAFormerProcessDoNotCount failed for time-outs, resets, errors, rejections and failed dials; that a new process that fails is ejected is tested beside it.

--- a/rules/attempt.go
+++ b/rules/attempt.go
@@ -39,7 +39,7 @@
 
 func (m *Module) newAttempt(req *request, eng *engine, grant, work float64) attempt {
 	att := attempt{
-		engine: eng, zone: eng.Zone, cell: eng.Cell, startedAt: m.now,
+		engine: eng, process: eng.process, zone: eng.Zone, cell: eng.Cell, startedAt: m.now,
 		threads: req.class.threadCount(), memoryMB: grant, highPriority: m.priorityBand(req) > 0,
 		expectedTime: float64(req.runTime(work, m.slowdown(req, eng))),
 	}
--- a/rules/engine.go
+++ b/rules/engine.go
@@ -14,6 +14,7 @@
 	reportedToPeers inFlightLoad       // the part of it that peers are told of
 	peers           peerLoad           // what peers report of theirs
 	slowdowns       [2]logSlowdown     // learned, by priority band
+	process         int                // counts its processes, by the list
 	failureRate     float64            // learned
 	ejection        backoff            // from all but half-open probing
 	rejections      map[*class]backoff // of the classes that it rejected
@@ -23,6 +24,12 @@
 	peerSlowStartWork float64    // while it warms up: what peers report to have sent within the window
 }
 
+// forgetProcess drops what was learned of an engine's process, which is another one now.
+func (e *engine) forgetProcess() {
+	e.process++
+	e.failureRate, e.slowdowns, e.ejection = 0, [2]logSlowdown{}, backoff{}
+}
+
 // backoff is a span for which something is left alone.
 type backoff struct{ duration, until Time }
 
--- a/rules/estimate.go
+++ b/rules/estimate.go
@@ -47,11 +47,16 @@
 }
 
 // learn updates what is known of a class and an engine by an outcome. Time-outs and cancelled attempts count
-// too: successes alone would make things look better than they are.
+// too: successes alone would make things look better than they are. An attempt that was sent before the list
+// named the engine's present process tells nothing of that process, only what its class costs.
 func (m *Module) learn(req *request, att *attempt, outcome Outcome) {
 	if outcome.NotEngineFault {
 		return
 	}
+	if att.ofFormerProcess() {
+		m.learnCost(req, outcome)
+		return
+	}
 	switch outcome.Status {
 	case StatusSuperseded:
 		return
--- a/rules/fleet.go
+++ b/rules/fleet.go
@@ -32,8 +32,8 @@
 		m.engineByID[entry.ID] = eng
 		m.engines = append(m.engines, eng)
 	}
-	if entry.StartedAt != eng.StartedAt { // the process is another one
-		eng.failureRate, eng.slowdowns, eng.ejection = 0, [2]logSlowdown{}, backoff{}
+	if entry.StartedAt != eng.StartedAt {
+		eng.forgetProcess()
 	}
 	eng.Engine = entry
 }
--- a/rules/request.go
+++ b/rules/request.go
@@ -46,6 +46,7 @@
 
 type attempt struct {
 	engine           *engine
+	process          int // of the engine, by the list as it was then
 	zone             int
 	cell             int
 	startedAt        Time
@@ -101,6 +102,9 @@
 	}
 }
 
+// ofFormerProcess reports whether the engine's process is another one by now, as far as the list tells.
+func (a *attempt) ofFormerProcess() bool { return a.process != a.engine.process }
+
 // runTime is how long work takes at a slowdown.
 func (r *request) runTime(work, slowdown float64) Time {
 	return Time(work / r.class.threadCount() * slowdown)
