Drop a class's backoff from an engine with the process that rejected it

What callers saw: a class that an engine rejected is kept from the process started in its place for up to 4 s.

Cause: updateEngine dropped the failure rate, the slowdowns and the ejection at a new start, and not the backoffs by class.

Why the mend holds: all that is learned of a process is dropped in one place, forgetProcess. TestRejectionsEndWithTheirProcess failed before.

--- a/rules/engine.go
+++ b/rules/engine.go
@@ -28,6 +28,7 @@
 func (e *engine) forgetProcess() {
 	e.process++
 	e.failureRate, e.slowdowns, e.ejection = 0, [2]logSlowdown{}, backoff{}
+	clear(e.rejections)
 }
 
 // backoff is a span for which something is left alone.
--- a/rules/restart_test.go
+++ b/rules/restart_test.go
@@ -52,3 +52,26 @@
 		t.Error("a process that fails again and again is not ejected")
 	}
 }
+
+// A class that a process rejected is not kept from the next one: it may have been started anew for that very reason.
+func TestRejectionsEndWithTheirProcess(t *testing.T) {
+	chk := startModule(t, basicSettings(interactive), 2)
+	eng := chk.module.engineByID[1]
+	for range 10 {
+		chk.submit(0, nil)
+		for _, o := range chk.pending() {
+			if o.Engine == 1 {
+				chk.resolve(o, StatusRejected)
+			} else {
+				chk.resolve(o, StatusOK)
+			}
+		}
+	}
+	if !chk.module.ejectedFor(chk.module.classes[0], eng) {
+		t.Fatal("the class is not in backoff: the test has lost its subject")
+	}
+	restartEngine(chk, 10*Millisecond)
+	if chk.module.ejectedFor(chk.module.classes[0], eng) {
+		t.Error("the class is kept from a process that has rejected nothing")
+	}
+}
