Drop what peers sent to a warming process with that process

What callers saw: with the members' block taken away, or all peers gone, an engine that restarts gets nothing from a gateway for its whole warm-up.

Cause: what peers were last heard to have sent to the former process while it warmed up was kept until the next report, and there is none; it left nothing of the new process's budget.

Why the mend holds: the figure is of one process and ends with it. Peers that still report do so for the new process, with what they sent it ahead of the notification. TestPeersSpendEndsWithItsProcess failed before.

--- a/rules/engine.go
+++ b/rules/engine.go
@@ -29,6 +29,7 @@
 	e.process++
 	e.failureRate, e.slowdowns, e.ejection = 0, [2]logSlowdown{}, backoff{}
 	clear(e.rejections)
+	e.peerSlowStartWork = 0
 }
 
 // backoff is a span for which something is left alone.
--- a/rules/restart_test.go
+++ b/rules/restart_test.go
@@ -75,3 +75,21 @@
 		t.Error("the class is kept from a process that has rejected nothing")
 	}
 }
+
+// What peers reported to have sent to a warming process is no part of the next one's budget. Where no peer reports any more, as
+// after the members' block was taken away, the new process got nothing for all of its warm-up.
+func TestPeersSpendEndsWithItsProcess(t *testing.T) {
+	chk := startModule(t, basicSettings(interactive), 1)
+	chk.advance(3 * Second)
+	restartEngine(chk, 0)
+	chk.handle(PeerSlowStartUsage{Engine: 1, Work: 1e12})
+	if id := chk.submit(0, nil); chk.attempts(id) != 0 {
+		t.Fatal("sent to an engine whose budget peers have used up: the test has lost its subject")
+	}
+	chk.advance(20 * Second)
+	restartEngine(chk, 0)
+	chk.advance(100 * Millisecond)
+	if id := chk.submit(0, nil); chk.attempts(id) != 1 {
+		t.Error("nothing is sent to a new process for what peers sent to the one before")
+	}
+}
