Let what a former process left unanswered say nothing of its engine's zone

Cause: the reducer tells the zones when an engine was last sent something, answered and failed. At a new start it kept the request that the former process never answered, and the ends of attempts there counted as failures of the new process.

Why the mend holds: a new start undoes a request that was not answered, and each attempt has the start under which it began: its end is no failure of another process. TestFormerProcessSaysNothingOfItsZone failed before on both counts, and has an attempt at the new process that counts.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -17,6 +17,7 @@
 	request         *queryRequest
 	index           int
 	engine          *engineState
+	engineStarted   int64       // when the engine's process started, by the list as it was then
 	conn            *engineConn // nil: it never had one
 	sent            bool        // it was written to a connection that was up
 	endOffset       int64       // where it ends in all that is written on its connection
@@ -56,6 +57,9 @@
 		deadline:  req.dueAt,
 		priority:  req.priority,
 	}
+	if attempt.engine != nil {
+		attempt.engineStarted = attempt.engine.entry.Started
+	}
 	req.attempts = append(req.attempts, attempt)
 	req.inFlight++
 	if g.cfg.Trace {
@@ -171,7 +175,7 @@
 	if attempt.sent {
 		g.handleAdmission(admission.Event{Kind: admission.EngineTimeUsed, Slot: req.admissionSlot, EngineTime: attempt.latency})
 	}
-	if attempt.engine != nil && status != rules.StatusOK && status != rules.StatusSuperseded && !attempt.localExhaustion {
+	if status != rules.StatusOK && status != rules.StatusSuperseded && !attempt.localExhaustion && attempt.ofPresentProcess() {
 		attempt.engine.lastFault = g.now
 	}
 	outcome := rules.Outcome{
@@ -197,6 +201,12 @@
 	g.tellModule(outcome)
 }
 
+// ofPresentProcess reports whether an attempt was started when the list named the engine's present process: otherwise its end says
+// nothing of that process.
+func (a *engineAttempt) ofPresentProcess() bool {
+	return a.engine != nil && a.engineStarted == a.engine.entry.Started
+}
+
 // plausibleUsage reports whether an engine of that kind can have spent the work and the memory that an answer reports. The module
 // must not learn from figures that were corrupted on the way.
 func (g *Gateway) plausibleUsage(attempt *engineAttempt) bool {
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -81,6 +81,7 @@
 	if eng.entry.Started != entry.Started {
 		eng.startedAt = g.startTime(entry)
 		eng.slowStart.processChanged()
+		eng.undoRequest() // the new process owes no answer to what the former one was sent
 	}
 	g.setEntry(eng, entry)
 	eng.drainedByDirective = g.drainsEngine(entry.ID)
--- a/internal/gateway/zones_test.go
+++ b/internal/gateway/zones_test.go
@@ -179,3 +179,38 @@
 	}
 	sim.reportViolations()
 }
+
+// What an engine's former process left unanswered says nothing of the zone of the new one: a zone that returns with new processes was taken
+// for failing again, and suspected, when the attempts from before its loss ended.
+func TestFormerProcessSaysNothingOfItsZone(t *testing.T) {
+	gw := newTestGateway(t)
+	gw.advance(1100 * rules.Millisecond) // a gateway that has just started sends nothing to an engine that warms up
+	former := gw.sendToEngine("load")    // not cancelled and sent elsewhere meanwhile
+	eng := gw.g.engineOrder[0]
+	gw.advance(300 * rules.Millisecond)
+	restarted := oneHost
+	restarted.Started = int64((gw.now - 100*rules.Millisecond) / rules.Millisecond)
+	gw.answerList(2, restarted)
+	if eng.startedAt == 0 {
+		t.Fatal("the new start is not known: the test has lost its subject")
+	}
+	if eng.lastRequest > eng.lastRead {
+		t.Error("the new process owes an answer to a request that it never got")
+	}
+	gw.closeConn(former)
+	gw.advance(300 * rules.Millisecond)
+	if eng.lastFault != 0 {
+		t.Error("an attempt at the former process counts as a failure of the new one")
+	}
+	gw.client(2)
+	gw.receive(2, askText("load", idB))
+	present := gw.dials[len(gw.dials)-1]
+	gw.step(DialSucceeded{Conn: present})
+	sentAt := gw.now
+	gw.now += 10 * rules.Millisecond
+	gw.closeConn(present)
+	gw.advance(300 * rules.Millisecond)
+	if eng.lastRequest != sentAt || eng.lastFault < sentAt {
+		t.Errorf("an attempt at the new process at %d that is reset counts as a request at %d, a failure at %d", sentAt, eng.lastRequest, eng.lastFault)
+	}
+}
