--- a/rules/estimate_test.go
+++ b/rules/estimate_test.go
@@ -28,6 +28,34 @@
 	}
 }
 
+// Where clients declare no estimate, a class is to be learned from what its requests cost. Its first guess, the latency objective, is its
+// only sample for ever: point queries of 20 ms are taken to cost 600 ms in the lottery and for the time that they are given, long ones
+// of 1,800 ms likewise. Only the slow-start budget counts the measured cost (docs/incidents/slow-start-undeclared-work.md, with the mend
+// that was tried and why it was taken back).
+func TestClassWithoutEstimatesIsLearnedFromItsCosts(t *testing.T) {
+	for _, work := range []Time{20 * Millisecond, 1800 * Millisecond} {
+		chk := startModule(t, basicSettings(interactive), 4)
+		chk.work[0] = float64(work)
+		undeclared := func(r *Request) { r.HasEstimate, r.EstimatedWork = false, 0 }
+		for range 300 { // over three learning windows, so that the first guesses have lost their weight
+			chk.submit(0, undeclared)
+			for _, o := range chk.pending() {
+				o.Latency = work
+				chk.resolve(o, StatusOK)
+			}
+			chk.advance(100 * Millisecond)
+		}
+		id := chk.submit(0, undeclared)
+		predicted := chk.module.predictedWork(chk.module.requests[id])
+		if predicted < 0.8*float64(work) || predicted > 1.5*float64(work) {
+			t.Errorf("after 300 requests of %d ms one is predicted to take %.0f ms", work/Millisecond, predicted/float64(Millisecond))
+		}
+		if mean := chk.module.ClassEstimates()[0].MeanWork; mean < 0.5*float64(work) || mean > 2*float64(work) {
+			t.Errorf("after 300 requests of %d ms they take %.0f ms in the mean", work/Millisecond, mean/float64(Millisecond))
+		}
+	}
+}
+
 // Short queries that overtake the others at an engine don't tell how slow it is to long ones.
 func TestSlowdownByPriority(t *testing.T) {
 	heavy := interactive
