--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -10,7 +10,7 @@
 
 // A request that is read after a stall may have waited for as long: its engine may run it for no longer than its client waits.
 func TestDeadlinesBehindAStall(t *testing.T) {
-	for seed := range uint64(12) {
+	for seed := range seeds(12) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			sim := newSimulation(t, seed, 0)
 			for at := 500 * rules.Millisecond; at < 6*rules.Second; at += 1500 * rules.Millisecond {
@@ -30,7 +30,7 @@
 // that have gone, queries that were killed. Nothing of these is sent to an engine after that.
 func TestNothingIsSentForWhoLeftDuringAStall(t *testing.T) {
 	gone := 0
-	for seed := range uint64(12) {
+	for seed := range seeds(12) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			sim := newSimulation(t, seed, 0)
 			for at := 500 * rules.Millisecond; at < 6*rules.Second; at += 1500 * rules.Millisecond {
--- a/internal/gateway/zones_test.go
+++ b/internal/gateway/zones_test.go
@@ -19,7 +19,7 @@
 	texts := []string{"sites {\n  ramp = \"1s\"\n}", "sites {\n  zone \"hall-a\" {\n    drain = true\n  }\n}", "",
 		"sites {\n  settle = \"0s\"\n  damping {\n    half_life = \"200ms\"\n  }\n}"}
 	for _, faultRate := range []float64{0, 0.4, 1} {
-		for seed := range uint64(6) {
+		for seed := range seeds(6) {
 			t.Run(fmt.Sprintf("fault rate %v seed %d", faultRate, seed), func(t *testing.T) {
 				sim := newSimulationWith(t, seed, faultRate, withSite(t, texts[0]))
 				n := 0
@@ -82,7 +82,7 @@
 		"  shedding {\n    settle = \"100ms\"\n    up = 1.05\n    slack = 0.02\n  }\n}"
 	lost, spilled, sent, served := 0, 0, 0, 0
 	for _, faultRate := range []float64{0, 0.4} {
-		for seed := range uint64(10) {
+		for seed := range seeds(10) {
 			t.Run(fmt.Sprintf("fault rate %v seed %d", faultRate, seed), func(t *testing.T) {
 				sim := newSimulationWith(t, seed, faultRate, withSite(t, text))
 				sim.injectZoneFaults(6 * rules.Second)
