Count a sent query with its predicted work, and want room for its class's mean at least

What was seen: with the larger of the two counted for what was sent as well, TestSlowStartWithTooLargeABudget failed: under a budget half as much again 0.66 of it was used, where it wants over 0.8 to show that the fleet's test can fail.

Cause: the larger of a query's own work and its class's mean is 1.4 times the work in the mean where that scatters as in the emulator, so warming engines got 0.4 of their budget in place of 0.6.

Why this holds: what was sent counts as it is known, so the sum is neither too much nor too little in the mean, and before a query is sent there must be room for the larger of both, as before. TestSlowStartBudgetOfHeavyQueries passes.

TestSlowStartWithTooLargeABudget finds 1.02.

--- a/rules/attempt.go
+++ b/rules/attempt.go
@@ -24,7 +24,7 @@
 	if att.reportedToPeers {
 		m.emit(Broadcast{Payload: eng.encodePeerReport()})
 	}
-	m.countAgainstSlowStart(eng, m.slowStartCost(req))
+	m.countAgainstSlowStart(eng, m.knownWork(req))
 	m.reviewAt(req, m.slowAt(req, &att))
 }
 
