--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -45,15 +45,15 @@
 		spent+work <= slowStartSafety/2*budget && spent+m.sample(eng)*work <= m.sampledQuota(eng, quota, work)
 }
 
-// slowStartCost is the work for which a budget must have room if a request is to be sent: its own, or the mean
+// slowStartCost is the work for which a budget must have room before a request is sent: its own, or the mean
 // of its class where that is more, since what clients declare is an estimate.
 func (m *Module) slowStartCost(req *request) float64 {
 	return max(req.class.requestWork.valueOr(math.Inf(1)), m.knownWork(req))
 }
 
-// knownWork is the work with which a request counts against a budget once it is sent: as it is predicted, since
-// a few heavy requests are most of the work. Where its client estimates nothing that is a guess, which no
-// outcome corrects, so what requests of the class were measured to cost counts if it is more.
+// knownWork is the work with which a request counts against a budget once it is sent: as it is predicted,
+// since a few heavy requests are most of the work. Where its client estimates nothing that is a guess, which
+// no outcome corrects, so what requests of the class were measured to cost counts if it is more.
 func (m *Module) knownWork(req *request) float64 {
 	if req.HasEstimate {
 		return m.predictedWork(req)
