Count rogue clients' queries that reached an engine as taken in the check of the retry budget

Cause: the check was wrong. A gateway's retry budget grows with each request that it takes, later refused or not, and a rogue client sends good queries whose answer it does not wait for. The recorder counted clients that behave.

Why this is as strict: only a rogue query that an engine got counts, once, at the time at which it was sent, and by the gateway and the process that it was sent to; of others nobody but the gateway knows whether they were read.

--- a/internal/harness/clientfaults.go
+++ b/internal/harness/clientfaults.go
@@ -25,14 +25,15 @@
 	stop := make(chan struct{})
 	f.eachGateway(fault.Target, func(g *gateway) {
 		rng := rand.New(rand.NewPCG(f.Seed, uint64(g.index)+77))
-		clients.Go(func() { runRogueClient(g.clientProxy.Addr().String(), rng, stop) })
+		clients.Go(func() { f.runRogueClient(g, rng, stop) })
 	})
 	return func() error { close(stop); clients.Wait(); return nil }, nil
 }
 
 // runRogueClient opens connections one after another and breaks the protocol on each, until it is stopped.
-func runRogueClient(addr string, rng *rand.Rand, stop <-chan struct{}) {
+func (f *fleet) runRogueClient(g *gateway, rng *rand.Rand, stop <-chan struct{}) {
 	const maxConns = 400
+	addr := g.clientProxy.Addr().String()
 	for range maxConns {
 		select {
 		case <-stop:
@@ -52,7 +53,9 @@
 		case 2: // a large query, whose answer is not read
 			_, _ = c.Write(loginWithQuery(strings.Repeat("x", 60000)))
 		case 3: // a query, closed before its answer
-			_, _ = c.Write(loginWithQuery(fmt.Sprintf("/* kind=point,req=%016x,timeout=900,ms=5.0 */ SELECT 1 FROM sales_1.x", rogueIDBits|rng.Uint64()>>8)))
+			id := fmt.Sprintf("%016x", rogueIDBits|rng.Uint64()>>8)
+			f.recorder.startRogueQuery(id, g)
+			_, _ = c.Write(loginWithQuery(fmt.Sprintf("/* kind=point,req=%s,timeout=900,ms=5.0 */ SELECT 1 FROM sales_1.x", id)))
 		}
 		if tcp, ok := c.(*net.TCPConn); ok && rng.IntN(2) == 0 {
 			_ = tcp.SetLinger(0)
--- a/internal/harness/recorder.go
+++ b/internal/harness/recorder.go
@@ -46,11 +46,19 @@
 	overlaps        []overlap                     // attempts that reached an engine while another with their key ran
 	retries         map[*gateway][]gatewayEvent   // attempts at engines beyond the first
 	sends           map[*gateway][]gatewayEvent   // attempts of clients
+	rogueQueries    map[string]rogueQuery         // that rogue clients have sent and no engine has got yet, by request id
+}
+
+// rogueQuery is a query of a rogue client: a good one, whose client does not wait for its answer.
+type rogueQuery struct {
+	gateway *gateway
+	sent    gatewayEvent
 }
 
 func newRecorder(f *fleet) *recorder {
 	r := &recorder{Report: Report{Links: map[string]faultproxy.Counts{}, zoneCount: len(f.Zones)}, fleet: f, start: time.Now(),
-		attempts: map[string]*clientAttempt{}, orderedAttempts: map[orderKey][]*clientAttempt{}, retries: map[*gateway][]gatewayEvent{}, sends: map[*gateway][]gatewayEvent{}}
+		attempts: map[string]*clientAttempt{}, orderedAttempts: map[orderKey][]*clientAttempt{}, retries: map[*gateway][]gatewayEvent{}, sends: map[*gateway][]gatewayEvent{},
+		rogueQueries: map[string]rogueQuery{}}
 	for _, c := range f.classes {
 		r.Classes = append(r.Classes, ClassReport{Name: c.name})
 	}
@@ -95,6 +103,22 @@
 	return id
 }
 
+// startRogueQuery records a query that a rogue client is about to send.
+func (r *recorder) startRogueQuery(id string, g *gateway) {
+	r.mu.Lock()
+	r.rogueQueries[id] = rogueQuery{g, gatewayEvent{time.Now(), g.incarnation.Load()}}
+	r.mu.Unlock()
+}
+
+// countRogueQuery counts a rogue client's query that reached an engine among those that its gateway has taken: each that is taken adds to
+// the retry budget, and of others that a rogue client sent nobody but the gateway knows whether it has read them. r.mu is held.
+func (r *recorder) countRogueQuery(id string) {
+	if query, ok := r.rogueQueries[id]; ok {
+		r.sends[query.gateway] = append(r.sends[query.gateway], query.sent)
+		delete(r.rogueQueries, id)
+	}
+}
+
 // recordLate counts a response after its deadline.
 func (r *recorder) recordLate() {
 	r.mu.Lock()
@@ -126,6 +150,7 @@
 		if !strings.HasPrefix(id, rogueIDPrefix) {
 			r.addViolationLocked(WrongResponse, "an engine was asked for %q, which no client has sent", id)
 		}
+		r.countRogueQuery(id)
 		return &clientAttempt{work: time.Millisecond}
 	}
 	ttl, _ := strconv.Atoi(query.Fields["ttl"])
