Review case 3: a stored result that was kept by reading is lost by a planned restart

A client stores a result with a lease of 12 s and reads it after 10 s and 20 s. The gateway is restarted in order (SIGTERM) after 25 s. At 28 s, 8 s after the last read, its handle is unknown; a result stored at 20 s is still there. No record of a renewed lease is ever written to the folder.

The cases now end their processes when they are told to end or take over 110 s.

--- a/review/casekit/gateway.go
+++ b/review/casekit/gateway.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -114,8 +115,10 @@
 	}
 	exited := make(chan struct{})
 	g.Process, g.exited = cmd.Process, exited
+	started.Store(cmd.Process, true)
 	go func() {
 		_ = cmd.Wait() // the state says how it ended
+		started.Delete(cmd.Process)
 		g.state = cmd.ProcessState
 		close(exited)
 	}()
@@ -145,6 +148,17 @@
 	return errors.New("the gateway was not ready in time")
 }
 
+// started holds the processes that run, as *os.Process.
+var started sync.Map
+
+// killAll kills the processes that run, stopped ones too.
+func killAll() {
+	started.Range(func(process, _ any) bool {
+		_ = process.(*os.Process).Kill() // it may have ended
+		return true
+	})
+}
+
 // Signal sends a signal to the process.
 func (g *Gateway) Signal(signal syscall.Signal) error { return g.Process.Signal(signal) }
 
--- a/review/casekit/record.go
+++ b/review/casekit/record.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +46,21 @@
 // Close ends the record.
 func (r *Record) Close() { _ = r.file.Close() }
 
+// longestRun is the time after which a case is given up.
+const longestRun = 110 * time.Second
+
+// endEarly ends all processes of the case and the case itself if it is told to end or takes too long.
+func endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(longestRun):
+	}
+	killAll()
+	os.Exit(NotRun)
+}
+
 // Main runs a case and exits with its result. The only argument is the path of the record. TROUBLE=0 in the environment
 // switches the disruption off.
 func Main(run func(record *Record, trouble bool) (code int, err error)) {
@@ -56,6 +73,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
 	}
+	go endEarly()
 	code, err := run(record, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		code = NotRun
