--- a/review/casekit/gateway.go
+++ b/review/casekit/gateway.go
@@ -28,7 +28,6 @@
 	Gateways   int // how many gateways there are
 	Hosts      []standin.Host
 	DNS        string
-	Site       string // blocks of the operator's own file, beside those of the deploy file's; empty: none
 }
 
 // Limits of a gateway, the largest of the days that the operators score.
@@ -75,36 +74,15 @@
 	if err := setup.write(gateway); err != nil {
 		return nil, err
 	}
-	if setup.Site != "" {
-		if err := gateway.extendSite(setup.Site); err != nil {
-			return nil, err
-		}
-	}
-	if err := gateway.Start(); err != nil {
+	if err := gateway.start(); err != nil {
 		return nil, err
 	}
 	return gateway, nil
 }
 
-// deploySite is the operator's own file that the deploy file names.
-const deploySite = "deploy/fleet.hcl"
-
-// extendSite makes the gateway read a copy of the operator's own file with further blocks. %FOLDER% in them stands for the
-// folder of the gateway.
-func (g *Gateway) extendSite(blocks string) error {
-	content, err := os.ReadFile(deploySite)
-	if err != nil {
-		return err
-	}
-	path := filepath.Join(g.folder, "site.hcl")
-	content = append(content, strings.ReplaceAll(blocks, "%FOLDER%", g.folder)...)
-	g.command = strings.ReplaceAll(g.command, deploySite, path)
-	return os.WriteFile(path, content, 0o600)
-}
-
-// Start starts the process, which must not run, and waits until it is ready. Its log is in its folder.
-func (g *Gateway) Start() (err error) {
-	if g.log, err = os.OpenFile(filepath.Join(g.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+// start starts the process and waits until it is ready. Its log is in its folder.
+func (g *Gateway) start() (err error) {
+	if g.log, err = os.Create(filepath.Join(g.folder, "log")); err != nil {
 		return err
 	}
 	cmd := exec.Command("/bin/sh", "-c", g.command)
@@ -219,9 +197,7 @@
 	config["known"] = knownList(s.Hosts)
 	settings := config["settings"].(map[string]any)
 	settings["siblings"], settings["me"] = s.Gateways, s.Index
-	if s.Deployment.Settings != nil {
-		s.Deployment.Settings(settings)
-	}
+	s.Deployment.Settings(settings)
 	if content, err = json.MarshalIndent(config, "", "  "); err != nil {
 		return err
 	}
--- a/review/casekit/scene.go
+++ b/review/casekit/scene.go
@@ -22,7 +22,6 @@
 	Gateways   int
 	Engines    int
 	Handler    func(engine int, request standin.Request) standin.Reply
-	Site       string // as in Setup
 }
 
 // NewScene starts the engines, the name service and the gateways.
@@ -45,8 +44,7 @@
 	}
 	scene.Names.SetHosts(firstSerial, scene.Hosts)
 	for i := range options.Gateways {
-		gateway, err := StartGateway(Setup{Deployment: options.Deployment, Index: i, Gateways: options.Gateways, Hosts: scene.Hosts,
-			DNS: scene.Names.Addr(), Site: options.Site})
+		gateway, err := StartGateway(Setup{Deployment: options.Deployment, Index: i, Gateways: options.Gateways, Hosts: scene.Hosts, DNS: scene.Names.Addr()})
 		if err != nil {
 			scene.End()
 			return nil, fmt.Errorf("gateway %d: %w", i, err)
--- a/review/casekit/settings.go
+++ b/review/casekit/settings.go
@@ -1,18 +1,15 @@
 package casekit
 
-// This file has the deployments that the cases follow, with their settings in the form of the configuration. Times are in
+// This file has the deployment that the cases follow, with its settings in the form of the configuration. Times are in
 // microseconds.
 
 // Deployment is what a gateway of a deployment is told.
 type Deployment struct {
 	Zones    []string
 	Kind     string                        // of its engines
-	Settings func(settings map[string]any) // changes the settings of the example; nil: they are those of the deployment
+	Settings func(settings map[string]any) // turns the settings of the example into those of the deployment
 }
 
-// RuseEast is the deployment of the example.
-var RuseEast = Deployment{Zones: []string{"hall-a", "hall-b"}, Kind: "std-16"}
-
 // VancouverMain has the classes, limits and figures of the deployment of that name. Load reports are off, since the
 // engines of the cases send none.
 var VancouverMain = Deployment{Zones: []string{vancouverZone}, Kind: vancouverKind, Settings: setVancouverMain}
