Resume sends after a stall over a copy of an engine's connections

Cause: resumeSends ranged over eng.conns. writeWaiting concludes attempts for an engine that no longer serves; with the last of them a retired connection is closed and removed by slices.DeleteFunc, which shifts the list in place and sets its last element to nil. The loop has the old length and dereferences it.

Evidence: in a trial build that prints each removal, removeEngineConn is called under closeIfDrained, detachAttempt, concludeAttempt, writeWaiting and resumeSends for the first of two connections of the draining engine, and the panic is in resumeSends at the next element.

Change: the loop ranges over a copy, so that the removal changes another slice. A connection that was closed meanwhile carries nothing and is passed over. TestConnectionClosesWhileSendsResume ended with the same panic before.

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "foxlane/rules"
+import (
+	"slices"
+
+	"foxlane/rules"
+)
 
 // This file handles stalls, in which the process was stopped or got so little processor time that timers fire late.
 // In the meantime clients may have disconnected or killed their queries, and the endpoint list may have changed,
@@ -56,14 +60,15 @@
 	return 0
 }
 
-// resumeSends writes the attempts held back since the stall, unless the catch-up time was extended.
+// resumeSends writes the attempts held back since the stall, unless the catch-up time was extended. An attempt that is
+// concluded instead may close its connection, which removes it from the engine's list.
 func (g *Gateway) resumeSends() {
 	if g.catchingUp() {
 		g.timers.add(timer{at: g.lastStall.holdUntil, kind: timerCaughtUp})
 		return
 	}
 	for _, eng := range g.engineOrder {
-		for _, conn := range eng.conns {
+		for _, conn := range slices.Clone(eng.conns) {
 			if conn.established && !conn.closed && len(conn.waiting) > 0 {
 				g.writeWaiting(conn)
 			}
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -57,3 +57,47 @@
 		t.Errorf("only %d requests were abandoned: the test covers too little", abandoned)
 	}
 }
+
+// requestFrom connects a client and sends a request of a class that takes some milliseconds to run.
+func (gw *testGateway) requestFrom(client ConnID, class, id string, work int) {
+	gw.loginClient(client)
+	gw.receive(client, string(queryPacket(fmt.Sprintf("/* kind=%s,req=%s,timeout=2000,ms=%d */ SELECT 1 FROM sales_1.x", class, id, work))))
+}
+
+// completeResult is an engine's answer to a request, with a result of one page.
+func completeResult(id string) string { return id + " served total=1,elapsed=1,rss=1 6\r\na\tb\tc\n\r\n" }
+
+// gotResult reports whether a client received a result since the last call.
+func (gw *testGateway) gotResult(client ConnID) bool {
+	return strings.Contains(gw.takeOutput(client), "\x01a\x01b\x01c")
+}
+
+const (
+	idC       = "00000000000000cc"
+	longPause = 400 * rules.Millisecond // its end counts as the end of a long stall
+)
+
+// After a stall, the end of a held back attempt closes its connection while the connections of its engine are ranged
+// over. This must not end the process.
+func TestConnectionClosesWhileSendsResume(t *testing.T) {
+	gw := newTestGateway(t)
+	conn := gw.sendToEngine("point")
+	gw.requestFrom(2, "load", idB, 1500)
+	other := gw.dials[1]
+	gw.step(DialSucceeded{Conn: other})
+	gw.now += longPause
+	gw.requestFrom(3, "point", idC, 400)
+	gw.closeConn(1) // its connection had no answer for long, and is retired
+	gw.answerList(2, draining(oneHost))
+	gw.advance(rules.Second)
+	if !gw.closed[conn] {
+		t.Fatal("the retired connection is open: the test does not reach the case")
+	}
+	if strings.Contains(gw.takeOutput(conn), idC) {
+		t.Error("a request was sent to a draining engine")
+	}
+	gw.receive(other, completeResult(idB))
+	if !gw.gotResult(2) {
+		t.Error("the request on the other connection was not served")
+	}
+}
