Keep waiting attempts on a connection until each is written or concluded

What callers saw: after two stalls within 0.2 s a request could get no answer until its deadline, and then a failure; no engine had got it.

Cause: the same class as the crash when sends resume. writeWaiting emptied conn.waiting before it went through the attempts, so that the end of the first one found a retired connection without load and closed it. The next attempt was then written to the closed connection, whose output is dropped, and counted as sent. The trace of that crash shows it too: the connection with two waiting attempts was removed with the end of the first.

Change: writeWaiting goes through a copy, and an attempt leaves the list only when it is written or concluded. The load of the connection is right meanwhile, also where other attempts are assigned to it.

Measured: TestConnectionStaysOpenForWaitingAttempts failed before (the request was not written at all) and passes; tests of the package pass.

--- a/internal/gateway/engineconn.go
+++ b/internal/gateway/engineconn.go
@@ -173,23 +173,27 @@
 
 // writeWaiting writes the attempts waiting on an established connection, unless the engine has stopped serving.
 // Attempts that have waited longer than the dial timeout are not written either: the module does not expect them to
-// start that late, and the dedup window in which engines recognise their idempotency keys may be over.
+// start that late, and the dedup window in which engines recognise their idempotency keys may be over. Those that are
+// still to be handled stay on the connection, which would be closed as drained without them.
 func (g *Gateway) writeWaiting(conn *engineConn) {
-	waiting := conn.waiting
-	conn.waiting = nil
-	for _, attempt := range waiting {
+	for _, attempt := range slices.Clone(conn.waiting) {
 		switch {
 		case attempt.done:
 		case attempt.request.answered || conn.engine.state != rules.EngineServing || g.now-attempt.startedAt > g.limits.ConnectTimeout:
 			g.concludeAttempt(attempt, rules.StatusNotExecuted)
-		case g.catchingUp():
-			conn.waiting = append(conn.waiting, attempt)
+		case g.catchingUp(): // it stays
 		default:
+			conn.removeWaiting(attempt)
 			g.writeAttempt(attempt)
 		}
 	}
 }
 
+// removeWaiting removes an attempt from those that wait to be written.
+func (c *engineConn) removeWaiting(attempt *engineAttempt) {
+	c.waiting = slices.DeleteFunc(c.waiting, func(other *engineAttempt) bool { return other == attempt })
+}
+
 // detachAttempt removes an attempt from its connection.
 func (g *Gateway) detachAttempt(conn *engineConn, attempt *engineAttempt) {
 	if attempt.sent {
@@ -197,7 +201,7 @@
 			delete(conn.inFlight, string(attempt.request.id))
 		}
 	} else {
-		conn.waiting = slices.DeleteFunc(conn.waiting, func(other *engineAttempt) bool { return other == attempt })
+		conn.removeWaiting(attempt)
 	}
 	g.closeIfDrained(conn)
 }
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -101,3 +101,24 @@
 		t.Error("the request on the other connection was not served")
 	}
 }
+
+// Of two attempts that wait on a retired connection the first one is concluded. Its connection must stay open for the
+// second one, which would otherwise be written to a closed connection and never reach the engine.
+func TestConnectionStaysOpenForWaitingAttempts(t *testing.T) {
+	gw := newTestGateway(t)
+	conn := gw.sendToEngine("point")
+	gw.now += longPause
+	gw.requestFrom(2, "point", idB, 1000)
+	gw.now += longPause // so that the attempt has waited for too long when sends resume
+	gw.requestFrom(3, "point", idC, 1000)
+	gw.closeConn(1) // its connection had no answer for long, and is retired
+	gw.advance(longPause / 2)
+	gw.receive(conn, completeResult(idC))
+	if !gw.gotResult(3) {
+		t.Errorf("the request was not served; written to its connection: %q", gw.takeOutput(conn))
+	}
+	gw.advance(rules.Millisecond)
+	if !gw.closed[conn] {
+		t.Error("the retired connection is open after its last attempt")
+	}
+}
