Pass over clients that the end of another one has closed

What callers would see: with admission control, two connections could share a slot after a client with unread results had been ended twice, so that what one of them did was charged to the other, and an answer of its was cut by a reset. Found by reading; no caller's report names it.

Cause: the same class as the crash when sends resume, a list that changes while it is ranged over. closeUnreadClients takes a list of clients and ends one after the other. The end of one lets admission control reject requests that have expired, whose clients become idle; over the quota of idle connections the one that has been idle longest is closed, which may be another client of the list.

Change: closed clients are passed over, as sweepClients does.

Measured: TestUnreadClientIsClosedOnce failed before (50 of 79 slots free with 30 clients) and passes; tests of the package pass.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -111,12 +111,16 @@
 
 // closeUnreadClients closes clients that do not read their results while these take more memory than there is, and,
 // while other results wait for memory, those that have been blocked for FlushTimeout. The client that has been blocked
-// for longest goes first. A client with an open request stays, since it is owed an answer.
+// for longest goes first. A client with an open request stays, since it is owed an answer. The end of one client may
+// close others, such as those over the quota of idle connections.
 func (g *Gateway) closeUnreadClients() {
 	if !g.memory.Exceeded(memory.ClientOutput) && len(g.pageQueue) == 0 {
 		return
 	}
 	for _, client := range g.unreadClients() {
+		if client.closed {
+			continue
+		}
 		overdue := len(g.pageQueue) > 0 && g.now-client.blockedSince >= g.limits.FlushTimeout
 		if !overdue && !g.memory.Exceeded(memory.ClientOutput) {
 			return
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
+	"foxlane/internal/config"
 	"foxlane/internal/memory"
+	"foxlane/internal/mysql"
 	"foxlane/rules"
 )
 
@@ -120,3 +123,34 @@
 		}
 	}
 }
+
+// While clients with unread results are closed, the end of the first one makes admission control reject requests that
+// have expired. Their clients exceed the quota of idle connections, so that the second one is closed as well. It must
+// not be ended twice, which would free its slot twice.
+func TestUnreadClientIsClosedOnce(t *testing.T) {
+	const quota, queued = 2, 2
+	configure := withAdmission(t, fmt.Sprintf(admissionSiteFormat, 1), 70, 60)
+	gw := newTestGatewayWith(t, func(cfg *config.Config) {
+		configure(cfg)
+		cfg.Limits.ClientQuota = quota
+	}, oneHost)
+	ping := string(packet(0, []byte{byte(mysql.ComPing)}))
+	for id := range ConnID(quota) {
+		gw.loginClient(id + 1)
+		gw.receive(id+1, ping)
+	}
+	for id := ConnID(quota + 1); gw.g.admission.controller.Stats().Queued < queued; id++ {
+		gw.loginClient(id)
+		gw.receive(id, string(queryPacket(fmt.Sprintf("/* kind=point,req=%016x,timeout=300 */ SELECT 1 FROM sales_1.x", id))))
+	}
+	gw.step(WriteBlocked{Conn: 1, Pending: 1000})
+	gw.now += rules.Second
+	gw.step(WriteBlocked{Conn: 2, Pending: 2 * gw.g.memory.Limits[memory.Results]})
+	if !gw.closed[2] || gw.g.clients[1] != nil {
+		t.Fatal("the unread clients are open: the test does not reach the case")
+	}
+	conns := &gw.g.admission.conns
+	if open := len(gw.g.clients); len(conns.free) != len(conns.entries)-open {
+		t.Errorf("%d of %d slots are free with %d clients", len(conns.free), len(conns.entries), open)
+	}
+}
