Close no client for the lack of input before the input of a stall is read

Cause: after a stall all timers are due, and they run before the poller has read what came meanwhile. sweepClients closes a connection that has been idle for 4.6 s of the gateway's clock; the transport half-closes it and drops its unread bytes. The hold after a stall covered only what is sent to engines.

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -8,8 +8,8 @@
 
 // This file handles stalls, in which the process was stopped or got so little processor time that timers fire late.
 // In the meantime clients may have disconnected or killed their queries, and the endpoint list may have changed,
-// while the corresponding input is still unread in the sockets. So no attempt is written until that input has been
-// read.
+// while the corresponding input is still unread in the sockets. So no attempt is written, and nothing is closed for the
+// lack of input, until that input has been read.
 
 // stall describes the last stall, after its end.
 type stall struct {
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"foxlane/internal/mysql"
 	"foxlane/rules"
 )
 
@@ -122,3 +123,67 @@
 		t.Error("the retired connection is open after its last attempt")
 	}
 }
+
+// wakeAfterPause moves the clock forward and fires the timers that have become due, as a process does that was stopped:
+// ahead of the input that arrived meanwhile.
+func (gw *testGateway) wakeAfterPause(pause rules.Time) {
+	gw.now += pause
+	gw.step(TimerFired{})
+}
+
+// Input that arrived during a stall is read after timers have fired. Connections must not be closed for the lack of it,
+// since their clients' requests would be lost.
+func TestStallClosesNoClientWithUnreadInput(t *testing.T) {
+	const pause = 1600 * rules.Millisecond
+	ping, request := string(packet(0, []byte{byte(mysql.ComPing)})), requestPacket("point", idA)
+	for name, play := range map[string]func(gw *testGateway){
+		"idle": func(gw *testGateway) {
+			gw.loginClient(1)
+			gw.receive(1, ping)
+			gw.advance(gw.g.limits.ClientIdleTimeout - pause/2)
+			gw.wakeAfterPause(pause)
+			gw.receive(1, request)
+		},
+		"before its first command": func(gw *testGateway) {
+			gw.loginClient(1)
+			gw.advance(gw.g.limits.LoginTimeout - pause/2)
+			gw.wakeAfterPause(pause)
+			gw.receive(1, request)
+		},
+		"in an incomplete packet": func(gw *testGateway) {
+			gw.loginClient(1)
+			gw.receive(1, ping+request[:20])
+			gw.advance(gw.g.limits.LoginTimeout - pause/2)
+			gw.wakeAfterPause(pause)
+			gw.receive(1, request[20:])
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gw := newTestGateway(t)
+			play(gw)
+			if gw.closed[1] || gw.g.requests[idA] == nil {
+				t.Fatalf("closed: %v; written to the client: %q", gw.closed[1], gw.takeOutput(1))
+			}
+			gw.advance(gw.g.limits.LongSettleTime + gw.g.limits.MaxSettleTime)
+			gw.step(DialSucceeded{Conn: gw.dials[0]})
+			gw.receive(gw.dials[0], completeResult(idA))
+			if !gw.gotResult(1) {
+				t.Error("the request was not served")
+			}
+		})
+	}
+}
+
+// A client that has sent nothing is closed for it after a stall, once pending input has been read.
+func TestStallDelaysClosesOnly(t *testing.T) {
+	gw := newTestGateway(t)
+	gw.loginClient(1)
+	gw.wakeAfterPause(gw.g.limits.LoginTimeout + longPause)
+	if gw.closed[1] {
+		t.Error("the client was closed before pending input was read")
+	}
+	gw.advance(gw.g.limits.LongSettleTime + gw.g.limits.MaxSettleTime)
+	if !gw.closed[1] {
+		t.Error("the client is open")
+	}
+}
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -117,7 +117,12 @@
 	return at, ok
 }
 
-// runTimers runs all timers that are due.
+// awaitsInput reports whether timers of this kind act on the absence of input, such as by closing a connection on which
+// nothing has arrived for some time.
+func (k timerKind) awaitsInput() bool { return k == timerSweep }
+
+// runTimers runs all timers that are due. While input that arrived during a stall is still to be read, timers that act on
+// the absence of input are postponed.
 func (g *Gateway) runTimers() {
 	g.armedFor = 0
 	g.wakeAdmission()
@@ -127,7 +132,13 @@
 		if !ok || at > g.now {
 			return
 		}
-		g.runTimer(g.timers.heap.Pop())
+		due := g.timers.heap.Pop()
+		if g.catchingUp() && due.kind.awaitsInput() {
+			due.at = g.lastStall.holdUntil
+			g.timers.add(due)
+			continue
+		}
+		g.runTimer(due)
 	}
 }
 
