--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -187,3 +187,17 @@
 		t.Error("the client is open")
 	}
 }
+
+// The rest of an answer that arrived during a stall is read after timers have fired. The connection must not be ended
+// for an incomplete answer, with all requests on it.
+func TestStallEndsNoIncompleteAnswer(t *testing.T) {
+	gw := newTestGateway(t)
+	conn := gw.sendToEngine("load")
+	answer := completeResult(idA)
+	gw.receive(conn, answer[:len(answer)-4])
+	gw.wakeAfterPause(longPause)
+	gw.receive(conn, answer[len(answer)-4:])
+	if gw.closed[conn] || !gw.gotResult(1) {
+		t.Errorf("connection closed: %v; the request was not served", gw.closed[conn])
+	}
+}
