Judge no health probe before the input of a stall is read

What operators would see: an engine that had answered a probe within a stall of the gateway counted as unreachable, and with zones configured its zone as not answering.

Cause: the same class as the close of idle clients after a stall: the probe's timeout fired before its answer was read.

Change: timerProbe is postponed until that input has been read.

Measured: TestStallFailsNoProbe failed before and passes.

--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -201,3 +201,17 @@
 		t.Errorf("connection closed: %v; the request was not served", gw.closed[conn])
 	}
 }
+
+// The answer to a probe that arrived during a stall is read after timers have fired. Its engine must not count as
+// unreachable.
+func TestStallFailsNoProbe(t *testing.T) {
+	gw := newTestGateway(t)
+	gw.g.startProbe(gw.g.engineOrder[0].id)
+	gw.flush()
+	conn := gw.dials[0]
+	gw.step(DialSucceeded{Conn: conn})
+	gw.wakeAfterPause(longPause)
+	if len(gw.g.engineConns[conn].probes) != 1 {
+		t.Error("the probe has ended before pending input was read")
+	}
+}
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -119,7 +119,9 @@
 
 // awaitsInput reports whether timers of this kind act on the absence of input, such as by closing a connection on which
 // nothing has arrived for some time.
-func (k timerKind) awaitsInput() bool { return k == timerSweep || k == timerAnswerComplete }
+func (k timerKind) awaitsInput() bool {
+	return k == timerSweep || k == timerAnswerComplete || k == timerProbe
+}
 
 // runTimers runs all timers that are due. While input that arrived during a stall is still to be read, timers that act on
 // the absence of input are postponed.
