Exit only after connections and requests of a stall are read and answered

The timer of the drain period, or the answer of an engine that was read first, made exitWhenDone emit Exit in the first iteration after the stall, and the transport closed the listener with what the system had queued on it.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -22,11 +22,11 @@
 	g.notifyModule(rules.ShutdownStarted{Deadline: g.now + g.limits.ShutdownTimeout})
 }
 
-// exitWhenDone emits Exit once the drain period is over and all requests are answered. It emits Exit in each batch
-// from then on, since requests that are read while the process exits are answered first. Clients that have not sent
-// a command receive an error.
+// exitWhenDone emits Exit once the drain period is over and all requests are answered, also those that arrived during a
+// stall. It emits Exit in each batch from then on, since requests that are read while the process exits are answered
+// first. Clients that have not sent a command receive an error.
 func (g *Gateway) exitWhenDone() {
-	if !g.drainPeriodOver || g.unanswered > 0 {
+	if !g.drainPeriodOver || g.unanswered > 0 || g.catchingUp() {
 		return
 	}
 	if !g.stopped {
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -215,3 +215,41 @@
 		t.Error("the probe has ended before pending input was read")
 	}
 }
+
+// Connections and requests that arrived during a stall are read after timers have fired, and after answers of engines.
+// A gateway that shuts down must not exit before it has answered them.
+func TestStallDelaysExit(t *testing.T) {
+	for name, play := range map[string]func(gw *testGateway){
+		"drain period over": func(gw *testGateway) {
+			gw.step(ShutdownRequested{})
+			gw.wakeAfterPause(1600 * rules.Millisecond)
+		},
+		"last open request answered": func(gw *testGateway) {
+			gw.requestFrom(1, "load", idA, 2000)
+			conn := gw.dials[0]
+			gw.step(DialSucceeded{Conn: conn})
+			gw.step(ShutdownRequested{})
+			gw.advance(gw.g.limits.MinDrainPeriod + rules.Millisecond)
+			gw.now += longPause
+			gw.receive(conn, strings.Replace(completeResult(idA), "elapsed=1,", "elapsed=2000,", 1))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gw := newTestGateway(t)
+			play(gw)
+			if gw.exited {
+				t.Fatal("the gateway exits before pending input is read")
+			}
+			gw.step(ConnectionAccepted{Conn: 2})
+			gw.receive(2, string(loginPacket())+requestPacket("point", idB))
+			gw.advance(gw.g.limits.LongSettleTime + gw.g.limits.MaxSettleTime)
+			for _, conn := range gw.dials {
+				gw.step(DialSucceeded{Conn: conn})
+				gw.receive(conn, completeResult(idB))
+			}
+			if !gw.gotResult(2) || !gw.exited {
+				t.Errorf("exited: %v; written to the client: %q", gw.exited, gw.takeOutput(2))
+			}
+		})
+	}
+}
