Evict no idle client before the input of a stall is read

What callers would see: after a stall of their gateway, idle connections on which a request had come were closed without an answer, because new connections or answers of engines were read ahead of that request: for a new connection at the limit, over the quota of idle connections, or by admission control.

Cause: the same class as the close of idle clients after a stall. What counts as idle is known only once the input of the stall has been read.

Change: until then idle clients are not closed for others. New connections are accepted beyond the limit, up to the overflow that the transport accepts anyway, and then the ones without a command go first, with an error, as always; admission control is told when the input of a stall is pending and when it has been read. Afterwards the limits are enforced again.

TestUnreadClientIsClosedOnce took a step of 1 s, which is a stall now in which no quota is enforced; it takes a millisecond across the expiry instead.

Measured: TestStallEvictsNoClientWithUnreadInput failed before in all three subtests and passes.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -39,6 +39,7 @@
 	timerAt          rules.Time // time of the last SetTimer effect
 	shutdownDeadline rules.Time
 	stopping         bool
+	inputPending     bool // after a stall: requests of idle connections may still be unread
 
 	requests       []openRequest // by slot
 	connections    []connection  // by slot
@@ -141,6 +142,10 @@
 		c.reconfigure(*event.Settings, event.DeclaredTenants)
 	case Stopping:
 		c.beginShutdown(event.Deadline)
+	case InputPending:
+		c.inputPending = true
+	case InputRead:
+		c.handleInputRead()
 	}
 	c.admitQueued()
 	c.expire()
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -19,6 +19,8 @@
 	TimerFired                            // the time of the last SetTimer effect was reached
 	Reconfigured                          // Settings, DeclaredTenants: the settings were reloaded
 	Stopping                              // Deadline: shutdown; caps all deadlines, and no Retry-After is sent
+	InputPending                          // after a stall, requests of idle connections may still be unread
+	InputRead                             // the input of the stall has been read
 )
 
 // Event is an input of the controller. Only the fields listed for its kind are used.
--- a/internal/admission/quotas.go
+++ b/internal/admission/quotas.go
@@ -41,22 +41,18 @@
 //   - if conn belongs to another tenant, the connection of the evictionCandidate of the tenant most over its quota, or
 //     the longest idle connection of all tenants.
 //
-// If there is none, conn stays open beyond the limit while a slot is free. It may then send a KILL, but no request.
+// If there is none, conn stays open beyond the limit while a slot is free. It may then send a KILL, but no request. While
+// the input of a stall is pending, only connections that have sent no request are evicted.
 func (c *Controller) enforceConnectionLimit(conn *connection) {
 	if victim := c.longestInState(connectionNew, nil, conn, c.now-silenceLimit); victim != nil {
 		c.evict(victim, ReasonSilence)
 		return
 	}
 	tenant := c.mostOverQuota(c.limits.Connections, connectionsOf)
-	victim := c.longestInState(connectionNew, tenant, conn, c.now)
-	if victim == nil {
-		victim = c.longestInState(connectionIdle, tenant, conn, c.now)
-	}
-	if victim != nil {
-		c.evict(victim, ReasonConnections)
+	if c.evictUnused(tenant, conn) {
 		return
 	}
-	if conn.client.tenant != tenant {
+	if conn.client.tenant != tenant && !c.inputPending {
 		if request := c.evictionCandidate(tenant); request != nil {
 			victim := &c.connections[request.connection]
 			c.reject(request, ReasonConnections)
@@ -73,6 +69,30 @@
 	}
 }
 
+// evictUnused evicts the connection of a tenant (nil: of all tenants) that has been open the longest without sending a
+// request, or the longest idle one. It never evicts except. It reports whether there was one.
+func (c *Controller) evictUnused(tenant *tenantAccount, except *connection) bool {
+	victim := c.longestInState(connectionNew, tenant, except, c.now)
+	if victim == nil && !c.inputPending {
+		victim = c.longestInState(connectionIdle, tenant, except, c.now)
+	}
+	if victim == nil {
+		return false
+	}
+	c.evict(victim, ReasonConnections)
+	return true
+}
+
+// handleInputRead evicts as many connections as were accepted beyond the limit while idle ones were not evicted.
+func (c *Controller) handleInputRead() {
+	c.inputPending = false
+	for excess := c.openConnections - c.limits.Connections; excess > 0; excess-- {
+		if !c.evictUnused(c.mostOverQuota(c.limits.Connections, connectionsOf), nil) && !c.evictUnused(nil, nil) {
+			return
+		}
+	}
+}
+
 // longestInState returns the connection of a tenant (nil: of all tenants) that has been in a state the longest, or nil
 // if none has been in it since the given time or earlier. It never returns except.
 func (c *Controller) longestInState(state connectionState, tenant *tenantAccount, except *connection, since rules.Time) (longest *connection) {
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -47,7 +47,7 @@
 		openedInEvent: g.eventNumber,
 		decoder:       mysql.Decoder{MaxPayload: g.limits.MaxLoginBytes},
 	}
-	if g.stopped || g.admission == nil && len(g.clients) >= g.limits.MaxClients && !g.evictOne() {
+	if g.stopped || g.admission == nil && !g.makeRoom() {
 		g.log(Warn, "client: too many connections", Attr{keyClients, len(g.clients)}, Attr{"stopped", g.stopped})
 		client.output = mysql.AppendErr(nil, 0, mysql.CodeTooManyConnections, "Too many connections")
 		g.countClose(client, CloseTooManyClients)
@@ -73,13 +73,24 @@
 	g.markDirty(&client.outputBuffer)
 }
 
+// makeRoom reports whether there is room for a new connection, after closing another one if necessary. While input that
+// arrived during a stall is still to be read, more connections are accepted instead, up to AcceptOverflow.
+func (g *Gateway) makeRoom() bool {
+	limit := g.limits.MaxClients
+	if g.catchingUp() {
+		limit += g.limits.AcceptOverflow
+	}
+	return len(g.clients) < limit || g.evictOne()
+}
+
 // evictOne closes a connection to make room for a new one: the oldest connection without a command, else the one
 // that has been idle longest. Without eviction, a few hundred connections that send nothing would lock out all
-// other clients. It reports whether a connection was closed.
+// other clients. After a stall no idle connection is closed while its request may still be unread. It reports whether
+// a connection was closed.
 func (g *Gateway) evictOne() bool {
 	if element := g.newClients.Front(); element != nil {
 		g.evictWithError(element.Value.(*clientConn), CloseEvicted, "no room for a connection that asks for nothing")
-	} else if element := g.idleClients.Front(); element != nil {
+	} else if element := g.idleClients.Front(); element != nil && !g.catchingUp() {
 		g.closeClient(element.Value.(*clientConn), CloseEvicted)
 	} else {
 		return false
@@ -160,11 +171,24 @@
 	} else {
 		g.idleClients.MoveToBack(client.idleElement)
 	}
-	for g.idleClients.Len() > g.limits.ClientQuota {
+	g.enforceIdleQuota()
+}
+
+// enforceIdleQuota closes the clients that have been idle longest while there are too many, unless their requests may
+// still be unread after a stall.
+func (g *Gateway) enforceIdleQuota() {
+	for !g.catchingUp() && g.idleClients.Len() > g.limits.ClientQuota {
 		g.closeClient(g.idleClients.Front().Value.(*clientConn), CloseIdleQuota)
 	}
 }
 
+// enforceClientLimits closes the clients that exceed the limits because none was closed after a stall.
+func (g *Gateway) enforceClientLimits() {
+	g.enforceIdleQuota()
+	for g.admission == nil && len(g.clients) > g.limits.MaxClients && g.evictOne() {
+	}
+}
+
 // sweepClients closes connections that no working client would keep: those that are idle for longer than clients keep
 // connections, those without a first command, those with an incomplete packet, and those still open after a KILL QUERY.
 func (g *Gateway) sweepClients() {
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -144,7 +144,8 @@
 		gw.receive(id, string(queryPacket(fmt.Sprintf("/* kind=point,req=%016x,timeout=300 */ SELECT 1 FROM sales_1.x", id))))
 	}
 	gw.step(WriteBlocked{Conn: 1, Pending: 1000})
-	gw.now += rules.Second
+	gw.advance(rules.Time(gw.g.admission.wakeAt) - gw.now - 1) // the requests expire with the next event
+	gw.now += rules.Millisecond
 	gw.step(WriteBlocked{Conn: 2, Pending: 2 * gw.g.memory.Limits[memory.Results]})
 	if !gw.closed[2] || gw.g.clients[1] != nil {
 		t.Fatal("the unread clients are open: the test does not reach the case")
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"foxlane/internal/admission"
 	"foxlane/rules"
 )
 
@@ -27,6 +28,7 @@
 	g.log(Info, "process stalled: pending input is read first", Attr{"late_ms", milliseconds(lateBy)})
 	g.lastStall = stall{resumedAt: g.now, lateBy: lateBy, holdUntil: g.now + g.catchUpTime(lateBy)}
 	g.timers.add(timer{at: g.lastStall.holdUntil, kind: timerCaughtUp})
+	g.notifyAdmission(admission.Event{Kind: admission.InputPending})
 }
 
 // catchUpTime returns the minimum time for which attempts are held back after a stall. Reading the pending input
@@ -60,13 +62,21 @@
 	return 0
 }
 
-// resumeSends writes the attempts held back since the stall, unless the catch-up time was extended. An attempt that is
-// concluded instead may close its connection, which removes it from the engine's list.
-func (g *Gateway) resumeSends() {
+// finishCatchUp closes the clients and writes the attempts that were spared or held back since the stall, unless the
+// catch-up time was extended.
+func (g *Gateway) finishCatchUp() {
 	if g.catchingUp() {
 		g.timers.add(timer{at: g.lastStall.holdUntil, kind: timerCaughtUp})
 		return
 	}
+	g.notifyAdmission(admission.Event{Kind: admission.InputRead})
+	g.enforceClientLimits()
+	g.resumeSends()
+}
+
+// resumeSends writes the attempts held back since the stall. An attempt that is
+// concluded instead may close its connection, which removes it from the engine's list.
+func (g *Gateway) resumeSends() {
 	for _, eng := range g.engineOrder {
 		for _, conn := range slices.Clone(eng.conns) {
 			if conn.established && !conn.closed && len(conn.waiting) > 0 {
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"foxlane/internal/config"
 	"foxlane/internal/mysql"
 	"foxlane/rules"
 )
@@ -66,13 +67,17 @@
 }
 
 // completeResult is an engine's answer to a request, with a result of one page.
-func completeResult(id string) string { return id + " served total=1,elapsed=1,rss=1 6\r\na\tb\tc\n\r\n" }
+func completeResult(id string) string {
+	return id + " served total=1,elapsed=1,rss=1 6\r\na\tb\tc\n\r\n"
+}
 
 // gotResult reports whether a client received a result since the last call.
 func (gw *testGateway) gotResult(client ConnID) bool {
 	return strings.Contains(gw.takeOutput(client), "\x01a\x01b\x01c")
 }
 
+var pingPacket = string(packet(0, []byte{byte(mysql.ComPing)}))
+
 const (
 	idC       = "00000000000000cc"
 	longPause = 400 * rules.Millisecond // its end counts as the end of a long stall
@@ -135,11 +140,11 @@
 // since their clients' requests would be lost.
 func TestStallClosesNoClientWithUnreadInput(t *testing.T) {
 	const pause = 1600 * rules.Millisecond
-	ping, request := string(packet(0, []byte{byte(mysql.ComPing)})), requestPacket("point", idA)
+	request := requestPacket("point", idA)
 	for name, play := range map[string]func(gw *testGateway){
 		"idle": func(gw *testGateway) {
 			gw.loginClient(1)
-			gw.receive(1, ping)
+			gw.receive(1, pingPacket)
 			gw.advance(gw.g.limits.ClientIdleTimeout - pause/2)
 			gw.wakeAfterPause(pause)
 			gw.receive(1, request)
@@ -152,7 +157,7 @@
 		},
 		"in an incomplete packet": func(gw *testGateway) {
 			gw.loginClient(1)
-			gw.receive(1, ping+request[:20])
+			gw.receive(1, pingPacket+request[:20])
 			gw.advance(gw.g.limits.LoginTimeout - pause/2)
 			gw.wakeAfterPause(pause)
 			gw.receive(1, request[20:])
@@ -253,3 +258,41 @@
 		})
 	}
 }
+
+// After a stall, new connections and answers of engines may be read before the requests of idle clients. These must not
+// be evicted for them until all input has been read.
+func TestStallEvictsNoClientWithUnreadInput(t *testing.T) {
+	limited := func(maxClients, quota int) func(*config.Config) {
+		return func(cfg *config.Config) { cfg.Limits.MaxClients, cfg.Limits.ClientQuota = maxClients, quota }
+	}
+	accept := func(gw *testGateway) { gw.step(ConnectionAccepted{Conn: 2}) }
+	for name, test := range map[string]struct {
+		configure func(*config.Config)
+		readFirst func(gw *testGateway)
+	}{
+		"for a new connection":                 {limited(1, 1), accept},
+		"for a new one with admission control": {withAdmission(t, fmt.Sprintf(admissionSiteFormat, 1), 1, 10), accept},
+		"over the quota of idle connections":   {limited(10, 1), func(gw *testGateway) { gw.loginClient(2); gw.receive(2, pingPacket) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gw := newTestGatewayWith(t, test.configure, oneHost)
+			gw.loginClient(1)
+			gw.receive(1, pingPacket)
+			gw.wakeAfterPause(longPause)
+			test.readFirst(gw)
+			gw.receive(1, requestPacket("point", idA))
+			if gw.closed[1] || gw.g.requests[idA] == nil {
+				t.Fatalf("the idle client was closed: %v", gw.closed[1])
+			}
+			gw.loginClient(3)
+			gw.receive(3, pingPacket)
+			gw.advance(gw.g.limits.LongSettleTime + gw.g.limits.MaxSettleTime)
+			if gw.closed[1] {
+				t.Error("the client with a request was closed")
+			}
+			if open, idle := len(gw.g.clients), gw.g.idleClients.Len(); open > gw.g.limits.MaxClients || idle > gw.g.limits.ClientQuota {
+				t.Errorf("%d clients are open, %d of them idle", open, idle)
+			}
+		})
+	}
+}
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -174,7 +174,7 @@
 	case timerResultStored:
 		g.failRequest(due.request, EndResultLost)
 	case timerCaughtUp:
-		g.resumeSends()
+		g.finishCatchUp()
 	case timerDrainGrace:
 		g.enforceDrainGrace(due.engine)
 	case timerAnswerComplete:
