Reset no client as unread for the time of a stall

What callers would see: while another result waited for memory, the connection of a client that was reading its result was reset when its gateway went on after a stall of over 0.3 s, and the result was cut.

Cause: the same class as the close of idle clients after a stall. closeUnreadClients took the time in which the process stood still for one in which the client did not read; what the client has read is reported only with the input of the stall.

Change: until that input has been read no client counts as overdue. While unread results exceed the memory there is, clients are closed as before.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -112,7 +112,7 @@
 // closeUnreadClients closes clients that do not read their results while these take more memory than there is, and,
 // while other results wait for memory, those that have been blocked for FlushTimeout. The client that has been blocked
 // for longest goes first. A client with an open request stays, since it is owed an answer. The end of one client may
-// close others, such as those over the quota of idle connections.
+// close others, such as those over the quota of idle connections. After a stall it is not known yet who has read meanwhile.
 func (g *Gateway) closeUnreadClients() {
 	if !g.memory.Exceeded(memory.ClientOutput) && len(g.pageQueue) == 0 {
 		return
@@ -121,7 +121,7 @@
 		if client.closed {
 			continue
 		}
-		overdue := len(g.pageQueue) > 0 && g.now-client.blockedSince >= g.limits.FlushTimeout
+		overdue := len(g.pageQueue) > 0 && !g.catchingUp() && g.now-client.blockedSince >= g.limits.FlushTimeout
 		if !overdue && !g.memory.Exceeded(memory.ClientOutput) {
 			return
 		}
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"foxlane/internal/config"
+	"foxlane/internal/memory"
 	"foxlane/internal/mysql"
 	"foxlane/rules"
 )
@@ -296,3 +297,25 @@
 		})
 	}
 }
+
+// The operating system accepts output during a stall, which is reported after timers have fired. A client must not be
+// closed for the time in which its gateway stood still, while it reads its result.
+func TestStallClosesNoClientThatReads(t *testing.T) {
+	gw := newTestGateway(t)
+	gw.loginClient(2)
+	gw.loginClient(3)
+	gw.step(WriteBlocked{Conn: 2, Pending: 1000})
+	conn := gw.sendToEngine("load")
+	// A result of two pages has to wait for memory.
+	gw.g.memory.Add(memory.Results, gw.g.memory.Limits[memory.Results]-int64(gw.g.limits.MaxResultBytes)/2)
+	gw.receive(conn, idA+" served total=2,elapsed=1,rss=1 6\r\na\tb\tc\n\r\n")
+	gw.wakeAfterPause(longPause)
+	gw.step(WriteBlocked{Conn: 3, Pending: 1000})
+	if gw.g.clients[2] == nil {
+		t.Error("the client was closed before the gateway has learned that it reads")
+	}
+	gw.advance(rules.Second)
+	if gw.g.clients[2] != nil {
+		t.Error("a client that does not read is open, though another result waits for memory")
+	}
+}
