Give closing connections time after a stall before they are ended

What callers would see: the last answer on a connection that its gateway was closing was cut if the gateway stood still for over 0.3 s meanwhile, though the client read it.

The transport's timers that end a closing connection after FlushTimeout are due as soon as the process goes on, ahead of the poller that writes the rest of the answer and reads the client's end of file.

Change: a timer that is late by StallThreshold or more waits for LongSettleTime, as the reducer does. A shutdown that is complete does not wait.

--- a/internal/transport/close.go
+++ b/internal/transport/close.go
@@ -116,10 +116,15 @@
 	return ok && addrPort.IsValid() && addrPort == netip.AddrPortFrom(tcp.AddrPort().Addr().Unmap(), tcp.AddrPort().Port())
 }
 
-// runAfter calls action in a goroutine of its own after delay.
+// runAfter calls action in a goroutine of its own after delay. If the process stalled meanwhile, input and output that
+// are pending get LongSettleTime first.
 func (s *Server) runAfter(delay rules.Time, action func()) {
+	due := s.now() + delay
 	time.AfterFunc(time.Duration(delay)*time.Microsecond, func() {
 		defer s.reportPanic("timer")
+		if s.now()-due >= s.limits.StallThreshold {
+			sleep(s.ctx, time.Duration(s.limits.LongSettleTime)*time.Microsecond)
+		}
 		action()
 	})
 }
--- a/internal/transport/close_test.go
+++ b/internal/transport/close_test.go
@@ -8,11 +8,13 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"foxlane/internal/gateway"
+	"foxlane/rules"
 )
 
 // The poller handles a batch of events by descriptor. If a connection is ended by another goroutine during the batch
@@ -198,3 +200,29 @@
 		t.Error("the other connection was closed")
 	}
 }
+
+// stalledClock is a clock that is ahead by the time for which the process was stopped.
+type stalledClock struct {
+	Clock
+	stalledFor atomic.Int64 // nanoseconds
+}
+
+func (c *stalledClock) Elapsed() time.Duration {
+	return c.Clock.Elapsed() + time.Duration(c.stalledFor.Load())
+}
+
+// After a stall the timers that end closing connections are due before their peers' input has been read and their own
+// output written. Both get time first, or the last answer would be lost.
+func TestStallDelaysTheEndOfClosingConnections(t *testing.T) {
+	platform := System()
+	clock := &stalledClock{Clock: platform.Clock}
+	platform.Clock = clock
+	server := newBareServerOn(t, platform, defaultLimits)
+	const delay = 10 * time.Millisecond
+	started, ended := time.Now(), make(chan time.Time, 1)
+	server.runAfter(rules.Time(delay.Microseconds()), func() { ended <- time.Now() })
+	clock.stalledFor.Store(int64(time.Second))
+	if got, want := (<-ended).Sub(started), delay+time.Duration(server.limits.LongSettleTime)*time.Microsecond; got < want {
+		t.Errorf("the timer ran %v after its start, want %v at least", got, want)
+	}
+}
