Keep the name service socket until the input of a stall is read

What operators would see: after each stall of a second the line "name service: silent, socket renewed", though its answers lay in the socket. A renewal closes the socket before the current one, on which answers that are late by seconds may still come.

Cause: the same class as the close of idle clients after a stall: the poll's timer ran before these answers were read.

Change: the socket is not renewed until that input has been read; the next poll decides again.

Measured: TestStallKeepsNameServiceSocket failed before and passes.

--- a/internal/gateway/nameservice.go
+++ b/internal/gateway/nameservice.go
@@ -59,10 +59,11 @@
 
 // renewSocketIfSilent renews the socket if the name service has been silent for renewAfter: a middlebox may have
 // lost the state of the old socket and drop all answers to it. The interval doubles with each renewal, so that
-// answers that are late by seconds still reach the socket that sent the query.
+// answers that are late by seconds still reach the socket that sent the query. After a stall its answers may still be
+// unread.
 func (g *Gateway) renewSocketIfSilent() {
 	service := &g.nameService
-	if g.now-max(service.lastAnswer, service.socketSince) < service.renewAfter {
+	if g.catchingUp() || g.now-max(service.lastAnswer, service.socketSince) < service.renewAfter {
 		return
 	}
 	g.log(Warn, "name service: silent, socket renewed", Attr{keySilent, milliseconds(g.now - service.lastAnswer)})
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -319,3 +319,19 @@
 		t.Error("a client that does not read is open, though another result waits for memory")
 	}
 }
+
+// Answers of the name service that arrived during a stall are read after timers have fired. Its silence meanwhile is no
+// reason for a new socket, whose opening closes the one before the current one.
+func TestStallKeepsNameServiceSocket(t *testing.T) {
+	gw := newTestGateway(t)
+	gw.now += 2 * gw.g.limits.ResolverTimeout
+	gw.g.Step(gw.now, TimerFired{})
+	for _, effect := range gw.g.Flush() {
+		if _, ok := effect.(SetNameServer); ok {
+			t.Error("the socket was renewed before pending input was read")
+		}
+	}
+	if at := recordSocketRenewals(gw, rules.Second, nil); len(at) == 0 {
+		t.Error("the socket of a silent name service was not renewed afterwards")
+	}
+}
