Bound for how long a series of short stalls postpones closes and the exit

What callers would see: a gateway with so little processor time that each timer is 30 ms late or more closed no idle connection and never exited, since each stall postponed both again.

What is sent to engines is held back as before.

Measured: TestRepeatedShortStallsPostponeForBoundedTime failed before (idle client open, not exited) and passes.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -77,7 +77,7 @@
 // arrived during a stall is still to be read, more connections are accepted instead, up to AcceptOverflow.
 func (g *Gateway) makeRoom() bool {
 	limit := g.limits.MaxClients
-	if g.catchingUp() {
+	if g.inputPending() {
 		limit += g.limits.AcceptOverflow
 	}
 	return len(g.clients) < limit || g.evictOne()
@@ -90,7 +90,7 @@
 func (g *Gateway) evictOne() bool {
 	if element := g.newClients.Front(); element != nil {
 		g.evictWithError(element.Value.(*clientConn), CloseEvicted, "no room for a connection that asks for nothing")
-	} else if element := g.idleClients.Front(); element != nil && !g.catchingUp() {
+	} else if element := g.idleClients.Front(); element != nil && !g.inputPending() {
 		g.closeClient(element.Value.(*clientConn), CloseEvicted)
 	} else {
 		return false
@@ -177,7 +177,7 @@
 // enforceIdleQuota closes the clients that have been idle longest while there are too many, unless their requests may
 // still be unread after a stall.
 func (g *Gateway) enforceIdleQuota() {
-	for !g.catchingUp() && g.idleClients.Len() > g.limits.ClientQuota {
+	for !g.inputPending() && g.idleClients.Len() > g.limits.ClientQuota {
 		g.closeClient(g.idleClients.Front().Value.(*clientConn), CloseIdleQuota)
 	}
 }
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -121,7 +121,7 @@
 		if client.closed {
 			continue
 		}
-		overdue := len(g.pageQueue) > 0 && !g.catchingUp() && g.now-client.blockedSince >= g.limits.FlushTimeout
+		overdue := len(g.pageQueue) > 0 && !g.inputPending() && g.now-client.blockedSince >= g.limits.FlushTimeout
 		if !overdue && !g.memory.Exceeded(memory.ClientOutput) {
 			return
 		}
--- a/internal/gateway/nameservice.go
+++ b/internal/gateway/nameservice.go
@@ -63,7 +63,7 @@
 // unread.
 func (g *Gateway) renewSocketIfSilent() {
 	service := &g.nameService
-	if g.catchingUp() || g.now-max(service.lastAnswer, service.socketSince) < service.renewAfter {
+	if g.inputPending() || g.now-max(service.lastAnswer, service.socketSince) < service.renewAfter {
 		return
 	}
 	g.log(Warn, "name service: silent, socket renewed", Attr{keySilent, milliseconds(g.now - service.lastAnswer)})
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -26,7 +26,7 @@
 // stall. It emits Exit in each batch from then on, since requests that are read while the process exits are answered
 // first. Clients that have not sent a command receive an error.
 func (g *Gateway) exitWhenDone() {
-	if !g.drainPeriodOver || g.unanswered > 0 || g.catchingUp() {
+	if !g.drainPeriodOver || g.unanswered > 0 || g.inputPending() {
 		return
 	}
 	if !g.stopped {
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -17,6 +17,7 @@
 	resumedAt rules.Time // when the reducer resumed
 	lateBy    rules.Time // delay of the timer that was pending
 	holdUntil rules.Time // no attempt is written before this time
+	since     rules.Time // resumedAt of the first one in a series of short stalls without a timely wake in between
 }
 
 // detectStall checks at each event whether the reducer resumes after a stall.
@@ -26,7 +27,11 @@
 		return
 	}
 	g.log(Info, "process stalled: pending input is read first", Attr{"late_ms", milliseconds(lateBy)})
-	g.lastStall = stall{resumedAt: g.now, lateBy: lateBy, holdUntil: g.now + g.catchUpTime(lateBy)}
+	since := g.now
+	if lateBy < g.limits.LongStallThreshold && g.armedFor <= g.lastStall.holdUntil {
+		since = g.lastStall.since
+	}
+	g.lastStall = stall{resumedAt: g.now, lateBy: lateBy, holdUntil: g.now + g.catchUpTime(lateBy), since: since}
 	g.timers.add(timer{at: g.lastStall.holdUntil, kind: timerCaughtUp})
 	g.notifyAdmission(admission.Event{Kind: admission.InputPending})
 }
@@ -43,6 +48,13 @@
 // catchingUp reports whether input that arrived during a stall is still being read, so that attempts are held back.
 func (g *Gateway) catchingUp() bool { return g.now < g.lastStall.holdUntil }
 
+// inputPending reports whether input that arrived during a stall may still be unread, so that nothing is closed for the
+// lack of it. Unlike catchingUp, it ends in a series of short stalls, which may last as long as the process has little
+// processor time.
+func (g *Gateway) inputPending() bool {
+	return g.catchingUp() && g.now < g.lastStall.since+g.limits.LongSettleTime+g.limits.MaxSettleTime
+}
+
 // extendCatchUp extends the catch-up time on input from a client, since more input from the stall may follow. The
 // extension is limited, so that a steady stream of requests does not hold back attempts forever.
 func (g *Gateway) extendCatchUp() {
@@ -65,12 +77,14 @@
 // finishCatchUp closes the clients and writes the attempts that were spared or held back since the stall, unless the
 // catch-up time was extended.
 func (g *Gateway) finishCatchUp() {
+	if !g.inputPending() {
+		g.notifyAdmission(admission.Event{Kind: admission.InputRead})
+		g.enforceClientLimits()
+	}
 	if g.catchingUp() {
 		g.timers.add(timer{at: g.lastStall.holdUntil, kind: timerCaughtUp})
 		return
 	}
-	g.notifyAdmission(admission.Event{Kind: admission.InputRead})
-	g.enforceClientLimits()
 	g.resumeSends()
 }
 
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -335,3 +335,26 @@
 		t.Error("the socket of a silent name service was not renewed afterwards")
 	}
 }
+
+// A process that always wakes late has short stalls without end. These must not postpone closes and the exit forever.
+func TestRepeatedShortStallsPostponeForBoundedTime(t *testing.T) {
+	gw := newTestGateway(t)
+	gw.loginClient(1)
+	gw.receive(1, pingPacket)
+	wakeLate := func(until rules.Time) {
+		for gw.now < until && !gw.exited {
+			at, _ := gw.g.timers.next()
+			gw.now = max(gw.now, at) + gw.g.limits.StallThreshold + 10*rules.Millisecond
+			gw.step(TimerFired{})
+		}
+	}
+	wakeLate(gw.now + gw.g.limits.ClientIdleTimeout + rules.Second)
+	if !gw.closed[1] {
+		t.Error("the idle client is open")
+	}
+	gw.step(ShutdownRequested{})
+	wakeLate(gw.now + gw.g.limits.MinDrainPeriod + rules.Second)
+	if !gw.exited {
+		t.Error("the gateway has not exited")
+	}
+}
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -135,7 +135,7 @@
 			return
 		}
 		due := g.timers.heap.Pop()
-		if g.catchingUp() && due.kind.awaitsInput() {
+		if g.inputPending() && due.kind.awaitsInput() {
 			due.at = g.lastStall.holdUntil
 			g.timers.add(due)
 			continue
