Count requests with the incarnation of the gateway that can accept them

The gateway was right.

Change: the incarnation begins before its process is started. Until then the process before has exited, and no other can accept a request.

--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -73,10 +73,15 @@
 	return RunProcess(ctx, Process{Program: program}, script, logFolder)
 }
 
+// newFleet returns the fleet of a script, of which nothing runs yet.
+func newFleet(p Process, script Script, logFolder string) *fleet {
+	return &fleet{Script: script, classes: classesOf(&script), process: p, logFolder: logFolder, listVersion: 1,
+		links: map[[2]string]*link{}, unlisted: map[int]bool{}, drainedZones: map[string]bool{}}
+}
+
 // RunProcess does the same as Run with gateways that run any process, such as a fault gateway.
 func RunProcess(ctx context.Context, p Process, script Script, logFolder string) (report *Report, err error) {
-	f := &fleet{Script: script, classes: classesOf(&script), process: p, logFolder: logFolder, listVersion: 1,
-		links: map[[2]string]*link{}, unlisted: map[int]bool{}, drainedZones: map[string]bool{}}
+	f := newFleet(p, script, logFolder)
 	defer func() {
 		if closeErr := f.close(); err == nil {
 			err = closeErr
--- a/internal/harness/lifecycle.go
+++ b/internal/harness/lifecycle.go
@@ -49,6 +49,7 @@
 	if err := g.writeFiles(); err != nil {
 		return err
 	}
+	g.incarnation.Add(1) // before clients can reach the process
 	proc, err := g.spawn()
 	if err != nil {
 		return err
@@ -63,7 +64,6 @@
 		}
 		if c, err := standin.Connect(g.listenAddr, netip.Addr{}, time.Second); err == nil {
 			c.Close()
-			g.incarnation.Add(1)
 			proc.ready.Store(true)
 			if took := time.Since(began); took > maxReadyTime {
 				g.fleet.recorder.addViolation(NotReady, "%s became ready only after %v", g.name, took.Round(time.Millisecond))
--- /dev/null
+++ b/internal/harness/lifecycle_test.go
@@ -0,0 +1,60 @@
+package harness
+
+import (
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"foxlane/internal/standin"
+)
+
+// A restarted gateway may accept requests before the harness has found that it is ready. They belong to the new
+// incarnation: those that were counted with the one before were missing in the retry budget.
+func TestAcceptedRequestsBelongToNewIncarnation(t *testing.T) {
+	script, err := ParseScript([]byte(`
+zone "hall-a" {
+  gateways = 1
+  engines  = 1
+}
+cores  = 1
+load   = 0.1
+length = "1s"
+`), "one.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFleet(Process{Program: gatewayProgram}, *script, "")
+	defer func() {
+		if err := f.close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	if err := f.build(); err != nil {
+		t.Fatal(err)
+	}
+	g := f.gateways[0]
+	for range 5 {
+		if err := g.stop(syscall.SIGKILL); err != nil {
+			t.Fatal(err)
+		}
+		stopped := g.incarnation.Load()
+		accepted := make(chan int64, 1)
+		go func() {
+			for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(100 * time.Microsecond) {
+				if c, err := standin.Connect(g.listenAddr, netip.Addr{}, time.Second); err == nil {
+					accepted <- g.incarnation.Load()
+					c.Close()
+					return
+				}
+			}
+			accepted <- 0
+		}()
+		if err := g.start(); err != nil {
+			t.Fatal(err)
+		}
+		if got := <-accepted; got != stopped+1 {
+			t.Errorf("the first connection belongs to incarnation %d, want %d", got, stopped+1)
+		}
+	}
+}
