Take no kill of a gateway that is being started for a failed start

Cause: start reports each exit of a process before it is ready as a failed start, also one that a call of stop has asked for.

Change: a process that another call has taken to stop it ends the start without an error. One that exits by itself is reported as before.

--- a/internal/harness/lifecycle.go
+++ b/internal/harness/lifecycle.go
@@ -37,7 +37,8 @@
 	return g.start()
 }
 
-// start writes the gateway's files, starts its process and waits until it accepts a client's login.
+// start writes the gateway's files, starts its process and waits until it accepts a client's login, or until another
+// fault has stopped it.
 func (g *gateway) start() error {
 	g.mu.Lock()
 	previous := g.latest
@@ -60,6 +61,9 @@
 	g.mu.Unlock()
 	for time.Since(began) < startTimeout {
 		if proc.hasExited() {
+			if g.stopRequested(proc) {
+				return nil
+			}
 			return fmt.Errorf("%w: %s: %s: %s", errExitedDuringStart, g.name, proc.exitStatus(), tail(g.log.String()))
 		}
 		if c, err := standin.Connect(g.listenAddr, netip.Addr{}, time.Second); err == nil {
@@ -87,6 +91,13 @@
 	errNotExited         = errors.New("harness: a process did not exit")
 )
 
+// stopRequested reports whether a call of stop has taken the process to stop it.
+func (g *gateway) stopRequested(proc *process) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.current != proc
+}
+
 // signal sends a signal to the latest process, if that has not exited. A process that is being stopped gets it too.
 func (g *gateway) signal(sig syscall.Signal) {
 	g.mu.Lock()
--- a/internal/harness/lifecycle_test.go
+++ b/internal/harness/lifecycle_test.go
@@ -9,9 +9,9 @@
 	"foxlane/internal/standin"
 )
 
-// A restarted gateway may accept requests before the harness has found that it is ready. They belong to the new
-// incarnation: those that were counted with the one before were missing in the retry budget.
-func TestAcceptedRequestsBelongToNewIncarnation(t *testing.T) {
+// buildOneGateway builds a fleet with one gateway and one engine, which ends with the test.
+func buildOneGateway(t *testing.T) *gateway {
+	t.Helper()
 	script, err := ParseScript([]byte(`
 zone "hall-a" {
   gateways = 1
@@ -25,15 +25,21 @@
 		t.Fatal(err)
 	}
 	f := newFleet(Process{Program: gatewayProgram}, *script, "")
-	defer func() {
+	t.Cleanup(func() {
 		if err := f.close(); err != nil {
 			t.Error(err)
 		}
-	}()
+	})
 	if err := f.build(); err != nil {
 		t.Fatal(err)
 	}
-	g := f.gateways[0]
+	return f.gateways[0]
+}
+
+// A restarted gateway may accept requests before the harness has found that it is ready. They belong to the new
+// incarnation: those that were counted with the one before were missing in the retry budget.
+func TestAcceptedRequestsBelongToNewIncarnation(t *testing.T) {
+	g := buildOneGateway(t)
 	for range 5 {
 		if err := g.stop(syscall.SIGKILL); err != nil {
 			t.Fatal(err)
@@ -58,3 +64,29 @@
 		}
 	}
 }
+
+// A second fault may kill a gateway that the first one is starting again. That is no failed start.
+func TestKillDuringStart(t *testing.T) {
+	g := buildOneGateway(t)
+	for range 5 {
+		if err := g.stop(syscall.SIGKILL); err != nil {
+			t.Fatal(err)
+		}
+		killed := make(chan error, 1)
+		go func() {
+			for deadline := time.Now().Add(startTimeout); g.pid() == 0 && time.Now().Before(deadline); {
+				time.Sleep(100 * time.Microsecond)
+			}
+			killed <- g.stop(syscall.SIGKILL)
+		}()
+		if err := g.start(); err != nil {
+			t.Errorf("the start returned %.200v", err)
+		}
+		if err := <-killed; err != nil {
+			t.Errorf("the kill returned %v", err)
+		}
+	}
+	if n := g.fleet.recorder.ViolationCounts; n != (Report{}).ViolationCounts {
+		t.Errorf("violations: %v", n)
+	}
+}
