Play stalls among the random events of admission control's invariants

TestControllerInvariants announces pending and read input at random beside connections, requests and closes: no slot runs out, and nothing is left.

--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -452,7 +452,7 @@
 		ids := 0
 		sentIDs := map[string]bool{}
 		for range rapid.IntRange(10, 150).Draw(rt, "steps") {
-			switch rapid.IntRange(0, 9).Draw(rt, "step") {
+			switch rapid.IntRange(0, 10).Draw(rt, "step") {
 			case 0, 1:
 				sim.connect(fmt.Sprintf("10.0.0.%d", rapid.IntRange(1, 4).Draw(rt, "from")))
 			case 2, 3, 4, 5:
@@ -486,6 +486,8 @@
 				}
 			case 9:
 				sim.advance(rules.Time(rapid.IntRange(1, 200).Draw(rt, "ms")) * ms)
+			case 10:
+				sim.handle(Event{Kind: rapid.SampledFrom([]EventKind{InputPending, InputRead}).Draw(rt, "stall")})
 			}
 			sim.checkInvariants(rt, keys)
 		}
