Charge what a request keeps of its query, and keep no long comment for its fields

Cause: the fields of a query are parts of the string of its comment. An open request keeps its id, and with it a comment of up to 64 KB, but the account charged the statement alone. Order keys, which outlive their requests in the module and in the tokens of its timers, had no bound of length.

TestFieldsKeepNoLongComment: 200 queries keep all of their comments, 12 MB.

Change: fields of a comment over 512 bytes get memory of their own; a shorter comment is charged as a whole, with the statement. Keys over 128 bytes are kept as digests, equal for equal keys only. TestCommandsOfABlockedClientWait compares the account with all that is kept, no longer with the statement alone.

--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -83,9 +83,13 @@
 }
 
 // query returns the packet of a valid query whose statement has about the given size.
-func (c *Client) query(size int) []byte {
-	text := fmt.Sprintf("/* kind=point,req=%s,timeout=%d,ms=%d */ SELECT day FROM sales_17.orders WHERE tag = '%s'", c.crowd.NextID(),
-		c.crowd.Timeout.Milliseconds(), workMS, strings.Repeat("x", size))
+func (c *Client) query(size int) []byte { return c.queryWith("", size) }
+
+// queryWith returns the packet of a valid query with further fields, which begin with a comma, and a statement of about
+// the given size.
+func (c *Client) queryWith(fields string, size int) []byte {
+	text := fmt.Sprintf("/* kind=point,req=%s,timeout=%d,ms=%d%s */ SELECT day FROM sales_17.orders WHERE tag = '%s'", c.crowd.NextID(),
+		c.crowd.Timeout.Milliseconds(), workMS, fields, strings.Repeat("x", size))
 	return packet(0, append([]byte{3}, text...))
 }
 
@@ -164,6 +168,23 @@
 	return nil
 }
 
+// SendLongComments sends short statements behind comments that are as large as a packet may be, and waits for the answers.
+func SendLongComments(ctx context.Context, c *Client) error {
+	fields := ",note=" + strings.Repeat("x", statementBytes)
+	if !pause(ctx, time.Duration(c.rng.Int64N(int64(incompletePause)))) { // the packets of all clients at one time would be too much
+		return nil
+	}
+	for ctx.Err() == nil {
+		if err := c.write(c.queryWith(fields, 10)); err != nil {
+			return err
+		}
+		if err := c.read(c.crowd.Timeout, 1<<20); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // SendPings sends pings in large batches and never reads the answers.
 func SendPings(ctx context.Context, c *Client) error {
 	batch := []byte(strings.Repeat(string(packet(0, []byte{0x0e})), 4000))
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -25,7 +25,7 @@
 	gw.now += 300 * rules.Millisecond
 	gw.step(WriteUnblocked{Conn: 1})
 	req := gw.g.requests[idA]
-	if req == nil || req.dueAt > sentAt+2*rules.Second || gw.g.memory.Total() != int64(len(req.statement)) {
+	if req == nil || req.dueAt > sentAt+2*rules.Second || gw.g.memory.Total() != req.keptBytes || req.keptBytes <= int64(len(req.statement)) {
 		t.Fatalf("request %+v, %d bytes in the account", req, gw.g.memory.Total())
 	}
 	gw.receive(1, string(packet(0, []byte{1}))) // a command while a query is open: closed without an answer to it
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -34,6 +34,7 @@
 	arrivedAt      rules.Time
 	dueAt          rules.Time // when the answer must be sent
 	statement      []byte     // nil once answered
+	keptBytes      int64      // of its statement and fields, charged until it is answered
 	idempotencyKey string     // lets engines recognise retries
 	answered       bool       // the final answer was sent, or none is due any more
 	attempts       []*engineAttempt
@@ -49,7 +50,7 @@
 		g.rejectCommand(client, err.Code, err.Text)
 		return
 	}
-	if g.admission == nil && (len(g.requests) >= g.limits.MaxRequests || !g.memory.Fits(memory.Statements, int64(len(query.Statement)))) {
+	if g.admission == nil && (len(g.requests) >= g.limits.MaxRequests || !g.memory.Fits(memory.Statements, queryBytes(query))) {
 		g.log(Warn, "client: too many requests in flight, request rejected", Attr{keyRequests, len(g.requests)})
 		g.memoryStats.rejected++
 		retryAfter := capRetryAfter(&g.cfg.Settings.Rules.Limits, g.limits.FlushTimeout)
@@ -117,6 +118,9 @@
 	return rules.Time(query.Fields.TimeoutMS) * rules.Millisecond
 }
 
+// queryBytes returns the size of what a request keeps of its query.
+func queryBytes(query *mysql.Query) int64 { return int64(len(query.Statement) + query.Fields.KeptBytes()) }
+
 // openRequest creates a request and counts it as in flight.
 func (g *Gateway) openRequest(client *clientConn, query *mysql.Query, class int) *queryRequest {
 	// The client measures its timeout from sending the query to receiving the answer. The margin covers the network
@@ -132,6 +136,7 @@
 		dueAt:          g.now + timeout - margin - max(g.inputDelay(), g.heldFor(client)),
 		work:           rules.Time(query.Fields.WorkMS * float64(rules.Millisecond)),
 		statement:      bytes.Clone(query.Statement),
+		keptBytes:      queryBytes(query),
 		idempotencyKey: query.Fields.IdempotencyKey,
 		priority:       engine.DefaultPriority,
 	}
@@ -143,7 +148,7 @@
 	g.unanswered++
 	req.stats.accepted++
 	req.stats.inFlight++
-	g.memory.Add(memory.Statements, int64(len(req.statement)))
+	g.memory.Add(memory.Statements, req.keptBytes)
 	client.request = req
 	return req
 }
@@ -183,7 +188,7 @@
 	g.unanswered--
 	g.releaseResult(req)
 	req.stats.inFlight--
-	g.memory.Add(memory.Statements, -int64(len(req.statement)))
+	g.memory.Add(memory.Statements, -req.keptBytes)
 	req.statement = nil
 	if client := req.client; client != nil {
 		req.client, client.request = nil, nil
--- a/internal/mysql/fields.go
+++ b/internal/mysql/fields.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"fmt"
 	"strconv"
 	"strings"
@@ -29,6 +30,39 @@
 	OrderKey       string // requests of an ordered class with the same key run one at a time; empty: none
 	IdempotencyKey string // key by which engines deduplicate retries; empty: none
 	WantsHandle    bool   // the client requests a handle to the stored result
+
+	commentBytes int // size of the string that the fields are parts of; 0: they have their own memory
+}
+
+// maxSharedComment is the size up to which a comment is kept as a whole, rather than copied field by field.
+const maxSharedComment = 512
+
+// KeptBytes returns the size of the memory that the fields keep.
+func (f *Fields) KeptBytes() int {
+	if f.commentBytes > 0 {
+		return f.commentBytes
+	}
+	return len(f.Class) + len(f.ID) + len(f.Tenant) + len(f.OrderKey) + len(f.IdempotencyKey)
+}
+
+// detach gives the fields memory of their own. As parts of a long comment they would keep all of it.
+func (f *Fields) detach() {
+	for _, field := range []*string{&f.Class, &f.ID, &f.Tenant, &f.OrderKey, &f.IdempotencyKey} {
+		*field = strings.Clone(*field)
+	}
+	f.commentBytes = 0
+}
+
+// maxOrderKeyBytes is the size from which an order key is replaced by its digest: keys outlive their requests.
+const maxOrderKeyBytes = 128
+
+// orderKey returns the key of a size that is bounded, and the same for equal values only.
+func orderKey(value string) string {
+	if len(value) <= maxOrderKeyBytes {
+		return value
+	}
+	digest := sha256.Sum256([]byte(value))
+	return string(digest[:])
 }
 
 const (
@@ -66,7 +100,19 @@
 	return q, nil
 }
 
+// parse parses the text of a comment.
 func (f *Fields) parse(text string) error {
+	f.commentBytes = len(text)
+	if err := f.parseList(text); err != nil {
+		return err
+	}
+	if f.commentBytes > maxSharedComment {
+		f.detach()
+	}
+	return nil
+}
+
+func (f *Fields) parseList(text string) error {
 	seen := map[string]bool{}
 	for text != "" {
 		var field string
@@ -107,7 +153,7 @@
 	case "owner":
 		f.Tenant, ok = value, true
 	case "subject":
-		f.OrderKey, ok = value, true
+		f.OrderKey, ok = orderKey(value), true
 	case "opkey":
 		f.IdempotencyKey, ok = value, isForwardable(value)
 	case "spool":
@@ -166,7 +212,7 @@
 			if r.Handle != "" {
 				return r, true, &Error{CodeParse, "resume and release in one"}
 			}
-			r.Handle, r.Release = value, name == "release"
+			r.Handle, r.Release = strings.Clone(value), name == "release"
 		case "page":
 			n, err := strconv.ParseUint(value, 10, 31)
 			if err != nil || n > maxChunk {
@@ -174,7 +220,7 @@
 			}
 			r.FromChunk = int(n)
 		case "owner":
-			r.Tenant = value
+			r.Tenant = strings.Clone(value)
 		}
 	}
 	return r, true, nil
--- a/internal/mysql/mysql_test.go
+++ b/internal/mysql/mysql_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -46,7 +48,7 @@
 func TestParseQuery(t *testing.T) {
 	const id = "9b1f03aa5c7e2d41"
 	q, err := ParseQuery([]byte(" /* kind=report,req=" + id + ",timeout=1500,ms=820.0,need_mb=96,later=x */ SELECT 'a''b'  FROM s_3.t "))
-	want := Fields{Class: "report", ID: id, TimeoutMS: 1500, WorkMS: 820, MemoryMB: 96}
+	want := Fields{Class: "report", ID: id, TimeoutMS: 1500, WorkMS: 820, MemoryMB: 96, commentBytes: 73}
 	if err != nil || q.Fields != want || q.TableGroup != 3 || string(q.Statement) != "SELECT 'a''b'  FROM s_3.t " {
 		t.Fatalf("got %+v, %v", q, err)
 	}
@@ -200,3 +202,53 @@
 		FirstWord(b)
 	})
 }
+
+// An open request keeps its fields, and a client chooses how long the comment is that they stand in.
+func TestFieldsKeepNoLongComment(t *testing.T) {
+	const queries, commentBytes = 200, 60_000
+	before := liveHeap()
+	kept := make([]Fields, queries)
+	for i := range kept {
+		text := fmt.Sprintf("/* kind=point,req=%016x,timeout=900,subject=k,opkey=o%d,pad=%s */ SELECT 1", i, i, strings.Repeat("x", commentBytes))
+		query, err := ParseQuery([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		kept[i] = query.Fields
+	}
+	grown := liveHeap() - before
+	claimed := 0
+	for i := range kept {
+		claimed += kept[i].KeptBytes()
+	}
+	if grown > queries*commentBytes/10 || claimed > queries*maxSharedComment {
+		t.Errorf("the fields of %d queries keep %d bytes and claim %d; their comments have %d", queries, grown, claimed, queries*commentBytes)
+	}
+	runtime.KeepAlive(kept)
+}
+
+// liveHeap returns the size of the heap after a collection.
+func liveHeap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// Order keys outlive their requests, so a long one is kept as a digest, which differs for different keys.
+func TestLongOrderKeysAreKeptAsDigests(t *testing.T) {
+	keys := map[string]bool{}
+	for _, subject := range []string{strings.Repeat("a", 50_000), strings.Repeat("a", 50_001), "a", strings.Repeat("b", maxOrderKeyBytes)} {
+		query, err := ParseQuery([]byte("/* kind=point,req=0123456789abcdef,timeout=900,subject=" + subject + " */ SELECT 1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := len(query.Fields.OrderKey); n > maxOrderKeyBytes {
+			t.Errorf("the key of a subject of %d bytes has %d", len(subject), n)
+		}
+		keys[query.Fields.OrderKey] = true
+	}
+	if len(keys) != 4 {
+		t.Errorf("%d keys for 4 subjects", len(keys))
+	}
+}
