Schedule no second review of a request ahead of an earlier one

Cause: each review of an attempt in flight sets two timers, for when it counts as slow and as overdue. When estimates have grown meanwhile, each of the two finds both times ahead of it again and sets two more.

Change: a review that is scheduled for an earlier time schedules the later one itself, so no timer is set for that.

--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -119,7 +119,9 @@
 }
 
 // queryBytes returns the size of what a request keeps of its query.
-func queryBytes(query *mysql.Query) int64 { return int64(len(query.Statement) + query.Fields.KeptBytes()) }
+func queryBytes(query *mysql.Query) int64 {
+	return int64(len(query.Statement) + query.Fields.KeptBytes())
+}
 
 // openRequest creates a request and counts it as in flight.
 func (g *Gateway) openRequest(client *clientConn, query *mysql.Query, class int) *queryRequest {
--- a/rules/deadline_test.go
+++ b/rules/deadline_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 )
 
@@ -78,3 +80,54 @@
 		}
 	}
 }
+
+// The reviews of a request must not multiply while the estimates of its class change, as they do when engines become
+// slow: each of them sets timers for when the attempt counts as slow and as overdue.
+func TestReviewsDoNotMultiplyWhileEstimatesChange(t *testing.T) {
+	const maxReviews = 8 // deadline, slow and overdue, and outdated ones of the times before
+	patient := interactive
+	patient.ClientTimeout = 12 * Second
+	highest := 0
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		growth, noise := 4*rng.Float64(), 1.5*rng.Float64()
+		chk := startModule(t, basicSettings(patient), 8)
+		for step := range 800 {
+			if chk.advance(5 * Millisecond); step%3 == 0 {
+				chk.submit(0, func(r *Request) { r.Deadline = chk.now + patient.ClientTimeout })
+			}
+			for _, outcome := range chk.pending() {
+				if rng.IntN(20) != 0 {
+					continue
+				}
+				outcome.Status = pickStatus(rng)
+				if outcome.Status == StatusOK {
+					outcome.RequestEnded = true
+					outcome.MeasuredWork = Time(float64(100*Millisecond) * math.Exp(min(growth*float64(step)/200, 5)+noise*rng.NormFloat64()))
+				}
+				chk.handle(outcome)
+			}
+			highest = max(highest, chk.mostTimersOfARequest())
+		}
+	}
+	if highest > maxReviews {
+		t.Errorf("%d timers of one request are set, want %d at most", highest, maxReviews)
+	}
+}
+
+// pickStatus returns a random status; half of the outcomes are successful.
+func pickStatus(rng *rand.Rand) Status {
+	return []Status{StatusOK, StatusOK, StatusOK, StatusError, StatusReset, StatusConnectFailed}[rng.IntN(6)]
+}
+
+// mostTimersOfARequest returns the largest number of timers that are set for one open request.
+func (chk *checker) mostTimersOfARequest() (most int) {
+	byToken := map[string]int{}
+	for _, timer := range chk.timers {
+		if chk.module.AwaitsTimer(timer.Token) {
+			byToken[timer.Token]++
+			most = max(most, byToken[timer.Token])
+		}
+	}
+	return most
+}
--- a/rules/request.go
+++ b/rules/request.go
@@ -37,6 +37,7 @@
 	streaming bool
 	options   SetAttemptOptions // as last sent to the host
 	keyQueue  *keyQueue         // nil: not ordered
+	reviewAt  Time              // earliest time of a review that is scheduled; past: none is
 
 	late              bool // it can no longer meet its objective
 	queue             *queue
@@ -137,11 +138,14 @@
 	return false
 }
 
-// scheduleReview sets a timer to review the request, unless the time is past or not before the deadline.
+// scheduleReview sets a timer to review the request, unless the time is past or not before the deadline, or an earlier
+// review is scheduled, which schedules the next one: otherwise reviews would multiply while estimates change.
 func (m *Module) scheduleReview(req *request, at Time) {
-	if at > m.now && at < req.Deadline {
-		m.setTimer(at, timerRequest, string(req.ID))
+	if at <= m.now || at >= req.Deadline || req.reviewAt > m.now && req.reviewAt <= at {
+		return
 	}
+	req.reviewAt = at
+	m.setTimer(at, timerRequest, string(req.ID))
 }
 
 // handleStreamOpened exempts a request from reviews: its response is being streamed to the client.
