--- a/rules/ordering.go
+++ b/rules/ordering.go
@@ -18,7 +18,7 @@
 		return
 	}
 	if m.now < q.quarantinedUntil {
-		m.setTimer(q.quarantinedUntil, timerKey, q.key)
+		m.awaitQuarantineEnd(q)
 		return
 	}
 	m.enqueue(first)
--- a/rules/queue.go
+++ b/rules/queue.go
@@ -89,6 +89,7 @@
 	key              string
 	waiting          []*request // in order of arrival, including the first
 	quarantinedUntil Time       // no request of the key is sent before this time
+	timerAt          Time       // time of the latest timer that was set for the key
 }
 
 // joinKeyQueue appends a request to the queue of its order key.
@@ -108,11 +109,19 @@
 	queue := req.keyQueue
 	queue.remove(req)
 	if len(queue.waiting) == 0 && m.now < queue.quarantinedUntil {
-		m.setTimer(queue.quarantinedUntil, timerKey, queue.key)
+		m.awaitQuarantineEnd(queue)
 	}
 	m.serveKeyQueue(queue)
 }
 
+// awaitQuarantineEnd sets a timer for the end of a key's quarantine, once.
+func (m *Module) awaitQuarantineEnd(queue *keyQueue) {
+	if queue.timerAt != queue.quarantinedUntil {
+		queue.timerAt = queue.quarantinedUntil
+		m.setTimer(queue.timerAt, timerKey, queue.key)
+	}
+}
+
 func (q *keyQueue) remove(req *request) {
 	if i := slices.Index(q.waiting, req); i >= 0 {
 		q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
--- a/rules/retry_test.go
+++ b/rules/retry_test.go
@@ -52,3 +52,28 @@
 		chk.verify("requests with an idempotency key")
 	}
 }
+
+// Requests that wait for the end of a key's quarantine must not each set a timer for it.
+func TestQuarantinedKeySetsOneTimer(t *testing.T) {
+	ordered := interactive
+	ordered.Ordered = true
+	settings := basicSettings(ordered)
+	settings.Constraints.KeyQuarantine = Second
+	chk := startModule(t, settings, 3)
+	withKey := func(r *Request) { r.OrderKey = "key" }
+	first := chk.submit(0, withKey)
+	chk.handle(Outcome{ID: first, Engine: chk.requests[first].attempts[0].engine.ID, Status: StatusReset, RequestEnded: true})
+	for range 50 {
+		id := chk.submit(0, withKey)
+		chk.handle(ClientGone{ID: id})
+	}
+	timers := 0
+	for _, timer := range chk.timers {
+		if timer.Token == timerKey+" key" {
+			timers++
+		}
+	}
+	if timers != 1 {
+		t.Errorf("%d timers are set for the end of the quarantine of one key, want 1", timers)
+	}
+}
