Start at most three attempts of a request at one time

Cause: a send that fails within its own event, as for lack of a connection, is the module's cue for the next attempt, which fails within the same event again. No time passes, so no deadline ends it.

Evidence: TestUnlimitedRetriesEndWithinAnEvent: the event is still being handled after 3 s before; now it returns.

With a limit of up to three attempts, as most settings have, nothing changes.

--- a/internal/gateway/localexhaustion_test.go
+++ b/internal/gateway/localexhaustion_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"foxlane/internal/config"
 	"foxlane/internal/zones"
@@ -44,3 +45,31 @@
 }
 
 var errLocalExhaustion = errors.New("cannot assign requested address")
+
+// Where the settings limit neither attempts nor retries, a send that fails for lack of a connection must not be tried
+// again for ever within one event.
+func TestUnlimitedRetriesEndWithinAnEvent(t *testing.T) {
+	gw := newTestGatewayWith(t, func(c *config.Config) {
+		c.Settings.Rules.Limits.MaxAttempts = 0
+		c.Settings.Rules.Constraints.RetryBudgetEnabled = false
+		c.Limits.MaxConns = 0
+	}, oneHost)
+	gw.loginClient(1)
+	returned := make(chan int)
+	go func() {
+		gw.receive(1, requestPacket("point", idA))
+		returned <- len(gw.g.requests[idA].attempts)
+	}()
+	select {
+	case attempts := <-returned:
+		if attempts == 0 || attempts > 10 {
+			t.Errorf("%d attempts within one event", attempts)
+		}
+	case <-time.After(3 * time.Second):
+		t.Fatal("the event is still being handled after 3 s") // its goroutine goes on until the test binary ends
+	}
+	gw.advance(300 * rules.Millisecond)
+	if attempts := len(gw.g.requests[idA].attempts); attempts > 40 {
+		t.Errorf("%d attempts within 0.3 s", attempts)
+	}
+}
--- a/rules/retry.go
+++ b/rules/retry.go
@@ -21,7 +21,7 @@
 	if len(req.attempts) == 0 {
 		return true
 	}
-	if req.inFlight > 0 && !m.settings.Limits.HedgedRequests || !m.retryBudgetLeft() || !m.attemptsLeft(req) {
+	if req.inFlight > 0 && !m.settings.Limits.HedgedRequests || !m.retryBudgetLeft() || !m.attemptsLeft(req) || m.triedAtOnce(req) {
 		return false
 	}
 	for i := range req.attempts {
@@ -60,6 +60,16 @@
 	return m.settings.Limits.MaxAttempts <= 0 || len(req.attempts) < m.settings.Limits.MaxAttempts
 }
 
+// maxAttemptsAtOnce is the number of attempts of a request that may start at one time. Sends can fail in the
+// event that starts them, for lack of a local resource, and another one would do so as well.
+const maxAttemptsAtOnce = 3
+
+// triedAtOnce reports whether maxAttemptsAtOnce attempts of a request have started at this time.
+func (m *Module) triedAtOnce(req *request) bool {
+	count := len(req.attempts)
+	return count >= maxAttemptsAtOnce && req.attempts[count-maxAttemptsAtOnce].startedAt == m.now
+}
+
 // retryBudgetLeft reports whether one more retry stays within the retry budget. The window is a tick
 // shorter for arrivals and a tick longer for retries, so that the order of events within a tick does not
 // matter.
