Keep resident memory within its limit whatever takes it, and say in the log what does

Cause: the limit held for what the account charges. What nobody charges had no bound and no figure, and the runtime's limit is soft.

Figures: each `memory` line has what the runtime tells (live heap, goal, free and returned memory, stacks, collections, its limiter), an estimate of each kind of state beside the account with its peak, the buffers of the event queue, and `unexplained_kb`, the live heap beyond the peaks of all these; a line comes at once at 0.75 and 0.9 of the limit, and when a shutdown begins. Backstop: the resident memory is read every 20 ms while there are events; from 0.85 of the limit on memory is collected and returned, the event queue has a quarter of its size and accepting pauses for 0.3 s a second; from 0.9 on new requests, and those in the module that have not run, are rejected with a time to come back, the largest first. All of it ends by itself. Decided in the reducer, executed by the transport.

Evidence: TestHighMemoryLimitsInput, TestCriticalMemoryRejectsWaitingRequests, TestCriticalMemoryKeepsRunningRequests (there was no such measure before).

--- a/cmd/foxlab/soak.go
+++ b/cmd/foxlab/soak.go
@@ -46,6 +46,7 @@
 	cmd.Flags().Uint64Var(&options.FirstSeed, "first", 1, "the first seed; run a failing seed again with its number here")
 	cmd.Flags().DurationVar(&options.Duration, "for", 5*time.Second, "length of each seed's run")
 	cmd.Flags().IntVar(&options.Processes, "processes", 10, "number of gateways in each run")
+	cmd.Flags().BoolVar(&options.Starved, "starved", false, "little processor time, lost zones, hostile clients and restarts in each run")
 	cmd.Flags().IntVar(&options.Parallel, "parallel", 2, "seeds to run at the same time")
 	cmd.Flags().IntVar(&options.MaxShrinkRuns, "shrink", 6, "at most this many runs to reduce a failing seed to fewer faults")
 	cmd.Flags().IntVar(&options.MaxSeedsPerDefect, "plants", 0, "at most this many seeds to find each injected defect")
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -13,8 +13,9 @@
 // bounds each buffer, queue and table that can grow.
 type Limits struct {
 	// The machine.
-	MemoryBytes int64 // soft memory limit of the Go runtime
-	Sockets     int   // file descriptors that the process may open
+	ProcessBytes int64 // memory that the process may have resident
+	MemoryBytes  int64 // soft memory limit of the Go runtime
+	Sockets      int   // file descriptors that the process may open
 
 	// Clients.
 	MaxClients             int        // client connections
@@ -92,7 +93,7 @@
 		return Limits{}, fmt.Errorf("limits: sockets is %d, must be at least %d", sockets, minSockets)
 	}
 	memory := int64(memoryMB * bytesPerMB)
-	l := Limits{MemoryBytes: min(memory*6/10, memory-programBytes), Sockets: sockets}
+	l := Limits{ProcessBytes: memory, MemoryBytes: min(memory*6/10, memory-programBytes), Sockets: sockets}
 	l.divideMemory(0)
 	l.setClients(memory, s)
 	l.setEngines(memory, s)
--- a/internal/faultgateway/defects.go
+++ b/internal/faultgateway/defects.go
@@ -22,7 +22,7 @@
 var Defects = []string{
 	DefectDrainIgnored, DefectNonIdempotentTwice, DefectSentAfterDisconnect, DefectSlowStartOverload, DefectResponseLate, DefectClosedWithoutResponse, DefectWallClockDeadline,
 	DefectSyncErrorIgnored, DefectSerialOnly, DefectListIgnoredAtStart, DefectBytesLeftInBuffer, DefectOlderList, DefectOrderKeyIgnored,
-	DefectMemoryUncharged, DefectPanic,
+	DefectMemoryUncharged, DefectMemoryHeld, DefectPanic,
 }
 
 // Names of the defects that can be planted.
@@ -41,6 +41,7 @@
 	DefectOlderList             = "older_list"            // the endpoint list before the latest one is used
 	DefectOrderKeyIgnored       = "key_twice"             // the order key of requests is ignored
 	DefectMemoryUncharged       = "memory_uncharged"      // the memory that input takes is not limited
+	DefectMemoryHeld            = "memory_held"           // 20 MB are held that nothing counts
 	DefectPanic                 = "panic"                 // a goroutine panics after some hundred events
 )
 
@@ -93,7 +94,8 @@
 	delayed   []delayedEffect
 	responses int
 	effects   []gateway.Effect
-	events    int // passed to the reducer
+	events    int      // passed to the reducer
+	held      [][]byte // by DefectMemoryHeld
 
 	highestSerial uint32     // of the endpoint lists so far
 	startedAt     rules.Time // of the process
@@ -133,10 +135,25 @@
 	}
 }
 
+// DefectMemoryHeld takes a block of heldBlock bytes with every heldInterval-th event, up to heldBlocks.
+const (
+	heldBlock    = 256 << 10
+	heldBlocks   = 80
+	heldInterval = 10
+)
+
+// holdMemory takes memory that nothing counts.
+func (d *defectiveReducer) holdMemory() {
+	if d.name == DefectMemoryHeld && d.events%heldInterval == 0 && len(d.held) < heldBlocks {
+		d.held = append(d.held, bytes.Repeat([]byte{1}, heldBlock))
+	}
+}
+
 // Step passes an event to the reducer, after the defect has changed or dropped it.
 func (d *defectiveReducer) Step(now rules.Time, event gateway.Event) {
 	d.now = now
 	d.countForPanic()
+	d.holdMemory()
 	if d.name == DefectWallClockDeadline {
 		now += rules.Time(d.clock.offset() / time.Microsecond)
 	}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -61,6 +61,7 @@
 		attempt.engineStarted = attempt.engine.entry.Started
 	}
 	req.attempts = append(req.attempts, attempt)
+	g.pressure.attempts++
 	req.inFlight++
 	if g.cfg.Trace {
 		g.traceAttempt(attempt)
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -69,8 +69,21 @@
 // Exit ends the process, unless further input has arrived. All requests are answered.
 type Exit struct{}
 
-// ReportMemory logs the memory of the process, with Attrs.
-type ReportMemory struct{ Attrs []Attr }
+// ReportMemory logs the memory of the process, with Attrs. PeakHeld is what the reducer knows to have been
+// held, in bytes: at most what was in use at the latest collection.
+type ReportMemory struct {
+	Attrs    []Attr
+	PeakHeld int64
+}
+
+// CollectMemory collects garbage and returns free memory to the operating system.
+type CollectMemory struct{}
+
+// LimitEventQueue sets the number of queued bytes from which on reading from sockets stops.
+type LimitEventQueue struct{ Bytes int }
+
+// PauseAccepting pauses or resumes accepting connections from clients.
+type PauseAccepting struct{ Paused bool }
 
 // SubmitSpool submits an operation to the spool's disk. Its data is not modified until SpoolCompleted reports the
 // operation.
@@ -111,6 +124,9 @@
 func (Log) effect()             {}
 func (Exit) effect()            {}
 func (ReportMemory) effect()    {}
+func (CollectMemory) effect()   {}
+func (LimitEventQueue) effect() {}
+func (PauseAccepting) effect()  {}
 func (SubmitSpool) effect()     {}
 func (NotifyDrained) effect()   {}
 func (SendToMember) effect()    {}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -87,6 +87,9 @@
 	Pending int64 // bytes that are not accepted
 }
 
+// MemorySampled reports the resident memory of the process.
+type MemorySampled struct{ ResidentBytes int64 }
+
 // WriteUnblocked reports that the operating system has accepted all bytes written to a connection that was blocked.
 type WriteUnblocked struct{ Conn ConnID }
 
@@ -115,6 +118,7 @@
 func (WriteDrained) event()       {}
 func (WriteBlocked) event()       {}
 func (WriteUnblocked) event()     {}
+func (MemorySampled) event()      {}
 func (PeerEvent) event()          {}
 func (ControlRequest) event()     {}
 func (VoterLogOpened) event()     {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 
 	memory              memory.Account
 	memoryStats         memoryStats
+	pressure            memoryPressure
 	undeliveredOfClosed map[ConnID]int64 // bytes written to connections that the gateway has closed and that have not ended
 
 	results           *resultStore              // nil: no spool is configured, results are held in memory
@@ -105,6 +106,7 @@
 		engines:             map[rules.EngineID]*engineState{},
 		engineConns:         map[ConnID]*engineConn{},
 		memory:              newMemoryAccount(&cfg.Limits),
+		pressure:            memoryPressure{Pressure: memory.Pressure{Limit: cfg.Limits.ProcessBytes}},
 		undeliveredOfClosed: map[ConnID]int64{},
 		endpointList:        discovery.New(cfg.InitialList.Seq, cfg.InitialList.Engines),
 		nameService:         nameService{lastAnswer: now, listConfirmedAt: now, renewAfter: cfg.Limits.ResolverTimeout},
@@ -166,6 +168,8 @@
 		g.handleWriteDrained(e.Conn)
 	case WriteBlocked:
 		g.handleWriteBlocked(e)
+	case MemorySampled:
+		g.handleMemorySampled(e)
 	case WriteUnblocked:
 		g.handleWriteUnblocked(e.Conn)
 	case PeerEvent:
@@ -216,6 +220,7 @@
 	g.flushDirty()
 	g.timers.sweep(g.timerObsolete)
 	g.logPressure()
+	g.updateHolders()
 	g.exitWhenDone() // after the last answers, which would otherwise never be written
 	if at, ok := g.nextWake(); ok && at != g.armedFor {
 		g.armedFor = at
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -180,7 +180,9 @@
 		}
 	}
 	attrs = append(attrs, Attr{"timers", g.timers.len()}, Attr{keyRejected, g.memoryStats.rejected}, Attr{"held", g.memoryStats.held},
-		Attr{"closed", g.memoryStats.closed})
-	g.memoryStats = memoryStats{}
-	g.emit(ReportMemory{Attrs: attrs})
+		Attr{"closed", g.memoryStats.closed}, Attr{"level", g.pressure.Level().String()}, Attr{"shed", g.pressure.shed})
+	held := g.memory.TotalPeak() + g.pressure.holders.TotalPeak()
+	attrs = append(attrs, g.holderAttrs()...)
+	g.memoryStats, g.pressure.shed = memoryStats{}, 0
+	g.emit(ReportMemory{Attrs: attrs, PeakHeld: held})
 }
--- a/internal/gateway/output.go
+++ b/internal/gateway/output.go
@@ -83,6 +83,7 @@
 		g.setUndelivered(buffer, buffer.undelivered+n)
 	}
 	buffer.emittedBytes += n
+	g.pressure.batchOutput += int64(cap(buffer.output))
 	g.effects.write(buffer.id, buffer.output)
 }
 
--- a/internal/gateway/reasons.go
+++ b/internal/gateway/reasons.go
@@ -73,6 +73,7 @@
 	EndServed              EndReason = iota
 	EndClientLeft                    // the client disconnected, or the query was killed
 	EndTooManyInFlight               // the limit of requests or bytes in flight was reached
+	EndMemory                        // shed because the resident memory is near its limit
 	EndDirective                     // an operator directive rejects the class
 	EndZonePlan                      // shed by the zone controller
 	EndAdmission                     // rejected by admission control
@@ -89,6 +90,7 @@
 	EndServed:              "served",
 	EndClientLeft:          "client_left",
 	EndTooManyInFlight:     "too_many_in_flight",
+	EndMemory:              "memory",
 	EndDirective:           "directive",
 	EndZonePlan:            "zone_plan",
 	EndAdmission:           "admission",
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -50,11 +50,8 @@
 		g.rejectCommand(client, err.Code, err.Text)
 		return
 	}
-	if g.admission == nil && (len(g.requests) >= g.limits.MaxRequests || !g.memory.Fits(memory.Statements, queryBytes(query))) {
-		g.log(Warn, "client: too many requests in flight, request rejected", Attr{keyRequests, len(g.requests)})
-		g.memoryStats.rejected++
-		retryAfter := capRetryAfter(&g.cfg.Settings.Rules.Limits, g.limits.FlushTimeout)
-		g.writeErr(client, mysql.CodeUserLimitReached, withRetryAfter("too much is open", retryAfter))
+	if g.memoryCritical() || g.admission == nil && (len(g.requests) >= g.limits.MaxRequests || !g.memory.Fits(memory.Statements, queryBytes(query))) {
+		g.rejectForMemory(client)
 		return
 	}
 	req := g.openRequest(client, query, class)
@@ -214,6 +211,7 @@
 func (g *Gateway) releaseRequest(req *queryRequest) {
 	if req.answered && req.inFlight == 0 && g.requests[req.id] == req {
 		delete(g.requests, req.id)
+		g.pressure.attempts -= len(req.attempts)
 		g.notifyAdmission(admission.Event{Kind: admission.RequestDone, Slot: req.admissionSlot, Served: req.served})
 	}
 }
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -16,6 +16,7 @@
 	}
 	g.stopping = true
 	g.log(Info, "stopping", Attr{keyInFlight, g.unanswered})
+	g.reportMemory()
 	g.timers.add(timer{at: g.now + g.limits.MinDrainPeriod, kind: timerStop})
 	g.shortenStoreDeadlines()
 	g.notifyAdmission(admission.Event{Kind: admission.Stopping, Deadline: g.now + g.limits.ShutdownTimeout})
--- a/internal/harness/faults.go
+++ b/internal/harness/faults.go
@@ -31,6 +31,10 @@
 	"silence": {target: true},
 	// Gateways get SIGSTOP, and SIGCONT after `for`.
 	"freeze": {target: true, inject: (*fleet).freezeGateways},
+	// Gateways share one core with `factor` busy threads.
+	"starve": {target: true, inject: (*fleet).starveGateways},
+	// Gateways get SIGSTOP and SIGCONT in turn, so that they run for a quarter of the time.
+	"pulse": {target: true, inject: (*fleet).pulseGateways},
 	// Gateways get SIGKILL, and are started again after `for`.
 	"kill": {target: true, inject: (*fleet).killGateways},
 	// Gateways get SIGTERM, and are started again `for` after they have exited.
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,10 +94,20 @@
 func startOnCore(cmd *exec.Cmd, core uint64) error {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	var allowed, pinned unix.CPUSet
+	var allowed unix.CPUSet
 	if err := unix.SchedGetaffinity(0, &allowed); err != nil {
 		return err
 	}
+	pinned := pinnedCore(&allowed, core)
+	if err := unix.SchedSetaffinity(0, &pinned); err != nil {
+		return err
+	}
+	defer func() { _ = unix.SchedSetaffinity(0, &allowed) }()
+	return cmd.Start()
+}
+
+// pinnedCore returns the set of the core with the given number, modulo their count, among the allowed ones.
+func pinnedCore(allowed *unix.CPUSet, core uint64) (pinned unix.CPUSet) {
 	remaining := core % uint64(allowed.Count())
 	for i := range maxCores {
 		if !allowed.IsSet(i) {
@@ -108,11 +119,21 @@
 		}
 		remaining--
 	}
-	if err := unix.SchedSetaffinity(0, &pinned); err != nil {
-		return err
+	return pinned
+}
+
+// threadsOf returns the threads of a process; none if it is not running.
+func threadsOf(pid int) (threads []int) {
+	entries, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(pid), "task"))
+	if err != nil {
+		return nil
 	}
-	defer func() { _ = unix.SchedSetaffinity(0, &allowed) }()
-	return cmd.Start()
+	for _, entry := range entries {
+		if thread, err := strconv.Atoi(entry.Name()); err == nil {
+			threads = append(threads, thread)
+		}
+	}
+	return threads
 }
 
 // maxCores is the number of cores that a unix.CPUSet can hold.
--- a/internal/harness/recorder.go
+++ b/internal/harness/recorder.go
@@ -224,12 +224,13 @@
 // addUnclassified adds the text of a violation that is of no kind and therefore not in the counts.
 func (r *recorder) addUnclassified(format string, args ...any) {
 	r.mu.Lock()
-	r.appendViolationLocked(format, args...)
+	r.appendViolationLocked(false, format, args...)
 	r.mu.Unlock()
 }
 
-func (r *recorder) appendViolationLocked(format string, args ...any) {
-	if len(r.Violations) < maxViolations {
+// appendViolationLocked keeps the text of a violation, if there is room or it is the first of its kind.
+func (r *recorder) appendViolationLocked(first bool, format string, args ...any) {
+	if len(r.Violations) < maxViolations || first {
 		r.Violations = append(r.Violations, fmt.Sprintf("at %.2f s: ", time.Since(r.start).Seconds())+fmt.Sprintf(format, args...))
 	}
 }
@@ -241,6 +242,9 @@
 	r.mu.Unlock()
 }
 
+// maxUnexplainedKB is how much of its heap a gateway need not explain in its log: its estimates are that exact.
+const maxUnexplainedKB = 3 << 10
+
 // recordLogEvents adds zone states and membership changes from a gateway's log to the events. It runs after the
 // gateways have stopped.
 func (r *recorder) recordLogEvents(g *gateway) {
@@ -250,6 +254,7 @@
 			TS                  string
 			Member              string
 			Entries             int
+			UnexplainedKB       int `json:"unexplained_kb"`
 		}
 		if json.Unmarshal([]byte(line), &entry) != nil {
 			continue
@@ -260,6 +265,11 @@
 			text = entry.From + " > " + entry.To
 		case "members: joined", "members: left", "members: leaving", "members: duplicate name":
 			text = strings.TrimSpace(entry.Msg + " " + entry.Member)
+		case "memory":
+			if entry.UnexplainedKB > maxUnexplainedKB && !g.fleet.process.Instrumented {
+				r.addViolation(MemoryExceeded, "%s does not know what %d KB of its heap are: %.400s", g.name, entry.UnexplainedKB, line)
+			}
+			continue
 		case "replica":
 			r.MaxReplicaEntries = max(r.MaxReplicaEntries, entry.Entries)
 			continue
@@ -283,7 +293,7 @@
 
 func (r *recorder) addViolationLocked(kind ViolationKind, format string, args ...any) {
 	r.ViolationCounts[kind]++
-	r.appendViolationLocked(kind.String()+": "+format, args...)
+	r.appendViolationLocked(r.ViolationCounts[kind] == 1, kind.String()+": "+format, args...)
 }
 
 // recordRunEnd records when an attempt's run at an engine will end.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -2,6 +2,9 @@
 package process
 
 import (
+	"bytes"
+	"errors"
+	"io"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -27,16 +30,14 @@
 	ResidentKB     int // resident memory, with the mapped pages of the program's file
 	ResidentPeakKB int // highest ResidentKB since the start
 	AnonymousKB    int // the part of ResidentKB that is not pages of files
-	HeapKB         int // heap objects in use, with garbage not yet collected
-	Goroutines     int
-	Descriptors    int // open file descriptors
+	RuntimeUsage
+	Goroutines  int
+	Descriptors int // open file descriptors
 }
 
 // Read returns the usage of this process. Figures that the system does not tell are 0.
 func Read() Usage {
-	var heap runtime.MemStats
-	runtime.ReadMemStats(&heap)
-	u := Usage{HeapKB: int(heap.HeapAlloc >> 10), Goroutines: runtime.NumGoroutine()}
+	u := Usage{RuntimeUsage: readRuntime(), Goroutines: runtime.NumGoroutine()}
 	if entries, err := os.ReadDir("/proc/self/fd"); err == nil {
 		u.Descriptors = len(entries) - 1 // without the one that reads the folder
 	}
@@ -61,3 +62,41 @@
 	}
 	return u
 }
+
+// ResidentFile reads the resident memory of this process. It keeps its file open, so that it needs no free descriptor
+// when memory is short. The zero value reads nothing.
+type ResidentFile struct{ file *os.File }
+
+// OpenResidentFile returns a ResidentFile. If the system has no such file, it reads nothing.
+func OpenResidentFile() ResidentFile {
+	file, err := os.Open("/proc/self/statm")
+	if err != nil {
+		return ResidentFile{}
+	}
+	return ResidentFile{file}
+}
+
+// Close closes the file.
+func (r ResidentFile) Close() {
+	if r.file != nil {
+		_ = r.file.Close() // opened read-only
+	}
+}
+
+// Bytes returns the resident memory of this process, or 0 if it can't be read.
+func (r ResidentFile) Bytes() int64 {
+	if r.file == nil {
+		return 0
+	}
+	var text [128]byte // seven numbers
+	n, err := r.file.ReadAt(text[:], 0)
+	fields := bytes.Fields(text[:n])
+	if err != nil && !errors.Is(err, io.EOF) || len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseInt(string(fields[1]), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return pages * int64(os.Getpagesize())
+}
--- a/internal/soak/defects.go
+++ b/internal/soak/defects.go
@@ -36,7 +36,7 @@
 func (o *Options) detectDefect(ctx context.Context, defect string) Detection {
 	detection := Detection{Defect: defect}
 	for detection.SeedsRun < o.MaxSeedsPerDefect && ctx.Err() == nil {
-		schedule := NewSchedule(o.FirstSeed+uint64(detection.SeedsRun), o.Processes, o.Duration)
+		schedule := o.newSchedule(o.FirstSeed + uint64(detection.SeedsRun))
 		detection.SeedsRun++
 		report, _, err := o.runSchedule(ctx, &schedule, defect)
 		switch {
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -69,7 +69,7 @@
 	case len(report.Violations) > 0:
 		r.Failed = append(r.Failed, Failure{Schedule: *schedule, Violations: report.Violations, LogDir: logDir})
 		o.printf("FAILED %s", schedule)
-		for _, violation := range report.Violations[:min(len(report.Violations), 6)] {
+		for _, violation := range firstOfEachKind(report.Violations) {
 			o.printf("    %s\n", violation)
 		}
 		o.printf("    rerun: foxlab soak --seeds 1 --first %d --processes %d --for %v; logs in %s\n", schedule.Seed, o.Processes, o.Duration, logDir)
@@ -80,6 +80,20 @@
 	}
 }
 
+// firstOfEachKind returns the first two violations of each kind. Their texts have the kind after the time.
+func firstOfEachKind(violations []string) (first []string) {
+	const perKind = 2
+	counts := map[string]int{}
+	for _, violation := range violations {
+		_, text, _ := strings.Cut(violation, ": ")
+		kind, _, _ := strings.Cut(text, ":")
+		if counts[kind]++; counts[kind] <= perKind {
+			first = append(first, violation)
+		}
+	}
+	return first
+}
+
 // addReport adds the figures of a seed's report. It ignores a nil report: the fleet did not start.
 func (r *Result) addReport(report *harness.Report) {
 	if report == nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,6 +18,7 @@
 	Process           harness.Process // the fault gateway
 	Seeds             int             // number of consecutive seeds to run
 	FirstSeed         uint64          // the first seed
+	Starved           bool            // schedules with little processor time, lost zones, hostile clients and restarts, see NewStarvedSchedule
 	Duration          time.Duration   // of a seed's run, without startup and final checks
 	Processes         int             // gateways in a fleet
 	Parallel          int             // seeds that run at once
@@ -49,6 +50,14 @@
 	return nil
 }
 
+// newSchedule draws the schedule of a seed.
+func (o *Options) newSchedule(seed uint64) Schedule {
+	if o.Starved {
+		return NewStarvedSchedule(seed, o.Processes, o.Duration)
+	}
+	return NewSchedule(seed, o.Processes, o.Duration)
+}
+
 // maxFleetSize returns the largest number of processes that a seed may start.
 func (o *Options) maxFleetSize() int {
 	if o.Processes >= largeFleetThreshold {
@@ -70,7 +79,7 @@
 	for range o.Parallel {
 		workers.Go(func() {
 			for seed := range seeds {
-				schedule := NewSchedule(seed, o.Processes, o.Duration)
+				schedule := o.newSchedule(seed)
 				report, logDir, err := o.runSchedule(ctx, &schedule, "")
 				mu.Lock()
 				r.add(ctx, &o, &schedule, report, logDir, err)
--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -45,7 +45,7 @@
 	s.mu.Lock()
 	c := s.connsByNB[nb]
 	if c == nil {
-		for s.clientCount >= s.limits.MaxClients+s.limits.AcceptOverflow && !s.shuttingDown.Load() {
+		for (s.clientCount >= s.limits.MaxClients+s.limits.AcceptOverflow || s.acceptPaused) && !s.shuttingDown.Load() {
 			s.clientClosed.Wait()
 		}
 		s.lastAccepted++
@@ -62,6 +62,15 @@
 	}
 }
 
+// pauseAccepting pauses or resumes the acceptance of connections. One that the accepting goroutine has already taken
+// waits meanwhile.
+func (s *Server) pauseAccepting(paused bool) {
+	s.mu.Lock()
+	s.acceptPaused = paused
+	s.clientClosed.Broadcast()
+	s.mu.Unlock()
+}
+
 func (s *Server) onData(nb *nbio.Conn, data []byte) {
 	defer s.reportPanic("data received")
 	if c := s.recordQueuedRead(nb); c != nil {
--- a/internal/transport/execute.go
+++ b/internal/transport/execute.go
@@ -50,6 +50,12 @@
 		}
 	case gateway.PersistVoterLog:
 		s.persist(effect.Batch)
+	case gateway.CollectMemory:
+		s.collectMemory()
+	case gateway.LimitEventQueue:
+		s.queue.setMaxBytes(effect.Bytes)
+	case gateway.PauseAccepting:
+		s.pauseAccepting(effect.Paused)
 	case gateway.ReportMemory:
 		s.logMemory(effect)
 	case gateway.Log:
--- a/internal/transport/lastwords.go
+++ b/internal/transport/lastwords.go
@@ -6,26 +6,10 @@
 
 	"go.uber.org/zap"
 
-	"foxlane/internal/gateway"
 	"foxlane/internal/process"
 )
 
-// This file logs what the process occupies, and why it ends.
-
-// logMemory logs what the process occupies, with the reducer's account.
-func (s *Server) logMemory(effect gateway.ReportMemory) {
-	usage := process.Read()
-	fields := append(usageFields(usage), zap.Int64("write_buffers", s.writeBuffers.bytes()), zap.Int("queue_peak", s.queue.takePeak()))
-	for _, attr := range effect.Attrs {
-		fields = append(fields, zap.Any(attr.Key, attr.Value))
-	}
-	s.log.Info("memory", fields...)
-}
-
-func usageFields(u process.Usage) []zap.Field {
-	return []zap.Field{zap.Int("resident_kb", u.ResidentKB), zap.Int("resident_peak_kb", u.ResidentPeakKB), zap.Int("anonymous_kb", u.AnonymousKB),
-		zap.Int("heap_kb", u.HeapKB), zap.Int("goroutines", u.Goroutines), zap.Int("descriptors", u.Descriptors)}
-}
+// This file logs why the process ends.
 
 // logEnd logs the end of a process that was told to end.
 func (s *Server) logEnd() {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"foxlane/internal/gateway"
+	"foxlane/internal/process"
 	"foxlane/rules"
 )
 
@@ -29,18 +30,20 @@
 	pacer    pacer
 	reload   reloadState
 	shutdown shutdownState
+	memory   memorySampler
 	events   []queuedEvent // with arena: the queue buffers of the last iteration
 	arena    []byte
 }
 
 func newReducerLoop(s *Server) *reducerLoop {
-	return &reducerLoop{Server: s, reducer: s.platform.Reducer(s.cfg, s.now()), timer: time.NewTimer(time.Hour),
+	return &reducerLoop{Server: s, memory: memorySampler{resident: process.OpenResidentFile()}, reducer: s.platform.Reducer(s.cfg, s.now()), timer: time.NewTimer(time.Hour),
 		pacer: pacer{interval: s.limits.MinBatchInterval}, reload: newReloadState()}
 }
 
 // run runs the loop until the process may exit.
 func (l *reducerLoop) run(signals Signals) {
 	defer l.timer.Stop()
+	defer l.memory.resident.Close()
 	defer l.reportPanic("reducer")
 	l.stepRecovered()
 	for {
@@ -123,6 +126,7 @@
 		l.reducer.Step(now, l.events[i].unwrap())
 	}
 	l.stepMemberEvents(now, l.reducer)
+	l.stepMemorySample(now)
 	if now >= l.timerAt {
 		l.reducer.Step(now, gateway.TimerFired{})
 	}
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"reflect"
 	"runtime"
 	"sync"
 	"time"
@@ -37,6 +38,7 @@
 	arena       []byte
 	queuedBytes int
 	peakBytes   int           // highest queuedBytes since takePeak
+	arenaBytes  int           // capacity of the arena
 	maxBytes    int           // if more bytes are queued, adding bytes blocks, which stops reading from sockets
 	ready       chan struct{} // signals that there may be events to take
 	closed      bool
@@ -44,7 +46,8 @@
 }
 
 func newEventQueue(l config.Limits) *eventQueue {
-	q := &eventQueue{ready: make(chan struct{}, 1), maxBytes: l.EventQueueBytes}
+	q := &eventQueue{ready: make(chan struct{}, 1), maxBytes: l.EventQueueBytes,
+		arenaBytes: l.EventQueueBytes + maxEventBytes}
 	q.notFull.L = &q.mu
 	return q
 }
@@ -82,7 +85,7 @@
 		q.notFull.Wait()
 	}
 	if q.arena == nil {
-		q.arena = make([]byte, 0, q.maxBytes+maxEventBytes)
+		q.arena = make([]byte, 0, q.arenaBytes)
 	}
 	start := len(q.arena)
 	q.arena = append(q.arena, data...)
@@ -147,6 +150,21 @@
 	return takenEvents, takenArena
 }
 
+// setMaxBytes sets the number of queued bytes from which on adding bytes blocks.
+func (q *eventQueue) setMaxBytes(n int) {
+	q.mu.Lock()
+	q.maxBytes = n
+	q.notFull.Broadcast()
+	q.mu.Unlock()
+}
+
+// memoryBytes returns what the queue and the buffers that it shares with the reducer's goroutine occupy.
+func (q *eventQueue) memoryBytes() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return 2 * (cap(q.arena) + cap(q.events)*int(reflect.TypeFor[queuedEvent]().Size()))
+}
+
 // close releases all goroutines that wait for room in the queue; later additions do not block.
 func (q *eventQueue) close() {
 	q.mu.Lock()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -46,8 +46,9 @@
 
 	// Connections (conn.go, accept.go, dial.go, close.go). mu guards the fields up to reserved.
 	mu           sync.Mutex
-	clientClosed sync.Cond    // signalled when clientCount decreases, and at shutdown
+	clientClosed sync.Cond    // signalled when clientCount decreases or accepting resumes, and at shutdown
 	clientCount  int          // accepted connections that are open
+	acceptPaused bool         // no more connections are accepted for a while
 	writeBuffers writeBuffers // bytes written and not yet accepted by the kernel
 	conns        map[gateway.ConnID]*conn
 	connsByNB    map[*nbio.Conn]*conn
@@ -64,6 +65,8 @@
 	results *resultStore // nil: results are not stored on disk
 	voter   *voterWorker // nil: this gateway does not vote on directives
 
+	collecting atomic.Bool // collectMemory runs
+
 	// Other gateways (members.go). membership and rejoin are used only by the reducer's goroutine.
 	membership         *membership      // nil: members are not joined
 	rejoin             <-chan time.Time // fires when a failed join is to be retried
--- a/rules/views.go
+++ b/rules/views.go
@@ -66,3 +66,20 @@
 	}
 	return slow
 }
+
+// Estimated sizes in bytes, with entries in maps and queues.
+const (
+	requestBytes = 900
+	dataSetBytes = 150
+	keyBytes     = 300
+	engineBytes  = 600
+	pointerBytes = 8
+	timeBytes    = 8
+)
+
+// MemoryBytes returns an estimate of the memory that the state of the module takes.
+func (m *Module) MemoryBytes() int64 {
+	size := len(m.requests)*requestBytes + len(m.keyQueues)*keyBytes + len(m.engines)*engineBytes +
+		len(m.dataSets)*(dataSetBytes+len(m.engines)*pointerBytes) + (len(m.arrivals)+len(m.retries))*timeBytes
+	return int64(size)
+}
