End the process when its event loop has ended or a close handler panics, and log both

A gateway whose event loop has ended goes on without reading or writing: clients get no answer, and nothing starts another process.

Cause: nbio reports the end of its loop in its own log alone, which was discarded. And it recovers from panics in the handler of closed connections: the log said `process ends`, and the process went on with a connection half removed.

Change: the message of the loop's end ends the gateway with an error and exit code 1; a panic in that handler ends the process as any other does.

Evidence: TestEndOfTheEventLoopEndsTheProcess (before: the gateway goes on for 5 s and more) and TestPanicsEndTheProcess, which runs processes (before: connection closed ends with exit code 0).

--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -79,7 +79,7 @@
 }
 
 func (s *Server) onClose(nb *nbio.Conn, err error) {
-	defer s.reportPanic("connection closed")
+	defer s.endOnPanic("connection closed") // nbio recovers from panics here
 	c := s.connByNB(nb)
 	if c == nil {
 		return
--- a/internal/transport/helpers_test.go
+++ b/internal/transport/helpers_test.go
@@ -26,8 +26,14 @@
 // This file has helpers shared by the package's tests: a whole gateway between fake servers, a server without a
 // reducer, and small functions.
 
-// TestMain checks that no goroutines are leaked.
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// TestMain checks that no goroutines are leaked. With envPanic set it runs no tests.
+func TestMain(m *testing.M) {
+	if goroutine := os.Getenv(envPanic); goroutine != "" {
+		runPanickingGateway(goroutine)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
 
 const testSettings = `{"classes":[
  {"name":"point","aim":200000,"aimStretch":1.5,"giveUp":1500000,"effect":"pure","group":"all","lateValue":0.1,"worth":1},
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -40,8 +40,8 @@
 		pacer: pacer{interval: s.limits.MinBatchInterval}, reload: newReloadState()}
 }
 
-// run runs the loop until the process may exit.
-func (l *reducerLoop) run(signals Signals) {
+// run runs the loop until the process may exit, or returns why it can't serve any more.
+func (l *reducerLoop) run(signals Signals) error {
 	defer l.timer.Stop()
 	defer l.memory.resident.Close()
 	defer l.reportPanic("reducer")
@@ -49,9 +49,11 @@
 	for {
 		exit := l.executeEffects()
 		if l.shutdown = l.shutdown.next(exit); exit && l.advanceShutdown(&l.shutdown) {
-			return
+			return nil
+		}
+		if err := l.wait(signals); err != nil {
+			return err
 		}
-		l.wait(signals)
 		l.stepQueued()
 	}
 }
@@ -84,13 +86,16 @@
 	return exit
 }
 
-// wait blocks until there is something to do. Events that arrive on channels other than the queue are handled here.
-func (l *reducerLoop) wait(signals Signals) {
+// wait blocks until there is something to do. Events that arrive on channels other than the queue are handled here. An
+// error means that nothing is read or written any more.
+func (l *reducerLoop) wait(signals Signals) error {
 	reload := signals.Reload
 	if l.reload.current != 0 {
 		reload = nil // one reload at a time; a signal received meanwhile stays in the channel
 	}
 	select {
+	case err := <-l.pollerEnded:
+		return err
 	case <-l.queue.ready:
 	case <-l.timer.C:
 	case <-l.shutdown.tick:
@@ -108,6 +113,7 @@
 			l.reducer.Step(l.now(), gateway.ConfigReloaded{Config: &result.cfg, ClockSkew: l.clock.skew()})
 		}
 	}
+	return nil
 }
 
 // stepQueued waits out the pacer's interval, then passes the queued events to the reducer.
--- a/internal/transport/members.go
+++ b/internal/transport/members.go
@@ -78,7 +78,10 @@
 		}
 	}
 	for _, queue := range []chan memberMessage{m.datagrams, m.streams} {
-		m.senders.Go(func() { m.send(queue) })
+		m.senders.Go(func() {
+			defer s.reportPanic("members")
+			m.send(queue)
+		})
 	}
 	s.membership = m
 	return nil
@@ -116,6 +119,7 @@
 	close(m.streams)
 	s.closingMemberships.Add(1)
 	s.leaveWorkers.Go(func() {
+		defer s.reportPanic("members")
 		defer s.closingMemberships.Add(-1)
 		m.close()
 	})
--- a/internal/transport/reload.go
+++ b/internal/transport/reload.go
@@ -51,6 +51,7 @@
 	r.timeout = time.After(reloadTimeout)
 	number, old := r.current, s.cfg
 	go func() {
+		defer s.reportPanic("reload")
 		cfg, err := readConfigWithRetry(s.ctx, old)
 		r.results <- reloadResult{number, cfg, err} // never blocks: the buffer holds all unfinished reads
 	}()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -65,7 +65,8 @@
 	results *resultStore // nil: results are not stored on disk
 	voter   *voterWorker // nil: this gateway does not vote on directives
 
-	collecting atomic.Bool // collectMemory runs
+	collecting  atomic.Bool // collectMemory runs
+	pollerEnded chan error  // the poller's loop has ended, and nothing is read or written any more
 
 	// Other gateways (members.go). membership and rejoin are used only by the reducer's goroutine.
 	membership         *membership      // nil: members are not joined
@@ -114,14 +115,17 @@
 	defer s.close()
 	log.Info("serving", zap.String("name", cfg.Name), zap.Stringer("listen", cfg.Listen),
 		zap.Int("engines", len(cfg.InitialList.Engines)))
-	newReducerLoop(s).run(signals)
+	if err := newReducerLoop(s).run(signals); err != nil {
+		s.logFailure(err)
+		return err
+	}
 	s.logEnd()
 	return nil
 }
 
 func newServer(platform Platform, cfg config.Config, log *zap.Logger) *Server {
 	s := &Server{cfg: cfg, limits: cfg.Limits, log: log, queue: newEventQueue(cfg.Limits), conns: map[gateway.ConnID]*conn{},
-		connsByNB: map[*nbio.Conn]*conn{}, pendingDials: map[gateway.ConnID]context.CancelFunc{}, platform: platform, clock: newClock(platform.Clock)}
+		connsByNB: map[*nbio.Conn]*conn{}, pendingDials: map[gateway.ConnID]context.CancelFunc{}, platform: platform, clock: newClock(platform.Clock), pollerEnded: make(chan error, 1)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.clientClosed.L = &s.mu
 	return s
@@ -132,7 +136,7 @@
 
 // open opens the sockets. Transient errors are retried, so that a single failed call does not fail the start.
 func (s *Server) open() (err error) {
-	logging.SetLogger(silentLogger{})
+	logging.SetLogger(pollerLogger{s.pollerEnded})
 	nbio.MaxOpenFiles = max(s.limits.Sockets, minConnTableSize)
 	defer func() {
 		if err != nil {
@@ -195,21 +199,3 @@
 	s.releaseReservedDescriptors()
 	_ = s.devNull.Close() // opened read-only
 }
-
-// silentLogger discards nbio's log.
-type silentLogger struct{}
-
-// SetLevel implements logging.Logger.
-func (silentLogger) SetLevel(int) {}
-
-// Debug implements logging.Logger.
-func (silentLogger) Debug(string, ...any) {}
-
-// Info implements logging.Logger.
-func (silentLogger) Info(string, ...any) {}
-
-// Warn implements logging.Logger.
-func (silentLogger) Warn(string, ...any) {}
-
-// Error implements logging.Logger.
-func (silentLogger) Error(string, ...any) {}
--- a/internal/transport/voter.go
+++ b/internal/transport/voter.go
@@ -44,6 +44,7 @@
 	}
 	state := v.recovered
 	v.writer.Go(func() {
+		defer s.reportPanic("voter's log")
 		for batch := range v.batches {
 			s.queue.enqueue(gateway.VoterLogPersisted{Err: s.persistWithRetry(v.log, batch)})
 		}
