--- a/internal/gateway/memorypressure.go
+++ b/internal/gateway/memorypressure.go
@@ -14,7 +14,7 @@
 // account takes.
 
 const (
-	collectInterval  = 500 * rules.Millisecond // between two collections
+	collectInterval  = rules.Second            // between two collections, each of which may take half of it on a tenth of a core
 	maxAcceptPause   = 300 * rules.Millisecond // connections that the system has accepted wait at most this long
 	acceptPauseEvery = rules.Second            // from the begin of one pause to the next
 	pressureShare    = 4                       // under pressure the event queue has this part of its size
