--- a/internal/faultgateway/defects.go
+++ b/internal/faultgateway/defects.go
@@ -71,6 +71,7 @@
 	platform.Reducer = func(cfg config.Config, now rules.Time) transport.Reducer {
 		if name == DefectMemoryUncharged {
 			cfg.Limits.MaxInputBytes, cfg.Limits.ResultBufferBytes, cfg.Limits.EngineOutputBytes = unlimitedBytes, unlimitedBytes, unlimitedBytes
+			cfg.Limits.ProcessBytes = unlimitedBytes // else the backstop would keep the process within its limit
 			debug.SetMemoryLimit(unlimitedBytes)
 		}
 		return &defectiveReducer{Reducer: newReducer(cfg, now), name: name, clock: clock, engines: map[gateway.ConnID]bool{}, clients: map[gateway.ConnID]string{},
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -181,6 +181,9 @@
 	}
 	attrs = append(attrs, Attr{"timers", g.timers.len()}, Attr{keyRejected, g.memoryStats.rejected}, Attr{"held", g.memoryStats.held},
 		Attr{"closed", g.memoryStats.closed}, Attr{"level", g.pressure.Level().String()}, Attr{"shed", g.pressure.shed})
+	if g.admission != nil { // counted here alone, since it takes a while
+		g.pressure.holders.Set(memory.AdmissionState, int64(g.admission.controller.StateBytes()))
+	}
 	held := g.memory.TotalPeak() + g.pressure.holders.TotalPeak()
 	attrs = append(attrs, g.holderAttrs()...)
 	g.memoryStats, g.pressure.shed = memoryStats{}, 0
--- a/internal/memory/holders.go
+++ b/internal/memory/holders.go
@@ -6,21 +6,23 @@
 
 // The holders.
 const (
-	Clients     Holder = iota // client connections
-	Requests                  // open requests and their attempts
-	EngineConns               // connections and dials to engines
-	Timers                    // pending timers
-	Effects                   // effects of the latest batch, without the bytes that they write
-	BatchOutput               // bytes written by the latest batch
-	FreeBuffers               // empty output buffers kept for reuse
-	ModuleState               // state of the decision module
-	HeldPages                 // first pages of results that wait for memory
+	Clients        Holder = iota // client connections
+	Requests                     // open requests and their attempts
+	EngineConns                  // connections and dials to engines
+	Timers                       // pending timers
+	Effects                      // effects of the latest batch, without the bytes that they write
+	BatchOutput                  // bytes written by the latest batch
+	FreeBuffers                  // empty output buffers kept for reuse
+	ModuleState                  // state of the decision module
+	AdmissionState               // state of admission control
+	HeldPages                    // first pages of results that wait for memory
 	holderCount
 )
 
 var holderNames = [...]string{
 	Clients: "clients", Requests: "requests", EngineConns: "engine_connections", Timers: "timers", Effects: "effects",
 	BatchOutput: "batch_output", FreeBuffers: "free_buffers", ModuleState: "module", HeldPages: "held_pages",
+	AdmissionState: "admission",
 }
 
 // String returns the name of the holder as logged.
