Show that a compaction breaks off the answers of stored results that are read

Clients leave, what they had stored is dropped, and the oldest segment is compacted. A read that waits meanwhile has the old place of its chunk, which no longer exists, and the client gets an error in the middle of its answer.

--- /dev/null
+++ b/review/reviewkit/compact.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"foxlane/internal/standin"
+)
+
+func init() { cases["compact"] = runCompact }
+
+// Sizes and times of the case compact. The results of blue begin in the oldest segment (32 MB). What red's clients
+// leave behind is more than an eighth of the disk and more than half of all bytes, so that segment is compacted.
+const (
+	compactSite = `spool {
+  folder = %q
+  disk   = "256MB"
+  memory = "8MB"
+  result = "32MB"
+  tenant = "192MB"
+}
+`
+	compactBlueResults    = 360
+	compactBlueBytes      = 80 << 10
+	compactBlueClients    = 24
+	compactRedClients     = 6
+	compactRedBytes       = 8 << 20
+	compactBytesPerSecond = 250 << 10   // of each link of red, so that no client reads its whole result
+	compactLeave          = time.Second // after the clients of red have begun to read, they leave
+	compactRounds         = 3           // how often new clients of red come
+	compactTimeout        = 20 * time.Second
+)
+
+// compactReads counts the answers that the clients of blue have read.
+type compactReads struct {
+	mu           sync.Mutex
+	whole, other int
+	example      string // what was wrong with the first answer that was not whole
+}
+
+// runCompact has clients of blue read their stored results again and again, while clients of red read large results
+// over slow links, and leave in the middle of them. An answer to a client of blue that is not whole breaks the rule.
+func runCompact(r *run) error {
+	if err := r.startEngines(2, serveByOwner); err != nil {
+		return err
+	}
+	g, err := r.startGateway("n0", fmt.Sprintf(compactSite, r.path("results")))
+	if err != nil {
+		return err
+	}
+	blue, err := storeResults(g, "blue", compactBlueResults, compactBlueBytes)
+	if err != nil {
+		return err
+	}
+	link, err := newSlowLink(g.listen, compactBytesPerSecond)
+	if err != nil {
+		return err
+	}
+	defer link.close()
+	r.note("stored %d results of blue", len(blue))
+	var reads compactReads
+	var clients sync.WaitGroup
+	end := make(chan struct{})
+	for range compactBlueClients {
+		clients.Go(func() { reads.readUntil(g, blue, end) })
+	}
+	red, err := r.readAndLeaveInRounds(link)
+	close(end)
+	clients.Wait()
+	closeAll(red)
+	if err != nil {
+		return err
+	}
+	r.note("blue: %d whole answers, %d others", reads.whole, reads.other)
+	if reads.other > 0 {
+		return fmt.Errorf("%w: %d answers were not whole; the first: %s", errBroken, reads.other, reads.example)
+	}
+	return nil
+}
+
+// readAndLeaveInRounds has clients of red read results over slow links, and returns them. With trouble all of them leave
+// before the next ones come.
+func (r *run) readAndLeaveInRounds(link *slowLink) (clients []*standin.Client, err error) {
+	for range compactRounds {
+		red, err := r.startSlowReads(link)
+		clients = append(clients, red...)
+		if err != nil {
+			return clients, err
+		}
+		r.note("%d clients of red read their results", len(red))
+		time.Sleep(compactLeave)
+		if r.trouble {
+			closeAll(red)
+			r.note("they left")
+			time.Sleep(compactLeave)
+		}
+	}
+	return clients, nil
+}
+
+// serveByOwner answers with a result of the size that the tables of the owner have.
+func serveByOwner(request standin.Request) standin.Reply {
+	if strings.Contains(request.Statement, ".blue_") {
+		return serveTables(compactBlueBytes)(request)
+	}
+	return serveTables(compactRedBytes)(request)
+}
+
+// startSlowReads starts clients of red one after the other, each once the one before has its first row.
+func (r *run) startSlowReads(link *slowLink) (clients []*standin.Client, err error) {
+	for i := range compactRedClients {
+		client, err := standin.Connect(link.addr(), netip.Addr{}, compactTimeout)
+		if err != nil {
+			return clients, err
+		}
+		clients = append(clients, client)
+		began := make(chan struct{})
+		begin := sync.OnceFunc(func() { close(began) })
+		go func() {
+			defer begin()
+			query := reportQuery("red", fmt.Sprintf("red_%d", i), compactTimeout, false)
+			_, _ = r.read(client, query, compactTimeout, begin) // only blue is judged
+		}()
+		<-began
+	}
+	return clients, nil
+}
+
+func closeAll(clients []*standin.Client) {
+	for _, client := range clients {
+		client.Close()
+	}
+}
+
+// readUntil reads stored results until the end.
+func (c *compactReads) readUntil(g *gateway, results []storedResult, end <-chan struct{}) {
+	for !closed(end) {
+		result := results[rand.IntN(len(results))]
+		got, err := g.ask(resumeQuery(result.owner, result.handle), compactTimeout)
+		if err == nil {
+			err = rowsDiffer(got.rows, result.rows)
+		}
+		c.add(result, err)
+	}
+}
+
+// closed reports whether a channel is closed.
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// add counts an answer.
+func (c *compactReads) add(result storedResult, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.whole++
+		return
+	}
+	if c.other++; c.other == 1 {
+		c.example = fmt.Sprintf("%s: %v", result.table, err)
+	}
+}
