End a run of the review's cases that takes too long or is told to end

A run kills the gateways that it has started after 110 s, on SIGTERM, SIGINT and SIGHUP, and exits with 2: the case could not run.

--- a/review/reviewkit/gateway.go
+++ b/review/reviewkit/gateway.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -21,7 +22,9 @@
 	name   string
 	listen string
 	starts int
-	cmd    *exec.Cmd
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd     // nil: none was started
 	exited chan struct{} // closed once the process has exited
 }
 
@@ -38,7 +41,7 @@
 		return nil, err
 	}
 	g := &gateway{run: r, name: name, listen: listen}
-	r.gateways = append(r.gateways, g)
+	r.addGateway(g)
 	if err := g.writeSite(site); err != nil {
 		return nil, err
 	}
@@ -92,7 +95,9 @@
 		return err
 	}
 	exited := make(chan struct{})
+	g.mu.Lock()
 	g.cmd, g.exited = cmd, exited
+	g.mu.Unlock()
 	go func() {
 		_ = cmd.Wait() // the cases judge exits by the exit code in ProcessState
 		close(exited)
@@ -120,9 +125,17 @@
 	return string(raw)
 }
 
+// process returns the current process and a channel that is closed once it has exited; nil: none was started.
+func (g *gateway) process() (*exec.Cmd, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cmd, g.exited
+}
+
 func (g *gateway) hasExited() bool {
+	_, exited := g.process()
 	select {
-	case <-g.exited:
+	case <-exited:
 		return true
 	default:
 		return false
@@ -131,18 +144,19 @@
 
 // signal sends a signal to the process, if it runs.
 func (g *gateway) signal(signal syscall.Signal) {
-	if g.cmd != nil && !g.hasExited() {
-		_ = g.cmd.Process.Signal(signal) // it may exit at the same time
+	if cmd, _ := g.process(); cmd != nil && !g.hasExited() {
+		_ = cmd.Process.Signal(signal) // it may exit at the same time
 	}
 }
 
 // kill kills the process and waits for its exit.
 func (g *gateway) kill() {
-	if g.cmd == nil {
+	cmd, exited := g.process()
+	if cmd == nil {
 		return
 	}
 	g.signal(syscall.SIGKILL)
-	<-g.exited
+	<-exited
 }
 
 // config returns the configuration: a small deployment in the form of example/config.json.
--- a/review/reviewkit/run.go
+++ b/review/reviewkit/run.go
@@ -5,8 +5,11 @@
 	"net"
 	"net/netip"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"foxlane/internal/standin"
@@ -37,9 +40,44 @@
 	}
 	r := &run{trouble: trouble, began: time.Now(), folder: folder, record: record}
 	r.note("trouble: %v", trouble)
+	go r.watch()
 	return r, nil
 }
 
+// maxRunTime bounds a run.
+const maxRunTime = 110 * time.Second
+
+// watch ends a run that takes too long, or that is told to end, with all processes that it has started.
+func (r *run) watch() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case received := <-signals:
+		r.note("not run: ended by %v", received)
+	case <-time.After(maxRunTime):
+		r.note("not run: took longer than %v", maxRunTime)
+	}
+	for _, g := range r.allGateways() {
+		g.signal(syscall.SIGKILL)
+	}
+	_ = os.RemoveAll(r.folder)
+	os.Exit(exitNotRun)
+}
+
+// addGateway adds a gateway to those that the run ends.
+func (r *run) addGateway(g *gateway) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gateways = append(r.gateways, g)
+}
+
+// allGateways returns the gateways that the run has.
+func (r *run) allGateways() []*gateway {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.gateways)
+}
+
 // note writes a line to the record and to standard output.
 func (r *run) note(format string, args ...any) { fmt.Print(r.trace(format, args...)) }
 
@@ -63,7 +101,7 @@
 
 // close ends everything that the run has started.
 func (r *run) close() {
-	for _, g := range r.gateways {
+	for _, g := range r.allGateways() {
 		g.kill()
 	}
 	for _, e := range r.engines {
