--- a/review/reviewkit/term.go
+++ b/review/reviewkit/term.go
@@ -44,7 +44,7 @@
 	took := time.Since(termAt)
 	want := resultRows("red_0", termResultBytes)
 	difference := firstDifference(got.rows, want)
-	r.note("read %d of %d rows until %v after SIGTERM: error %v", len(got.rows), len(want), took.Round(time.Millisecond), err)
+	r.note("read %d of %d rows until %v after the time for SIGTERM: error %v", len(got.rows), len(want), took.Round(time.Millisecond), err)
 	switch {
 	case termAt.IsZero():
 		return fmt.Errorf("the answer did not begin: %w", err)
