--- a/review/reviewkit/client.go
+++ b/review/reviewkit/client.go
@@ -17,9 +17,12 @@
 	rows   []string // the rows of the result, with a tab between columns
 }
 
+// connectTimeout is how long a client waits until it has logged in.
+const connectTimeout = 5 * time.Second
+
 // connect logs in to a gateway.
 func (g *gateway) connect() (*standin.Client, error) {
-	return standin.Connect(g.listen, netip.Addr{}, 5*time.Second)
+	return standin.Connect(g.listen, netip.Addr{}, connectTimeout)
 }
 
 // requestID returns a new request id.
@@ -79,12 +82,17 @@
 	return append(row, make([]string, max(0, 3-len(row)))...)
 }
 
-// ask connects, sends a statement and reads its whole answer.
+// ask connects to the gateway, sends a statement and reads its whole answer.
 func (g *gateway) ask(statement string, timeout time.Duration) (answer, error) {
-	client, err := g.connect()
+	return g.run.askAt(g.listen, statement, timeout)
+}
+
+// askAt connects to an address, sends a statement and reads its whole answer.
+func (r *run) askAt(address, statement string, timeout time.Duration) (answer, error) {
+	client, err := standin.Connect(address, netip.Addr{}, connectTimeout)
 	if err != nil {
 		return answer{}, err
 	}
 	defer client.Close()
-	return g.run.read(client, statement, timeout, nil)
+	return r.read(client, statement, timeout, nil)
 }
--- a/review/reviewkit/compact.go
+++ b/review/reviewkit/compact.go
@@ -24,15 +24,17 @@
   tenant = "192MB"
 }
 `
-	compactBlueResults    = 360
-	compactBlueBytes      = 80 << 10
-	compactBlueClients    = 24
-	compactRedClients     = 6
-	compactRedBytes       = 8 << 20
-	compactBytesPerSecond = 250 << 10   // of each link of red, so that no client reads its whole result
-	compactLeave          = time.Second // after the clients of red have begun to read, they leave
-	compactRounds         = 3           // how often new clients of red come
-	compactTimeout        = 20 * time.Second
+	compactBlueResults = 45
+	compactBlueBytes   = 640 << 10
+	compactBlueClients = 24
+	compactBlueRate    = 1 << 20 // bytes per second of each link of blue, so that a client reads a result for 0.6 s
+	compactRedClients  = 6
+	compactRedBytes    = 8 << 20
+	compactRedRate     = 250 << 10   // bytes per second of each link of red, so that no client reads its whole result
+	compactLeave       = time.Second // after the clients of red have begun to read, they leave
+	compactRounds      = 5           // how often new clients of red come
+	compactRedTimeout  = 8 * time.Second
+	compactBlueTimeout = 20 * time.Second
 )
 
 // compactReads counts the answers that the clients of blue have read.
@@ -58,19 +60,24 @@
 	if err != nil {
 		return err
 	}
-	link, err := newSlowLink(g.listen, compactBytesPerSecond)
+	blueLink, err := newSlowLink(g.listen, compactBlueRate)
 	if err != nil {
 		return err
 	}
-	defer link.close()
+	defer blueLink.close()
+	redLink, err := newSlowLink(g.listen, compactRedRate)
+	if err != nil {
+		return err
+	}
+	defer redLink.close()
 	r.note("stored %d results of blue", len(blue))
 	var reads compactReads
 	var clients sync.WaitGroup
 	end := make(chan struct{})
 	for range compactBlueClients {
-		clients.Go(func() { reads.readUntil(g, blue, end) })
+		clients.Go(func() { reads.readUntil(r, blueLink, blue, end) })
 	}
-	red, err := r.readAndLeaveInRounds(link)
+	red, err := r.readAndLeaveInRounds(redLink)
 	close(end)
 	clients.Wait()
 	closeAll(red)
@@ -118,7 +125,7 @@
 // startSlowReads starts clients of red one after the other, each once the one before has its first row.
 func (r *run) startSlowReads(link *slowLink) (clients []*standin.Client, err error) {
 	for i := range compactRedClients {
-		client, err := standin.Connect(link.addr(), netip.Addr{}, compactTimeout)
+		client, err := standin.Connect(link.addr(), netip.Addr{}, compactRedTimeout)
 		if err != nil {
 			return clients, err
 		}
@@ -127,8 +134,8 @@
 		begin := sync.OnceFunc(func() { close(began) })
 		go func() {
 			defer begin()
-			query := reportQuery("red", fmt.Sprintf("red_%d", i), compactTimeout, false)
-			_, _ = r.read(client, query, compactTimeout, begin) // only blue is judged
+			query := reportQuery("red", fmt.Sprintf("red_%d", i), compactRedTimeout, false)
+			_, _ = r.read(client, query, compactRedTimeout, begin) // only blue is judged
 		}()
 		<-began
 	}
@@ -141,11 +148,11 @@
 	}
 }
 
-// readUntil reads stored results until the end.
-func (c *compactReads) readUntil(g *gateway, results []storedResult, end <-chan struct{}) {
+// readUntil reads stored results over a link until the end.
+func (c *compactReads) readUntil(r *run, link *slowLink, results []storedResult, end <-chan struct{}) {
 	for !closed(end) {
 		result := results[rand.IntN(len(results))]
-		got, err := g.ask(resumeQuery(result.owner, result.handle), compactTimeout)
+		got, err := r.askAt(link.addr(), resumeQuery(result.owner, result.handle), compactBlueTimeout)
 		rows := len(got.rows)
 		if err == nil {
 			rows = max(rows, 1) // it ended as served, so missing rows are missed
--- a/review/reviewkit/link.go
+++ b/review/reviewkit/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"syscall"
@@ -18,6 +19,7 @@
 
 const (
 	linkReceiveBuffer = 32 << 10
+	linkSegmentBytes  = 1448 // as on Ethernet; with the 64 KB of a loopback address the gateway's system buffers megabytes
 	linkChunkBytes    = 8 << 10
 	linkDialTimeout   = 5 * time.Second
 )
@@ -48,22 +50,20 @@
 	}
 }
 
-// setReceiveBuffer limits what the system receives ahead on a connection that is about to be made.
-func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
-	var err error
+// limitBuffers limits what the systems of both sides hold of a connection that is about to be made.
+func limitBuffers(_, _ string, raw syscall.RawConn) error {
+	var bufferErr, segmentErr error
 	controlErr := raw.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, linkReceiveBuffer)
+		bufferErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, linkReceiveBuffer)
+		segmentErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, linkSegmentBytes)
 	})
-	if controlErr != nil {
-		return controlErr
-	}
-	return err
+	return errors.Join(controlErr, bufferErr, segmentErr)
 }
 
 // serve connects a client to the target until either side ends.
 func (l *slowLink) serve(client net.Conn) {
 	defer func() { _ = client.Close() }()
-	dialer := net.Dialer{Timeout: linkDialTimeout, Control: setReceiveBuffer}
+	dialer := net.Dialer{Timeout: linkDialTimeout, Control: limitBuffers}
 	server, err := dialer.DialContext(context.Background(), "tcp", l.target)
 	if err != nil {
 		return
