Name readers of stored results by numbers that are never used again

When a client left while its chunk was read from the disk, the reducer gave its reader number to the next client, and ChunkLoaded, which names the number and the index alone, was taken for the next client's.

Slots have a generation beside their index now, and readers are named by both, so an answer to a former reader finds none. Admission control's Admit is checked for a request that has ended in the same batch, as its Reject was.

TestChunkOfDepartedReaderIsDropped fails without the generation (all 750 rows are the former reader's). No test is changed but for the type of reader numbers and the name of the slot table's field.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -77,9 +77,9 @@
 		effects := control.controller.Handle(g.now, event)
 		switch event.Kind { // released first, since the effects may lead to a new allocation
 		case admission.ConnectionClosed:
-			control.conns.release(event.Conn)
+			control.conns.releaseIndex(event.Conn)
 		case admission.RequestDone:
-			control.requests.release(event.Slot)
+			control.requests.releaseIndex(event.Slot)
 		}
 		for _, effect := range effects {
 			g.runAdmissionEffect(effect)
@@ -91,18 +91,20 @@
 	control := g.admission
 	switch effect.Kind {
 	case admission.Admit:
-		g.handleRequestAdmitted(control.requests.entries[effect.Slot], effect.After)
+		if req := control.requests.at(effect.Slot); !req.answered { // its client may have been evicted by an earlier effect
+			g.handleRequestAdmitted(req, effect.After)
+		}
 	case admission.Reject:
-		if req := control.requests.entries[effect.Slot]; !req.answered {
+		if req := control.requests.at(effect.Slot); !req.answered {
 			req.endReason = EndAdmission
 			g.writeRejection(req, effect.After)
 		}
 	case admission.Evict:
-		if client := control.conns.entries[effect.Conn]; client != nil && !client.closed {
+		if client := control.conns.at(effect.Conn); client != nil && !client.closed {
 			g.evict(client, effect)
 		}
 	case admission.AbortInput:
-		if client := control.conns.entries[effect.Conn]; client != nil && !client.closed {
+		if client := control.conns.at(effect.Conn); client != nil && !client.closed {
 			g.closeOnProtocolError(client, 1, errUnfinishedInput)
 		}
 	case admission.SetTimer:
@@ -130,7 +132,7 @@
 
 // admitConn notifies the admission controller of a new connection. It reports whether the connection stays open.
 func (g *Gateway) admitConn(client *clientConn, from netip.Addr) bool {
-	client.admissionSlot = g.admission.conns.allocate(client)
+	client.admissionSlot = g.admission.conns.allocate(client).index()
 	g.notifyAdmission(admission.Event{Kind: admission.ConnectionOpened, Conn: client.admissionSlot, From: from})
 	return !client.closed
 }
@@ -142,7 +144,7 @@
 
 // requestAdmission submits a request to the admission controller.
 func (g *Gateway) requestAdmission(req *queryRequest, tenant string) {
-	req.admissionSlot = g.admission.requests.allocate(req)
+	req.admissionSlot = g.admission.requests.allocate(req).index()
 	arrival := req.pending
 	key := ""
 	if g.cfg.Settings.Rules.Classes[req.class].Ordered {
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -93,8 +93,8 @@
 	if stats.Delayed < 20 {
 		t.Errorf("only %d delayed: the test covers too little", stats.Delayed)
 	}
-	if stats.Queued != 0 || len(sim.g.admission.requests.free) != len(sim.g.admission.requests.entries)-len(sim.g.requests) {
-		t.Errorf("left in admission control: %+v, %d slots of %d free, %d requests", stats, len(sim.g.admission.requests.free), len(sim.g.admission.requests.entries), len(sim.g.requests))
+	if stats.Queued != 0 || len(sim.g.admission.requests.free) != len(sim.g.admission.requests.slots)-len(sim.g.requests) {
+		t.Errorf("left in admission control: %+v, %d slots of %d free, %d requests", stats, len(sim.g.admission.requests.free), len(sim.g.admission.requests.slots), len(sim.g.requests))
 	}
 }
 
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -151,7 +151,7 @@
 		t.Fatal("the unread clients are open: the test does not reach the case")
 	}
 	conns := &gw.g.admission.conns
-	if open := len(gw.g.clients); len(conns.free) != len(conns.entries)-open {
-		t.Errorf("%d of %d slots are free with %d clients", len(conns.free), len(conns.entries), open)
+	if open := len(gw.g.clients); len(conns.free) != len(conns.slots)-open {
+		t.Errorf("%d of %d slots are free with %d clients", len(conns.free), len(conns.slots), open)
 	}
 }
--- a/internal/gateway/resultread.go
+++ b/internal/gateway/resultread.go
@@ -17,7 +17,7 @@
 
 // resultReader is the state of a client that reads a stored result.
 type resultReader struct {
-	slot          int // index in resultStore.readers
+	slot          slotID // in resultStore.readers
 	id            spool.ID
 	nextSeq       byte // sequence number of the next packet
 	headerWritten bool // the column definitions were written
@@ -44,7 +44,7 @@
 func (g *Gateway) attachReader(client *clientConn, owner uint64, from int) {
 	reader := client.reader
 	reader.slot = g.results.readers.allocate(client)
-	g.notifySpool(spool.Attach{Reader: reader.slot, ID: reader.id, Secret: reader.handle.Secret(), Tenant: owner, Index: from})
+	g.notifySpool(spool.Attach{Reader: spool.ReaderID(reader.slot), ID: reader.id, Secret: reader.handle.Secret(), Tenant: owner, Index: from})
 }
 
 // resumeResult handles a client's command to read a stored result again or to release it.
@@ -57,7 +57,7 @@
 	client.reader = &resultReader{id: handle.ID, nextSeq: 1, resumable: true, handle: handle}
 	if resume.Release {
 		client.reader.slot = g.results.readers.allocate(client)
-		g.notifySpool(spool.Acknowledge{Reader: client.reader.slot, ID: handle.ID, Secret: handle.Secret(), Tenant: tenantKey(resume.Tenant)})
+		g.notifySpool(spool.Acknowledge{Reader: spool.ReaderID(client.reader.slot), ID: handle.ID, Secret: handle.Secret(), Tenant: tenantKey(resume.Tenant)})
 		return
 	}
 	g.attachReader(client, tenantKey(resume.Tenant), resume.FromChunk)
@@ -89,9 +89,9 @@
 	}
 	client.output = mysql.AppendEnd(client.output, reader.nextSeq)
 	if reader.resumable { // stored until the client acknowledges it or its lease ends
-		g.notifySpool(spool.Detach{Reader: reader.slot})
+		g.notifySpool(spool.Detach{Reader: spool.ReaderID(reader.slot)})
 	} else {
-		g.notifySpool(spool.NextChunk{Reader: reader.slot, Index: effect.Index + 1})
+		g.notifySpool(spool.NextChunk{Reader: spool.ReaderID(reader.slot), Index: effect.Index + 1})
 	}
 	g.removeReader(client)
 	g.handleClientIdle(client)
@@ -126,7 +126,7 @@
 // handleClientDrained requests the next chunk for a client whose connection has accepted the last one.
 func (g *Gateway) handleClientDrained(client *clientConn) {
 	if reader := client.reader; reader != nil && reader.headerWritten && !reader.complete {
-		g.notifySpool(spool.NextChunk{Reader: reader.slot, Index: reader.lastChunk + 1})
+		g.notifySpool(spool.NextChunk{Reader: spool.ReaderID(reader.slot), Index: reader.lastChunk + 1})
 	}
 }
 
@@ -146,7 +146,7 @@
 		return
 	}
 	g.removeReader(client)
-	g.notifySpool(spool.Detach{Reader: reader.slot})
+	g.notifySpool(spool.Detach{Reader: spool.ReaderID(reader.slot)})
 	if !reader.resumable {
 		g.notifySpool(spool.Release{ID: reader.id})
 	}
--- a/internal/gateway/resultstore.go
+++ b/internal/gateway/resultstore.go
@@ -76,19 +76,19 @@
 	case spool.SetTimer:
 		store.wakeAt = wakeTime(effect.At)
 	case spool.DeliverChunk:
-		if client := store.readers.entries[effect.Reader]; client != nil {
+		if client := store.readers.lookup(slotID(effect.Reader)); client != nil {
 			g.writeChunk(client, effect)
 		}
 	case spool.Acknowledged:
-		if client := store.readers.entries[effect.Reader]; client != nil {
+		if client := store.readers.lookup(slotID(effect.Reader)); client != nil {
 			g.confirmResultRelease(client)
 		}
 	case spool.Deny:
-		if client := store.readers.entries[effect.Reader]; client != nil {
+		if client := store.readers.lookup(slotID(effect.Reader)); client != nil {
 			g.denyResult(client)
 		}
 	case spool.AbortRead:
-		if client := store.readers.entries[effect.Reader]; client != nil {
+		if client := store.readers.lookup(slotID(effect.Reader)); client != nil {
 			g.abortReader(client, effect.Reason)
 		}
 	case spool.FillEffect:
--- a/internal/gateway/resultstore_test.go
+++ b/internal/gateway/resultstore_test.go
@@ -492,3 +492,50 @@
 		t.Error("a command was accepted while a result was being read")
 	}
 }
+
+// Guards against foreign rows: a client that reads its result got a chunk that was loaded for a client that has left, whose
+// place among the readers it has.
+func TestChunkOfDepartedReaderIsDropped(t *testing.T) {
+	gw := newSpoolGateway(t, diskSpoolSite)
+	store := func(client ConnID, id string) (handle string, rows []string) {
+		gw.login(client)
+		gw.serveEngine(gw.startResult(client, "point", id, ",spool=1", 30))
+		all, _ := gw.readRows(client, 1000)
+		rows, handle, _ = splitRows(t, all)
+		return handle, rows
+	}
+	departing, _ := store(1, idA)
+	staying, want := store(2, idB)
+	for i := range want { // the pages of all results of the fake engine are the same
+		want[i] = strings.Replace(want[i], "field", "other", 1)
+	}
+	for i := range gw.records[len(gw.records)/2:] {
+		record := &gw.records[len(gw.records)/2+i]
+		*record = bytes.ReplaceAll(*record, []byte("field"), []byte("other"))
+	}
+	gw.diskPaused = true
+	gw.receiveData(1, string(queryPacket(fmt.Sprintf("/* resume=%s */ FETCH", departing))))
+	gw.stepWithDisk(ConnectionClosed{Conn: 1})
+	gw.receiveData(2, string(queryPacket(fmt.Sprintf("/* resume=%s */ FETCH", staying))))
+	gw.diskPaused = false
+	gw.stepWithDisk(TimerFired{}) // both chunks are loaded now
+	rows, end := gw.readRows(2, 1000)
+	if got, _, _ := splitRows(t, rows); end != "end" || !slices.Equal(got, want) {
+		t.Errorf("%s: %d rows of %d, the first %.30q", end, len(got), len(want), got[0])
+	}
+}
+
+// Guards against a slot's entry being taken for an earlier one of the same slot.
+func TestSlotIDsAreNotUsedAgain(t *testing.T) {
+	table := newSlotTable[int](2)
+	former, next := new(int), new(int)
+	formerID := table.allocate(former)
+	table.release(formerID)
+	nextID := table.allocate(next)
+	if nextID.index() != formerID.index() || nextID == formerID {
+		t.Fatalf("slot %d (%x) followed slot %d (%x)", nextID.index(), nextID, formerID.index(), formerID)
+	}
+	if table.lookup(formerID) != nil || table.lookup(nextID) != next || table.at(nextID.index()) != next {
+		t.Error("the ID of a freed slot was taken for that of the next entry, or the next entry was not found")
+	}
+}
--- a/internal/spool/effect.go
+++ b/internal/spool/effect.go
@@ -62,7 +62,7 @@
 
 // LoadChunk reads a chunk from the disk for a reader. ChunkLoaded answers it.
 type LoadChunk struct {
-	Reader   int
+	Reader   ReaderID
 	ID       ID
 	Index    int
 	Location Location
@@ -76,21 +76,21 @@
 
 // DeliverChunk delivers chunk Index to a reader. End is the number of chunks of the result.
 type DeliverChunk struct {
-	Reader     int
+	Reader     ReaderID
 	Index, End int
 	Data       []byte
 	Last       bool // this is the last chunk
 }
 
 // Acknowledged reports that the result named in a reader's Acknowledge has been removed.
-type Acknowledged struct{ Reader int }
+type Acknowledged struct{ Reader ReaderID }
 
 // Deny rejects a reader without a reason.
-type Deny struct{ Reader int }
+type Deny struct{ Reader ReaderID }
 
 // AbortRead ends a read because the result was lost or removed, or a chunk could not be read.
 type AbortRead struct {
-	Reader int
+	Reader ReaderID
 	Reason Reason
 }
 
--- a/internal/spool/event.go
+++ b/internal/spool/event.go
@@ -21,6 +21,10 @@
 	Size    int32 // size of the whole record; 0: the record is not stored
 }
 
+// ReaderID identifies a reader. A later reader must not have the ID of an earlier one: a chunk that was requested for a
+// reader may be loaded after that reader has left.
+type ReaderID uint64
+
 // Event is an input of a Store. An event about a result or a reader that no longer exists has no effect.
 type Event interface{ event() }
 
@@ -64,7 +68,7 @@
 // Attach reports that a reader requests a result, starting at chunk Index. DeliverChunk, Deny or AbortRead answers it.
 // DeliverChunk is emitted only after the result is complete.
 type Attach struct {
-	Reader int
+	Reader ReaderID
 	ID     ID
 	Secret Secret
 	Tenant uint64
@@ -73,13 +77,13 @@
 
 // NextChunk reports that a reader has read all chunks before Index and requests chunk Index.
 type NextChunk struct {
-	Reader int
+	Reader ReaderID
 	Index  int
 }
 
 // ChunkLoaded answers a LoadChunk.
 type ChunkLoaded struct {
-	Reader  int
+	Reader  ReaderID
 	Index   int
 	Data    []byte // nil if Failed
 	Failed  bool   // the chunk could not be read
@@ -87,11 +91,11 @@
 }
 
 // Detach reports that a reader has disconnected.
-type Detach struct{ Reader int }
+type Detach struct{ Reader ReaderID }
 
 // Acknowledge reports that a client no longer needs a result. Acknowledged or Deny answers it.
 type Acknowledge struct {
-	Reader int
+	Reader ReaderID
 	ID     ID
 	Secret Secret
 	Tenant uint64
--- a/internal/spool/read.go
+++ b/internal/spool/read.go
@@ -31,7 +31,7 @@
 }
 
 // denyReader rejects a reader. It gives no reason, so that unknown, foreign, expired and failed results look the same.
-func (s *Store) denyReader(reader int) {
+func (s *Store) denyReader(reader ReaderID) {
 	s.stats.Denied++
 	s.emit(Deny{Reader: reader})
 }
@@ -86,31 +86,31 @@
 }
 
 // serveReader delivers the chunk that a reader waits for, or requests it from the disk.
-func (s *Store) serveReader(number int) {
-	rd := s.readers[number]
+func (s *Store) serveReader(id ReaderID) {
+	rd := s.readers[id]
 	r := rd.result
 	if !rd.waiting || rd.loading || r.state != completed {
 		return // complete serves the readers of a result that is not completed yet
 	}
 	if rd.index >= len(r.chunks) { // requested before the number of chunks was known
-		s.detach(number)
-		s.denyReader(number)
+		s.detach(id)
+		s.denyReader(id)
 		return
 	}
 	c := &r.chunks[rd.index]
 	if c.data == nil {
 		rd.loading = true
-		s.emit(LoadChunk{Reader: number, ID: r.id, Index: rd.index, Location: c.location})
+		s.emit(LoadChunk{Reader: id, ID: r.id, Index: rd.index, Location: c.location})
 		return
 	}
-	s.deliver(number, rd, c.data)
+	s.deliver(id, rd, c.data)
 }
 
-func (s *Store) deliver(number int, rd *reader, data []byte) {
+func (s *Store) deliver(id ReaderID, rd *reader, data []byte) {
 	rd.waiting = false
 	s.stats.Delivered++
 	chunks := len(rd.result.chunks)
-	s.emit(DeliverChunk{Reader: number, Index: rd.index, End: chunks, Data: data, Last: rd.index == chunks-1})
+	s.emit(DeliverChunk{Reader: id, Index: rd.index, End: chunks, Data: data, Last: rd.index == chunks-1})
 }
 
 // serveWaitingReaders serves all readers of a result that are waiting for a chunk.
@@ -118,21 +118,21 @@
 	if r.readerCount == 0 {
 		return
 	}
-	for _, number := range s.readersOf(r, func(rd *reader) bool { return rd.waiting }) {
-		s.serveReader(number)
+	for _, id := range s.readersOf(r, func(rd *reader) bool { return rd.waiting }) {
+		s.serveReader(id)
 	}
 }
 
 // readersOf returns the matching readers of a result, sorted so that the order of effects is deterministic.
-func (s *Store) readersOf(r *result, matches func(*reader) bool) []int {
-	var numbers []int
-	for number, rd := range s.readers {
+func (s *Store) readersOf(r *result, matches func(*reader) bool) []ReaderID {
+	var ids []ReaderID
+	for id, rd := range s.readers {
 		if rd.result == r && matches(rd) {
-			numbers = append(numbers, number)
+			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(numbers, cmp.Compare[int])
-	return numbers
+	slices.SortFunc(ids, cmp.Compare[ReaderID])
+	return ids
 }
 
 func (s *Store) handleChunkLoaded(e ChunkLoaded) {
@@ -154,9 +154,9 @@
 	}
 }
 
-func (s *Store) detach(number int) {
-	if rd := s.readers[number]; rd != nil {
+func (s *Store) detach(id ReaderID) {
+	if rd := s.readers[id]; rd != nil {
 		rd.result.readerCount--
-		delete(s.readers, number)
+		delete(s.readers, id)
 	}
 }
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -305,7 +305,7 @@
 func TestStoreInvariants(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		ts := newTestStore(rt, budget())
-		n, readers := 0, 0
+		n, readers := 0, ReaderID(0)
 		var ids []int
 		pick := func(what string) (int, ID) {
 			number := rapid.SampledFrom(ids).Draw(rt, what)
@@ -341,7 +341,7 @@
 					}
 				}
 			case op == 10 && readers > 0:
-				number := rapid.IntRange(1, readers).Draw(rt, "detached")
+				number := ReaderID(rapid.IntRange(1, int(readers)).Draw(rt, "detached"))
 				delete(ts.readers, number)
 				ts.handle(Detach{Reader: number})
 			case op == 11:
--- a/internal/spool/store.go
+++ b/internal/spool/store.go
@@ -78,8 +78,8 @@
 	now            rules.Time
 	effects        []Effect
 	results        map[ID]*result
-	readers        map[int]*reader  // by reader number
-	tenantBytes    map[uint64]int64 // stored and reserved bytes by tenant
+	readers        map[ReaderID]*reader // by reader ID
+	tenantBytes    map[uint64]int64     // stored and reserved bytes by tenant
 	leases         leaseHeap
 	diskBytes      int64 // stored and reserved bytes of all tenants
 	memoryBytes    int64 // bytes held in memory
@@ -101,7 +101,7 @@
 // New returns an empty Store. The seed selects the hash function that maps statement shapes to slots of the size
 // estimator.
 func New(budget Budget, seed uint64) *Store {
-	return &Store{budget: budget, results: map[ID]*result{}, readers: map[int]*reader{}, tenantBytes: map[uint64]int64{},
+	return &Store{budget: budget, results: map[ID]*result{}, readers: map[ReaderID]*reader{}, tenantBytes: map[uint64]int64{},
 		sizes: newSizeEstimator(budget, seed)}
 }
 
@@ -248,9 +248,9 @@
 		s.emit(WriteRecord{ID: r.id, Record: segment.Drop})
 		s.emit(DiscardRecords{ID: r.id, Locations: locations})
 	}
-	for _, number := range s.readersOf(r, func(*reader) bool { return true }) {
-		delete(s.readers, number)
-		s.emit(AbortRead{Reader: number, Reason: reason})
+	for _, id := range s.readersOf(r, func(*reader) bool { return true }) {
+		delete(s.readers, id)
+		s.emit(AbortRead{Reader: id, Reason: reason})
 	}
 }
 
--- a/internal/spool/teststore_test.go
+++ b/internal/spool/teststore_test.go
@@ -21,12 +21,12 @@
 	enginePages  map[ID][][]byte
 	requested    map[ID]int // number of pages requested from the engine so far
 	states       map[ID]string
-	readers      map[int]*testReader
+	readers      map[ReaderID]*testReader
 	timerAt      rules.Time
 	diskFails    bool // reads and writes of the disk fail
 	diskCorrupts bool // reads return bytes that differ from those written
-	denied       []int
-	aborted      []int
+	denied       []ReaderID
+	aborted      []ReaderID
 	reasons      map[ID]Reason
 	retryAfter   map[ID]rules.Time
 	discarded    []Location
@@ -45,7 +45,7 @@
 		t.Fatal(err)
 	}
 	return &testStore{t: t, store: New(b, 1), now: rules.Second, disk: map[int64][]byte{}, enginePages: map[ID][][]byte{}, requested: map[ID]int{},
-		states: map[ID]string{}, readers: map[int]*testReader{}, reasons: map[ID]Reason{}, retryAfter: map[ID]rules.Time{}}
+		states: map[ID]string{}, readers: map[ReaderID]*testReader{}, reasons: map[ID]Reason{}, retryAfter: map[ID]rules.Time{}}
 }
 
 func (ts *testStore) handle(e Event) {
@@ -199,13 +199,13 @@
 	}
 }
 
-func (ts *testStore) attach(reader int, resultID ID, number int, from int) {
+func (ts *testStore) attach(reader ReaderID, resultID ID, number int, from int) {
 	ts.readers[reader] = &testReader{id: resultID, next: from, waiting: true}
 	ts.handle(Attach{Reader: reader, ID: resultID, Secret: secret(number), Tenant: uint64(number%2 + 1), Index: from})
 }
 
 // readAll reads to the last chunk and returns all bytes, or nil if the read was denied or aborted.
-func (ts *testStore) readAll(reader int) []byte {
+func (ts *testStore) readAll(reader ReaderID) []byte {
 	for {
 		ts.runDisk()
 		r := ts.readers[reader]
