Number control connections on when a reload starts a new control server

After two reloads that take the block members out and in, the answer to a directive that had waited for a quorum could be printed by a later command: each control server numbered its connections from 1, and ControlResponse names the number alone. The count is the process's now, so a late answer names a connection that no server has. TestLateControlResponseReachesNoLaterCommand fails with numbers that begin anew (it reads {"index":7}).

--- a/internal/transport/control.go
+++ b/internal/transport/control.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,18 +31,21 @@
 	log      *zap.Logger
 	workers  sync.WaitGroup
 
-	mu       sync.Mutex
-	conns    map[gateway.ConnID]net.Conn // connections without a complete response
-	lastConn gateway.ConnID
-	closed   bool
+	lastConn *atomic.Uint64 // number of the last connection, of this server or an earlier one
+
+	mu     sync.Mutex
+	conns  map[gateway.ConnID]net.Conn // connections without a complete response
+	closed bool
 }
 
-func startControl(addr netip.AddrPort, queue *eventQueue, log *zap.Logger) (*controlServer, error) {
+// startControl starts a control server. It numbers connections from lastConn on, which outlives it: a reload may replace
+// the server while the reducer still has a response to a command that came to the former one.
+func startControl(addr netip.AddrPort, queue *eventQueue, log *zap.Logger, lastConn *atomic.Uint64) (*controlServer, error) {
 	listener, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return nil, err
 	}
-	c := &controlServer{listener: listener, queue: queue, log: log, conns: map[gateway.ConnID]net.Conn{}}
+	c := &controlServer{listener: listener, queue: queue, log: log, lastConn: lastConn, conns: map[gateway.ConnID]net.Conn{}}
 	c.workers.Go(c.accept)
 	return c, nil
 }
@@ -92,9 +96,9 @@
 	if c.closed || len(c.conns) >= maxControlConns {
 		return 0, false
 	}
-	c.lastConn++
-	c.conns[c.lastConn] = conn
-	return c.lastConn, true
+	id = gateway.ConnID(c.lastConn.Add(1))
+	c.conns[id] = conn
+	return id, true
 }
 
 // readRequest reads a request and passes it to the reducer. The connection stays open for the response.
--- a/internal/transport/control_test.go
+++ b/internal/transport/control_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,7 +20,13 @@
 // sends a line.
 func newTestControlServer(t *testing.T) (*controlServer, func(line string) (net.Conn, *bufio.Reader)) {
 	t.Helper()
-	c, err := startControl(netip.MustParseAddrPort(freeAddress(t)), newEventQueue(config.Limits{EventQueueBytes: 1 << 20}), zap.NewNop())
+	return newTestControlServerAfter(t, new(atomic.Uint64))
+}
+
+// newTestControlServerAfter is like newTestControlServer, for a server that follows one that numbered connections up to lastConn.
+func newTestControlServerAfter(t *testing.T, lastConn *atomic.Uint64) (*controlServer, func(line string) (net.Conn, *bufio.Reader)) {
+	t.Helper()
+	c, err := startControl(netip.MustParseAddrPort(freeAddress(t)), newEventQueue(config.Limits{EventQueueBytes: 1 << 20}), zap.NewNop(), lastConn)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -122,3 +129,22 @@
 		}
 	}
 }
+
+// Guards against a command that gets the response to another one: after a reload has replaced the control server, a
+// response to a command of the former server must not reach a connection of the new one.
+func TestLateControlResponseReachesNoLaterCommand(t *testing.T) {
+	lastConn := new(atomic.Uint64)
+	former, dial := newTestControlServerAfter(t, lastConn)
+	dial("{\"kind\":\"drain\"}\n")
+	late := former.takeRequest(t)
+	former.stop()
+	former.wait()
+	next, dial := newTestControlServerAfter(t, lastConn)
+	_, in := dial("members\n")
+	request := next.takeRequest(t)
+	next.respond(gateway.ControlResponse{Conn: late.Conn, Data: []byte("{\"index\":7}\n")})
+	next.respond(gateway.ControlResponse{Conn: request.Conn, Data: []byte("[]\n")})
+	if line, err := in.ReadString('\n'); err != nil || line != "[]\n" {
+		t.Errorf("the command got %q, %v", line, err)
+	}
+}
--- a/internal/transport/members.go
+++ b/internal/transport/members.go
@@ -72,7 +72,7 @@
 		return err
 	}
 	if memberCfg.Control.IsValid() {
-		if m.control, err = startControl(memberCfg.Control, s.queue, s.log); err != nil {
+		if m.control, err = startControl(memberCfg.Control, s.queue, s.log, &s.lastControlConn); err != nil {
 			m.members.Close()
 			return err
 		}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -73,6 +73,7 @@
 	rejoin             <-chan time.Time // fires when a failed join is to be retried
 	closingMemberships atomic.Int64     // memberships that leaveMembers is still closing
 	leaveWorkers       sync.WaitGroup   // goroutines that close memberships
+	lastControlConn    atomic.Uint64    // number of the last control connection
 }
 
 // Signals are the signals to the process. Each kind has its own channel, so that one kind can't displace another.
