Do not run an unsafe query again when its ID comes again after its client has left

A request was forgotten when it ended, and engines know it by the ID that its client chose. When the ID came again, a query that must not run twice ran twice, and a late answer to the first one was passed on as the answer to the second.

The reducer now remembers the latest requests that engines got, one for each 16 KB of memory: whether they may have run, and on which connections. An unsafe one fails with error 1105, others are served on a connection that did not carry the ID.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -28,6 +28,7 @@
 	ClientSendBuffer       int        // bytes buffered for a client that does not read
 	MaxInputBytes          int        // statements of all open requests; the same bound holds for all incomplete packets
 	MaxRequests            int        // open requests
+	FormerRequests         int        // requests that were sent to engines and have ended, remembered by ID
 	LoginTimeout           rules.Time // from connecting to the first command, and from a packet's first byte to its last
 	ClientIdleTimeout      rules.Time // without a request, until the connection is closed
 	MaxSessionErrors       int        // invalid commands of a session until it is closed
@@ -75,6 +76,9 @@
 	FlushTimeout       rules.Time // for sending the last bytes of a connection, and for the peer to close it
 }
 
+// formerRequestShare is how many bytes of the process's memory there are for each former request, of some 150 bytes.
+const formerRequestShare = 16 << 10
+
 const (
 	bytesPerMB          = 1 << 20
 	minMemoryMB         = 32
@@ -146,6 +150,7 @@
 	l.MaxStatementBytes = 64 << 10 // observed statements have a few hundred bytes
 	l.ClientSendBuffer = 128 << 10 // two results
 	l.MaxRequests = l.connectionDescriptors() / 2
+	l.FormerRequests = int(memory / formerRequestShare)
 	l.LoginTimeout = 2200 * rules.Millisecond
 	l.ClientIdleTimeout = 4600 * rules.Millisecond // clients keep idle connections for 4 s
 	l.MaxSessionErrors = 16
--- a/internal/gateway/engineconn.go
+++ b/internal/gateway/engineconn.go
@@ -35,11 +35,12 @@
 // load returns the number of attempts and probes that the connection carries.
 func (c *engineConn) load() int { return len(c.waiting) + len(c.inFlight) + len(c.probes) }
 
-// hadAttemptOf reports whether a request had an attempt on the connection. It must not have another one there:
-// answers identify only the request, so a late answer to the first attempt could be mistaken for an answer to
-// the second.
+// hadAttemptOf reports whether a request, or an earlier one with its ID, had an attempt on the connection. It must not
+// have another one there: answers identify only the request, so a late answer to the first attempt could be mistaken for
+// an answer to the second.
 func (c *engineConn) hadAttemptOf(req *queryRequest) bool {
-	return req != nil && slices.ContainsFunc(req.attempts, func(attempt *engineAttempt) bool { return attempt.conn == c })
+	return req != nil && (req.formerConns.contain(c.id) ||
+		slices.ContainsFunc(req.attempts, func(attempt *engineAttempt) bool { return attempt.conn == c }))
 }
 
 // connUsable reports whether a connection may carry a request, or a probe if req is nil. The connection may still be
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	lastSession uint32    // last session ID assigned
 
 	requests   map[rules.RequestID]*queryRequest
+	former     formerRequests
 	unanswered int
 	classIndex map[string]int
 	pageQueue  []*engineAttempt // attempts waiting for memory for their pages
@@ -102,6 +103,7 @@
 		clients:             map[ConnID]*clientConn{},
 		sessions:            map[uint32]*clientConn{},
 		requests:            map[rules.RequestID]*queryRequest{},
+		former:              newFormerRequests(cfg.Limits.FormerRequests),
 		classIndex:          map[string]int{},
 		engines:             map[rules.EngineID]*engineState{},
 		engineConns:         map[ConnID]*engineConn{},
--- a/internal/gateway/memorypressure.go
+++ b/internal/gateway/memorypressure.go
@@ -126,6 +126,7 @@
 	clientBytes     = 3 << 10
 	requestBytes    = 1400
 	attemptBytes    = 500
+	formerBytes     = 150 // of a request that is remembered after its end
 	engineConnBytes = 5 << 10
 	timerBytes      = 150 // with its token, at a heap that is half full
 	effectBytes     = 100
@@ -135,7 +136,7 @@
 func (g *Gateway) updateHolders() {
 	h := &g.pressure.holders
 	h.Set(memory.Clients, int64(len(g.clients)*clientBytes))
-	h.Set(memory.Requests, int64(len(g.requests)*requestBytes+g.pressure.attempts*attemptBytes))
+	h.Set(memory.Requests, int64(len(g.requests)*requestBytes+g.pressure.attempts*attemptBytes+len(g.former.ids)*formerBytes))
 	h.Set(memory.EngineConns, int64(len(g.engineConns)*engineConnBytes))
 	h.Set(memory.Timers, int64(cap(g.timers.heap)*timerBytes))
 	h.Set(memory.Effects, int64(len(g.effects.list)*effectBytes))
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -38,7 +38,8 @@
 	idempotencyKey string     // lets engines recognise retries
 	answered       bool       // the final answer was sent, or none is due any more
 	attempts       []*engineAttempt
-	inFlight       int // number of attempts that have not ended
+	inFlight       int         // number of attempts that have not ended
+	formerConns    formerConns // must not be used: late answers to earlier requests with this ID may arrive there
 	memoryMB       int64
 	priority       int
 }
@@ -107,9 +108,17 @@
 	if g.requests[rules.RequestID(fields.ID)] != nil {
 		return 0, 0, &mysql.Error{Code: mysql.CodeUnknownError, Text: "a request with this id is open"}
 	}
+	if g.former.unsafeToRun(rules.RequestID(fields.ID), g.classIdempotent(class)) {
+		return 0, 0, &mysql.Error{Code: mysql.CodeUnknownError, Text: "a request with this id may have run"}
+	}
 	return class, tenant, nil
 }
 
+// classIdempotent reports whether requests of a class may run more than once.
+func (g *Gateway) classIdempotent(class int) bool {
+	return g.cfg.Settings.Rules.Classes[class].Idempotency == rules.Idempotent
+}
+
 // clientTimeout returns how long a client waits for its answer.
 func clientTimeout(query *mysql.Query) rules.Time {
 	return rules.Time(query.Fields.TimeoutMS) * rules.Millisecond
@@ -138,6 +147,7 @@
 		keptBytes:      queryBytes(query),
 		idempotencyKey: query.Fields.IdempotencyKey,
 		priority:       engine.DefaultPriority,
+		formerConns:    g.former.connsOf(rules.RequestID(query.Fields.ID)),
 	}
 	g.checkStart(req)
 	if g.cfg.Trace {
@@ -211,6 +221,7 @@
 func (g *Gateway) releaseRequest(req *queryRequest) {
 	if req.answered && req.inFlight == 0 && g.requests[req.id] == req {
 		delete(g.requests, req.id)
+		g.former.add(req, g.classIdempotent(req.class))
 		g.pressure.attempts -= len(req.attempts)
 		g.notifyAdmission(admission.Event{Kind: admission.RequestDone, Slot: req.admissionSlot, Served: req.served})
 	}
--- a/internal/gateway/resultfill.go
+++ b/internal/gateway/resultfill.go
@@ -126,7 +126,7 @@
 		attempt.notEngineFault = true
 		g.abandonAttempt(attempt, rules.StatusCancelled)
 	}
-	if idempotent := g.cfg.Settings.Rules.Classes[req.class].Idempotency == rules.Idempotent; idempotent && reason != spool.ReasonTooLarge {
+	if g.classIdempotent(req.class) && reason != spool.ReasonTooLarge {
 		g.writeRejection(req, 0)
 	} else {
 		req.stats.failed++
