--- a/internal/gateway/formerrequests.go
+++ b/internal/gateway/formerrequests.go
@@ -72,7 +72,7 @@
 // unsafeToRun reports whether a new request with an ID could repeat the effect of an earlier one.
 func (f *formerRequests) unsafeToRun(id rules.RequestID, idempotent bool) bool {
 	earlier := f.byID[id]
-	return earlier != nil && earlier.mayHaveRun && !(idempotent && earlier.idempotent)
+	return earlier != nil && earlier.mayHaveRun && (!idempotent || !earlier.idempotent)
 }
 
 // connsOf returns the connections that carried earlier requests with an ID.
