Handle a full event queue at once rather than at the end of the interval between batches

Beside 450 clients that stop half way through a request of 60 KB, answers to a client at the same gateway took 0.20 s instead of 0.02 s, while the gateway used half of its core. Each time that the event queue was full, all reading stopped until the 2 ms between two batches were over: the poller needs some 50 batches to read such a crowd once, in both directions.

A goroutine that waits for room in the queue now ends the interval, unless memory is short and the queue is limited for it. TestFullQueueEndsTheIntervalBetweenBatches fails without the signal.

--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -88,9 +88,14 @@
 // queryWith returns the packet of a valid query with further fields, which begin with a comma, and a statement of about
 // the given size.
 func (c *Client) queryWith(fields string, size int) []byte {
-	text := fmt.Sprintf("/* kind=point,req=%s,timeout=%d,ms=%d%s */ SELECT day FROM sales_17.orders WHERE tag = '%s'", c.crowd.NextID(),
-		c.crowd.Timeout.Milliseconds(), workMS, fields, strings.Repeat("x", size))
-	return packet(0, append([]byte{3}, text...))
+	return c.queryOf("sales_17", fields, size)
+}
+
+// queryOf is like queryWith, for a table of the given schema.
+func (c *Client) queryOf(schema, fields string, size int) []byte {
+	text := fmt.Sprintf("/* kind=point,req=%s,timeout=%d,ms=%d%s */ SELECT day FROM %s.orders WHERE tag = '%s'", c.crowd.NextID(),
+		c.crowd.Timeout.Milliseconds(), workMS, fields, schema, strings.Repeat("x", size))
+	return commandPacket(comQuery, text)
 }
 
 // write writes p within ioTimeout.
@@ -187,7 +192,7 @@
 
 // SendPings sends pings in large batches and never reads the answers.
 func SendPings(ctx context.Context, c *Client) error {
-	batch := []byte(strings.Repeat(string(packet(0, []byte{0x0e})), 4000))
+	batch := []byte(strings.Repeat(string(commandPacket(comPing, "")), 4000))
 	for pause(ctx, time.Millisecond) {
 		if err := c.write(batch); err != nil {
 			return err
--- a/internal/transport/backpressure_test.go
+++ b/internal/transport/backpressure_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"foxlane/internal/config"
 	"foxlane/internal/standin"
 )
 
@@ -139,3 +140,37 @@
 		})
 	}
 }
+
+// Guards against late answers beside clients that send much: a full event queue stopped all reading until the interval
+// between batches was over, so that some hundred clients with packets of 30 KB delayed all others by 0.2 s.
+func TestFullQueueEndsTheIntervalBetweenBatches(t *testing.T) {
+	const queueBytes, long, short = 1 << 10, 10 * time.Second, 50 * time.Millisecond
+	for _, limited := range []bool{false, true} {
+		queue := newEventQueue(config.Limits{EventQueueBytes: queueBytes})
+		wait := long
+		if limited { // memory is short: input is to be taken slowly
+			queue.setMaxBytes(queueBytes / 4)
+			wait = short
+		}
+		var reader sync.WaitGroup
+		reader.Go(func() {
+			for range 2 {
+				queue.enqueueReceived(1, make([]byte, 2*queueBytes))
+			}
+		})
+		began := time.Now()
+		queue.awaitFull(wait)
+		switch took := time.Since(began); {
+		case !limited && took > long/2:
+			t.Errorf("the batch waited for %v though the queue was full", took)
+		case limited && took < short:
+			t.Errorf("the batch waited for %v only, with a limited queue", took)
+		}
+		queue.drain(nil, nil)
+		reader.Wait()
+		began = time.Now()
+		if queue.awaitFull(short); time.Since(began) < short {
+			t.Errorf("a signal was left over after the queue was drained")
+		}
+	}
+}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -12,7 +12,8 @@
 
 // pacer keeps a minimum interval between iterations of the reducer loop, as the simulator does between its batches.
 // Events that arrive within the interval are handled, and their output written, together, which saves system calls
-// and wakeups on both sides. Under low load nothing is delayed.
+// and wakeups on both sides. Under low load nothing is delayed, and neither is a batch that fills the queue: all
+// connections would wait for it.
 type pacer struct{ interval, last rules.Time }
 
 // delay returns how long to wait before the next iteration; zero or less means not at all.
@@ -119,7 +120,7 @@
 // stepQueued waits out the pacer's interval, then passes the queued events to the reducer.
 func (l *reducerLoop) stepQueued() {
 	if delay := l.pacer.delay(l.now()); delay > 0 {
-		time.Sleep(time.Duration(delay) * time.Microsecond)
+		l.queue.awaitFull(time.Duration(delay) * time.Microsecond)
 	}
 	if age := l.queue.oldestAge(); age >= slowThreshold {
 		l.log.Warn("events waited for the reducer", zap.Int64("ms", age.Milliseconds()))
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -40,13 +40,15 @@
 	peakBytes   int           // highest queuedBytes since takePeak
 	arenaBytes  int           // capacity of the arena
 	maxBytes    int           // if more bytes are queued, adding bytes blocks, which stops reading from sockets
+	usualBytes  int           // maxBytes, unless the reducer has limited it
 	ready       chan struct{} // signals that there may be events to take
+	full        chan struct{} // signals that a goroutine waits for room, unless the reducer has limited maxBytes
 	closed      bool
 	oldestAt    time.Time // when the oldest event was added
 }
 
 func newEventQueue(l config.Limits) *eventQueue {
-	q := &eventQueue{ready: make(chan struct{}, 1), maxBytes: l.EventQueueBytes,
+	q := &eventQueue{ready: make(chan struct{}, 1), full: make(chan struct{}, 1), maxBytes: l.EventQueueBytes, usualBytes: l.EventQueueBytes,
 		arenaBytes: l.EventQueueBytes + maxEventBytes}
 	q.notFull.L = &q.mu
 	return q
@@ -82,6 +84,9 @@
 		return data
 	}
 	for q.queuedBytes > q.maxBytes && !q.closed {
+		if q.maxBytes >= q.usualBytes {
+			notify(q.full)
+		}
 		q.notFull.Wait()
 	}
 	if q.arena == nil {
@@ -111,15 +116,28 @@
 }
 
 // signal makes the reducer's goroutine look at the queue. It returns false if a signal was already pending.
-func (q *eventQueue) signal() bool {
+func (q *eventQueue) signal() bool { return notify(q.ready) }
+
+// notify signals on a channel with room for one signal. It returns false if a signal was already pending.
+func notify(signal chan<- struct{}) bool {
 	select {
-	case q.ready <- struct{}{}:
+	case signal <- struct{}{}:
 		return true
 	default:
 		return false
 	}
 }
 
+// awaitFull waits for a duration, or until a goroutine waits for room in the queue.
+func (q *eventQueue) awaitFull(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-q.full:
+	}
+}
+
 // oldestAge returns how long the oldest event has waited, or 0 if the queue is empty.
 func (q *eventQueue) oldestAge() time.Duration {
 	q.mu.Lock()
@@ -146,6 +164,10 @@
 	defer q.mu.Unlock()
 	takenEvents, takenArena := q.events, q.arena
 	q.events, q.arena, q.queuedBytes = events[:0], arena[:0], 0
+	select {
+	case <-q.full: // there is room again
+	default:
+	}
 	q.notFull.Broadcast()
 	return takenEvents, takenArena
 }
