Send no query whose client's end is read in the same batch

A gateway with little processor time reads a client's query and the end of its connection together, long after both, and engines got the query and its cancellation: an attempt that begins over 0.1 s after its client has left. The reducer handles a batch in order, and the end came behind the query, or behind an event that sent a request that waited.

The reducer is now notified ahead of each batch of the clients whose end is in it. Their requests end at once and no query of theirs begins; a KILL or a release that they sent is carried out.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -25,6 +25,7 @@
 	loginPending     bool
 	request          *queryRequest
 	killed           bool // its query was killed without an answer, so the session cannot continue
+	leaving          bool // its connection has ended, and it will read no answer
 	lastActive       rules.Time
 	openedInEvent    uint64        // number of the event that opened the connection
 	commands         int           // number of commands received
@@ -138,6 +139,15 @@
 	g.releaseConn(client)
 }
 
+// handleClientLeaving ends the request of a client that has left. What it has sent before is still handled, since it may
+// be a KILL, but no query of it is sent to an engine.
+func (g *Gateway) handleClientLeaving(id ConnID) {
+	if client := g.clients[id]; client != nil {
+		client.leaving = true
+		g.abandonRequest(client.request)
+	}
+}
+
 // closeClient closes a client connection. Each close by the gateway goes through it, except for connections that
 // acceptClient rejects.
 func (g *Gateway) closeClient(client *clientConn, reason CloseReason) {
--- a/internal/gateway/commands.go
+++ b/internal/gateway/commands.go
@@ -206,7 +206,9 @@
 				g.rejectCommand(client, mysql.CodeParse, err.Error())
 				return
 			}
-			g.resumeResult(client, &resume)
+			if !client.leaving || resume.Release {
+				g.resumeResult(client, &resume)
+			}
 			return
 		}
 		query, err := mysql.ParseQuery(text)
@@ -215,7 +217,9 @@
 			g.rejectCommand(client, mysql.CodeParse, err.Error())
 			return
 		}
-		g.acceptQuery(client, &query)
+		if !client.leaving {
+			g.acceptQuery(client, &query)
+		}
 		return
 	}
 	if session, query, ok := mysql.ParseKill(text); ok {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -17,6 +17,9 @@
 // dialledBit marks the IDs of connections that the reducer dials.
 const dialledBit ConnID = 1 << 63
 
+// Dialled reports whether the reducer has dialled the connection. Otherwise it was accepted from a client.
+func (id ConnID) Dialled() bool { return id&dialledBit != 0 }
+
 // Event is an input to the reducer, with one type per kind. Only DataReceived is passed by pointer, so that the
 // host can reuse its memory. Anything an event points to is valid only during Step.
 type Event interface{ event() }
@@ -33,6 +36,10 @@
 	Data []byte
 }
 
+// ClientLeaving reports that the ConnectionClosed of a client is among the events to come in this batch: its client will
+// read no answer. Input that the client sent before may come ahead of its ConnectionClosed.
+type ClientLeaving struct{ Conn ConnID }
+
 // ConnectionClosed reports that a connection has ended, closed by either side or broken.
 type ConnectionClosed struct {
 	Conn ConnID
@@ -107,6 +114,7 @@
 
 func (ConnectionAccepted) event() {}
 func (*DataReceived) event()      {}
+func (ClientLeaving) event()      {}
 func (ConnectionClosed) event()   {}
 func (DialSucceeded) event()      {}
 func (DialFailed) event()         {}
--- a/internal/gateway/formerrequests_test.go
+++ b/internal/gateway/formerrequests_test.go
@@ -116,3 +116,45 @@
 	}
 	return n
 }
+
+// Guards against requests that are sent on after their client has left: a query that is read together with the end of its
+// connection, or that still waits when that end is read, is not sent to an engine. A KILL that a client sent before it
+// left is carried out.
+func TestQueryOfLeavingClientIsNotSent(t *testing.T) {
+	gw := newTestGateway(t)
+	engine := gw.sendToEngine("point") // of client 1
+	gw.loginClient(2)
+	gw.step(ClientLeaving{Conn: 2})
+	gw.receive(2, requestPacket("load", idB))
+	gw.closeConn(2)
+	gw.connectDials()
+	if asked := gw.askedFor(idB); asked != 0 || gw.g.requests[idB] != nil {
+		t.Errorf("a query of a client that has left was sent %d times, open: %v", asked, gw.g.requests[idB] != nil)
+	}
+	gw.loginClient(3)
+	gw.step(ClientLeaving{Conn: 3})
+	gw.receive(3, string(queryPacket(fmt.Sprintf("KILL QUERY %d", gw.g.clients[1].session))))
+	gw.closeConn(3)
+	if sent := string(gw.output[engine]); !strings.Contains(sent, "QUIT "+idA) {
+		t.Errorf("the KILL of a client that left at once had no effect: the engine got %q", sent)
+	}
+	if gw.g.unanswered != 0 || len(gw.g.requests) != 0 {
+		t.Errorf("%d requests are open", len(gw.g.requests))
+	}
+}
+
+// The request of a client that has left ends before anything else of the batch may send it.
+func TestWaitingRequestOfLeavingClientIsNotSent(t *testing.T) {
+	gw := newTestGateway(t)
+	gw.loginClient(1)
+	gw.receive(1, requestPacket("load", idA)) // waits for a dial
+	gw.step(ClientLeaving{Conn: 1})
+	gw.connectDials()
+	gw.closeConn(1)
+	if asked := gw.askedFor(idA); asked != 0 {
+		t.Errorf("the request was sent %d times after its client had left", asked)
+	}
+	if abandoned := gw.g.stats.classes[gw.g.classIndex["load"]].abandoned; abandoned != 1 || len(gw.g.requests) != 0 {
+		t.Errorf("%d requests abandoned, %d open", abandoned, len(gw.g.requests))
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,8 @@
 		g.acceptClient(e.Conn, e.From)
 	case *DataReceived:
 		g.handleDataReceived(e)
+	case ClientLeaving:
+		g.handleClientLeaving(e.Conn)
 	case ConnectionClosed:
 		g.handleConnectionClosed(e)
 	case DialSucceeded:
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -38,7 +38,7 @@
 
 // owner returns the owner of what is written to the connection.
 func (b *outputBuffer) owner() memory.Owner {
-	if b.id&dialledBit != 0 {
+	if b.id.Dialled() {
 		return memory.EngineOutput
 	}
 	return memory.ClientOutput
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -32,13 +32,15 @@
 	reload   reloadState
 	shutdown shutdownState
 	memory   memorySampler
-	events   []queuedEvent // with arena: the queue buffers of the last iteration
-	arena    []byte
+
+	events     []queuedEvent // with arena: the queue buffers of the last iteration
+	arena      []byte
+	departures departures // of the last iteration
 }
 
 func newReducerLoop(s *Server) *reducerLoop {
 	return &reducerLoop{Server: s, memory: memorySampler{resident: process.OpenResidentFile()}, reducer: s.platform.Reducer(s.cfg, s.now()), timer: time.NewTimer(time.Hour),
-		pacer: pacer{interval: s.limits.MinBatchInterval}, reload: newReloadState()}
+		pacer: pacer{interval: s.limits.MinBatchInterval}, reload: newReloadState(), departures: departures{}}
 }
 
 // run runs the loop until the process may exit, or returns why it can't serve any more.
@@ -129,9 +131,7 @@
 	l.recordDequeued(l.events)
 	now := l.now()
 	l.pacer.last = now
-	for i := range l.events {
-		l.reducer.Step(now, l.events[i].unwrap())
-	}
+	l.stepEvents(now)
 	l.stepMemberEvents(now, l.reducer)
 	l.stepMemorySample(now)
 	if now >= l.timerAt {
