List no engine at whose address a later process listens

An engine died and another one came up at its address under an id of its own. While the list had both, requests for the former were written to its connections, or dialled anew: to the new process, which may be in a zone where their class must not run. The gateway knew an engine by its id alone.

Of engines at one address, the one that was started last is listed now; those of equal starts stay, as before.

TestEngineWhoseAddressIsTakenIsNotListed and TestNewEngineAtFormerAddressIsNotTakenForTheFormerOne fail without it: the request was written to a connection of the former engine. The tests of package discovery gave all engines one address; each has its own now, and they check the same.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -9,11 +9,13 @@
 //   - A restriction (an engine is draining or was removed) takes effect at once, whatever the serial of its list.
 //   - A restriction is lifted when the engine has been restarted, or when several consecutive answers contain the valid
 //     list or a newer one and list the engine as active.
+//   - Of engines at one address only the one that was started last is listed.
 //   - A list with a newer serial becomes valid at once. Each answer that confirms the valid list adds to its support,
 //     and each answer with another list reduces it. When the support is used up, the list in the answer becomes valid.
 package discovery
 
 import (
+	"net/netip"
 	"slices"
 
 	"foxlane/internal/config"
@@ -99,7 +101,7 @@
 		return nil, false
 	}
 	l.changed = false
-	engines = slices.Clone(l.engines)
+	engines = withoutReplaced(l.engines)
 	for i := range engines {
 		if rec := l.records[engines[i].ID]; rec != nil && rec.restricted {
 			engines[i].State = config.StateDraining
@@ -108,6 +110,16 @@
 	return engines, true
 }
 
+// withoutReplaced returns the engines without those at whose address a later process listens: theirs has ended, though the
+// list has not dropped them yet. What is sent there would reach the later process.
+func withoutReplaced(engines []config.Engine) []config.Engine {
+	newest := make(map[netip.AddrPort]int64, len(engines))
+	for i := range engines {
+		newest[engines[i].Addr] = max(newest[engines[i].Addr], engines[i].Started)
+	}
+	return slices.DeleteFunc(slices.Clone(engines), func(e config.Engine) bool { return e.Started < newest[e.Addr] })
+}
+
 // Apply applies an answer of the name service.
 func (l *List) Apply(now rules.Time, answer Answer) Verdict {
 	late := answer.QuerySeq <= l.lastQuery
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,7 +1,9 @@
 package discovery
 
 import (
+	"encoding/binary"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -63,8 +65,12 @@
 	}
 }
 
+// newEngine returns an engine with an address of its own.
 func newEngine(id string, state string, started ...int64) config.Engine {
-	entry := config.Engine{ID: id, Addr: netip.MustParseAddrPort("127.0.0.1:7001"), State: state}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(id)) // never fails
+	ip := netip.AddrFrom4([4]byte(binary.BigEndian.AppendUint32(nil, hash.Sum32())))
+	entry := config.Engine{ID: id, Addr: netip.AddrPortFrom(ip, 7001), State: state}
 	for _, s := range started {
 		entry.Started = s
 	}
@@ -378,3 +384,27 @@
 		}
 	})
 }
+
+// Guards against work for an engine that has gone reaching the process that has come up at its address: both are listed
+// until the name service notices the loss.
+func TestEngineWhoseAddressIsTakenIsNotListed(t *testing.T) {
+	at := func(entry config.Engine, port uint16) config.Engine {
+		entry.Addr = netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)
+		return entry
+	}
+	former, other := at(newEngine("former", config.StateActive, 1000), 7001), at(newEngine("other", config.StateActive, 1000), 7002)
+	f := newFixture(t, 1, former, other)
+	f.expectState("alone", "former", config.StateActive)
+	next := at(newEngine("next", config.StateDraining, 5000), 7001)
+	f.answer(2, former, other, next)
+	f.expectState("while both are listed", "former", "")
+	f.expectState("while both are listed", "next", config.StateDraining)
+	f.expectState("while both are listed", "other", config.StateActive)
+	former.Started = 9000
+	f.answer(3, former, other, next)
+	f.expectState("after it was started again", "former", config.StateActive)
+	f.expectState("after the former was started again", "next", "")
+	f.answer(4, other, at(newEngine("third", config.StateActive, 1000), 7002))
+	f.expectState("of the same age", "other", config.StateActive)
+	f.expectState("of the same age", "third", config.StateActive)
+}
--- a/internal/gateway/listchange_test.go
+++ b/internal/gateway/listchange_test.go
@@ -177,3 +177,31 @@
 		t.Errorf("the first connection got %q", out)
 	}
 }
+
+// Guards against work that goes to the wrong place: a process that has come up at the address of an engine that has gone,
+// in another zone, gets nothing that is meant for that engine, though both are listed.
+func TestNewEngineAtFormerAddressIsNotTakenForTheFormerOne(t *testing.T) {
+	c := newListChange(t)
+	c.sendRequest(idA)
+	c.completeDials()
+	c.receive(c.dials[0], servedAnswer(idA, "row"))
+	former, next := oneHost, oneHost
+	next.ID, next.Zone, next.Started = "s-0000000f", "hall-a", int64((c.now-rules.Second)/rules.Millisecond)
+	c.sendList(former, next)
+	dialledBefore := len(c.dials)
+	c.sendRequest(idB)
+	c.completeDials()
+	for _, eng := range c.g.engineOrder {
+		if eng.entry.ID == former.ID && eng.state != rules.EngineGone {
+			t.Errorf("the former engine is in state %s", engineStateNames[eng.state])
+		}
+	}
+	for _, id := range c.dials[:dialledBefore] {
+		if strings.Contains(string(c.output[id]), "ASK "+idB) {
+			t.Error("a request was written to a connection of the former engine")
+		}
+	}
+	if req := c.g.requests[idB]; req == nil || len(req.attempts) > 0 && req.attempts[0].engine.entry.ID != next.ID {
+		t.Errorf("the request went to another engine than %s, or has ended", next.ID)
+	}
+}
