Charge a new engine for the work that was sent to others at its address

A process that comes up at the address of an engine that has gone, under an id of its own, gets what is sent to the former one until the list reports the change.

The reducer tells the module a hash of each engine's address, and the module copies what it has sent to engines at that address within the window.

TestSlowStartBudgetCountsWorkSentToPredecessor fails without it, with the former engine dropped in the same list or before.

--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"encoding/binary"
 	"hash/fnv"
 	"net/netip"
 	"slices"
 
+	"github.com/zeebo/xxh3"
+
 	"foxlane/internal/config"
 	"foxlane/rules"
 )
@@ -168,6 +171,7 @@
 	}
 	return rules.Engine{
 		ID:        eng.id,
+		Host:      hostHash(eng.entry.Addr),
 		Cell:      eng.entry.Cell,
 		Zone:      eng.zone,
 		Kind:      eng.kind,
@@ -177,6 +181,12 @@
 	}
 }
 
+// hostHash returns a hash of an address, by which the module recognises engines that were listed at the same one.
+func hostHash(addr netip.AddrPort) uint64 {
+	ip := addr.Addr().As16()
+	return xxh3.Hash(binary.BigEndian.AppendUint16(ip[:], addr.Port()))
+}
+
 // indexOf returns the index of a name in a list, or the list's length if it is not listed.
 func indexOf(names []string, name string) int {
 	if i := slices.Index(names, name); i >= 0 {
--- a/rules/api.go
+++ b/rules/api.go
@@ -170,6 +170,7 @@
 // Engine is one entry of the endpoint list.
 type Engine struct {
 	ID        EngineID
+	Host      uint64 // hash of the address at which it listens; 0: unknown
 	Cell      int
 	Zone      int
 	Kind      int
--- a/rules/fleet.go
+++ b/rules/fleet.go
@@ -38,5 +38,8 @@
 	if entry.StartedAt != eng.StartedAt {
 		eng.startIncarnation()
 	}
+	if entry.Host != eng.Host {
+		m.chargeForPredecessors(eng, entry.Host)
+	}
 	eng.Engine = entry
 }
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -5,7 +5,11 @@
 // whatever part of the traffic each has, whenever each started and however late it is notified of the
 // engine's start.
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 const (
 	// slowStartSafety is the fraction of its quota that a gateway uses. The rest covers the variance of the
@@ -79,6 +83,21 @@
 	eng.recordSend(m.slowStartWindowStart(), endOfTick, work)
 }
 
+// chargeForPredecessors charges an engine that is listed at an address for the work that was sent to other
+// engines at that address. They have gone, and the list reports that only later: the new process may have
+// received the work, as in chargeSlowStartBudget.
+func (m *Module) chargeForPredecessors(eng *engine, host uint64) {
+	if host == 0 || m.now == m.startedAt { // unknown, or nothing was sent yet
+		return
+	}
+	for _, other := range m.engines {
+		if other != eng && other.Host == host {
+			eng.recentSends = append(eng.recentSends, other.recentSends...)
+		}
+	}
+	slices.SortFunc(eng.recentSends, func(a, b sentWork) int { return cmp.Compare(a.tickEnd, b.tickEnd) })
+}
+
 // slowStartWindowStart returns the start of the overload window, minus a tick that allows for delays.
 func (m *Module) slowStartWindowStart() Time {
 	return m.now - m.settings.Constraints.OverloadWindow - m.settings.Tick
--- a/rules/slowstart_test.go
+++ b/rules/slowstart_test.go
@@ -292,3 +292,41 @@
 		}
 	}
 }
+
+// Guards against an overload of a process that comes up at the address of an engine that has gone, under
+// an id of its own: what was sent to the former engine before the list reported either may have reached the
+// new one, and counts against its slow-start budget.
+func TestSlowStartBudgetCountsWorkSentToPredecessor(t *testing.T) {
+	const host = 77
+	for _, goneFirst := range []bool{false, true} {
+		chk := newChecker(t, basicSettings(interactive), 1, 1000*Second)
+		chk.work[0] = float64(100 * Millisecond)
+		former := []Engine{{ID: 1, Host: host, Scale: 1}}
+		chk.handle(FleetUpdate{Mode: UpdateCached, Engines: former})
+		chk.advance(3 * Second)
+		startedAt := chk.now
+		send := func(count int) (sent float64) {
+			for range count {
+				sent += float64(chk.attemptCount(chk.submit(0, nil))) * chk.work[0]
+				chk.resolveAll(StatusOK)
+			}
+			return sent
+		}
+		sentBefore := send(20)
+		chk.advance(200 * Millisecond)
+		if goneFirst {
+			chk.handle(FleetUpdate{Mode: UpdateFull})
+			chk.advance(100 * Millisecond)
+		}
+		chk.handle(FleetUpdate{Mode: UpdateFull, Engines: []Engine{{ID: 2, Host: host, Scale: 1, StartedAt: startedAt}}})
+		quota := slowStartSafety * chk.module.slowStartQuota(chk.module.engineByID[2])
+		sentAfter := send(200)
+		if sentBefore == 0 || sentBefore > quota/2 || sentAfter == 0 {
+			t.Fatalf("sent %.0f before and %.0f after, quota %.0f: the test checks nothing", sentBefore, sentAfter, quota)
+		}
+		if sentBefore+sentAfter > quota {
+			t.Errorf("gone first %v: sent %.0f before and %.0f after the notification, more than the quota of %.0f",
+				goneFirst, sentBefore, sentAfter, quota)
+		}
+	}
+}
