Drop the results of probes that began before their engine's process was replaced

An engine is replaced under its id, and the list says so before probes of the former process time out. With the block members, those that peers had asked for counted as failures of the new process, which was ejected; with the block sites, they counted for its zone.

A probe keeps the start of its engine and its result is dropped if that has changed. TestProbeOfFormerProcessDoesNotCount fails without it: after ten late probes the new process is ejected.

--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -14,6 +14,7 @@
 // healthProbe is a health probe in progress.
 type healthProbe struct {
 	engine          *engineState
+	engineStarted   int64 // start time of the engine's process in the endpoint list when the probe started
 	conn            *engineConn
 	tag             string
 	sentAt          rules.Time
@@ -43,11 +44,12 @@
 	}
 	g.lastProbeTag++
 	probe := &healthProbe{
-		engine:    eng,
-		suspected: suspected,
-		tag:       "p" + strconv.FormatUint(g.lastProbeTag, 10),
-		sentAt:    g.now,
-		conn:      g.connFor(eng, nil),
+		engine:        eng,
+		engineStarted: eng.entry.Started,
+		suspected:     suspected,
+		tag:           "p" + strconv.FormatUint(g.lastProbeTag, 10),
+		sentAt:        g.now,
+		conn:          g.connFor(eng, nil),
 	}
 	if probe.conn == nil || eng.state == rules.EngineGone {
 		probe.localExhaustion = probe.conn == nil
@@ -64,19 +66,23 @@
 }
 
 // finishProbe ends a probe and notifies the module and the zone controller. A probe that was prevented because a
-// local resource was exhausted does not count against the engine.
+// local resource was exhausted does not count against the engine. The result of a probe that began before the endpoint list
+// reported another process says nothing about that process, and is dropped.
 func (g *Gateway) finishProbe(probe *healthProbe, status rules.Status, report []byte) {
 	if probe.done {
 		return
 	}
 	probe.done = true
-	if !probe.localExhaustion {
-		g.recordZoneProbe(probe.engine, status == rules.StatusOK)
-	}
 	if probe.conn != nil {
 		delete(probe.conn.probes, probe.tag)
 		g.closeIfDrained(probe.conn)
 	}
+	if probe.engineStarted != probe.engine.entry.Started {
+		return
+	}
+	if !probe.localExhaustion {
+		g.recordZoneProbe(probe.engine, status == rules.StatusOK)
+	}
 	g.notifyModule(rules.ProbeResult{
 		Engine:    probe.engine.id,
 		Suspected: probe.suspected && !probe.localExhaustion,
--- a/internal/gateway/zones_test.go
+++ b/internal/gateway/zones_test.go
@@ -218,3 +218,28 @@
 		t.Errorf("an attempt on the new process at %d that was reset counts as a request at %d and a failure at %d", sentAt, eng.lastRequest, eng.lastFailure)
 	}
 }
+
+// Guards against a new process that is taken to fail: probes of the process before it, which peers suspect, end late.
+func TestProbeOfFormerProcessDoesNotCount(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		gw := newTestGateway(t)
+		eng := gw.g.engineOrder[0]
+		for range 10 {
+			gw.g.probeEngine(eng.id, true)
+		}
+		gw.flush()
+		if restarted {
+			host := oneHost
+			host.Started = int64((gw.now - 100*rules.Millisecond) / rules.Millisecond)
+			gw.answerList(2, host)
+		}
+		gw.advance(2 * rules.Second) // the probes' timeout
+		ejected := false
+		for _, view := range gw.g.module.EngineViews() {
+			ejected = ejected || view.Ejected
+		}
+		if ejected == restarted {
+			t.Errorf("restarted %v: after 10 failed probes the engine is ejected: %v", restarted, ejected)
+		}
+	}
+}
