Have the harness start other engines at the addresses of those that have ended

The fault retire with the text replaced: engines end without a word, others start there cold with new ids, and the list has both until the fault is reverted.

--- a/internal/harness/endpointlist.go
+++ b/internal/harness/endpointlist.go
@@ -79,6 +79,9 @@
 		draining, unlisted := e.listStatus(f.listVersion)
 		if !f.unlisted[e.index] && !unlisted {
 			hosts = append(hosts, e.listEntry(gateway, draining))
+			if former, ok := e.formerEntry(gateway); ok {
+				hosts = append(hosts, former)
+			}
 		}
 	}
 	return hosts
--- a/internal/harness/engine.go
+++ b/internal/harness/engine.go
@@ -36,6 +36,9 @@
 	unlisted     bool   // dropped from the list
 	drainVersion uint32 // first version of the list that has it as draining or not at all; 0: none
 	startVersion uint32 // first version of the list with the engine's latest start
+
+	formerID      string    // of the process before, which is still listed; empty: none
+	formerStarted time.Time // its start
 }
 
 // coldSend is a request that reached a cold engine.
@@ -225,9 +228,21 @@
 func (e *engine) listEntry(gateway int, draining bool) standin.Host {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	host := standin.Host{ID: e.id, Zone: e.zone, Kind: "std", Weight: 4, Draining: draining, Addr: e.proxies[gateway].Addr()}
-	if !e.started.IsZero() {
-		host.Started = e.started.UnixMilli()
+	return e.entryOf(gateway, draining, e.id, e.started)
+}
+
+// formerEntry returns the list entry of the process before, as a gateway sees it; ok is false if there is none.
+func (e *engine) formerEntry(gateway int) (host standin.Host, ok bool) {
+	e.listMu.Lock()
+	defer e.listMu.Unlock()
+	return e.entryOf(gateway, false, e.formerID, e.formerStarted), e.formerID != ""
+}
+
+// entryOf returns the list entry of a process with an id and a start.
+func (e *engine) entryOf(gateway int, draining bool, id string, started time.Time) standin.Host {
+	host := standin.Host{ID: id, Zone: e.zone, Kind: "std", Weight: 4, Draining: draining, Addr: e.proxies[gateway].Addr()}
+	if !started.IsZero() {
+		host.Started = started.UnixMilli()
 	}
 	return host
 }
--- a/internal/harness/enginefaults.go
+++ b/internal/harness/enginefaults.go
@@ -47,6 +47,10 @@
 	retireBoth  = "both"  // one version of the list drops the first of them and drains the others
 	retireFlap  = "flap"  // they drain, become active, and drain again within half a second
 	retireNewID = "newid" // they drain, and return with new ids at the old addresses
+
+	// They end without a word, and others start at their addresses at once, with new ids. The list has both until the
+	// fault is reverted.
+	retireReplaced = "replaced"
 )
 
 // flapPause is the time between two changes of a flapping engine.
@@ -54,6 +58,9 @@
 
 // retireEngines makes engines leave the list. Reverting it stops them, and starts them again cold, as new processes.
 func (f *fleet) retireEngines(fault *Fault) (revertFunc, error) {
+	if fault.Text == retireReplaced {
+		return f.replaceEngines(fault)
+	}
 	first := true
 	leave := func(e *engine) {
 		e.draining = fault.Text != retireGone && (fault.Text != retireBoth || !first)
@@ -87,6 +94,35 @@
 	}, nil
 }
 
+// replaceEngines ends engines, and starts others at their addresses with new ids, cold. Reverting it drops the former ones
+// from the list.
+func (f *fleet) replaceEngines(fault *Fault) (revertFunc, error) {
+	for _, e := range f.engines {
+		if !e.matches(fault.Target) {
+			continue
+		}
+		e.setFormer()
+		if err := e.restartCold(); err != nil {
+			return nil, err
+		}
+		f.assignNewID(e)
+	}
+	f.publishList(publishDelay)
+	return func() error {
+		f.changeListStatus(fault.Target, func(e *engine) { e.formerID = "" })
+		return nil
+	}, nil
+}
+
+// setFormer keeps the engine in the list under its present id.
+func (e *engine) setFormer() {
+	e.listMu.Lock()
+	defer e.listMu.Unlock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.formerID, e.formerStarted = e.id, e.started
+}
+
 // restartCold stops the engine and starts it again cold, as a new process. Gateways reach it at the same addresses as
 // before.
 func (e *engine) restartCold() error {
--- a/internal/harness/faults.go
+++ b/internal/harness/faults.go
@@ -55,7 +55,7 @@
 	"hush": {inject: (*fleet).switchGossipOff},
 	// Engines mishandle a fraction (`factor`) of requests; `text` is hang, error, spoil or break.
 	"mode": {target: true, inject: (*fleet).breakEngines},
-	// Engines drain, stop after `for`, and return cold; `text` is empty, gone, both, flap or newid.
+	// Engines drain, stop after `for`, and return cold; `text` is empty, gone, both, flap, newid or replaced.
 	"retire": {target: true, inject: (*fleet).retireEngines},
 	// Gateways get SIGTERM, and SIGKILL after killDelay if they still run; then they are started again.
 	"term": {target: true, inject: (*fleet).terminateGateways},
--- a/internal/harness/fleet_test.go
+++ b/internal/harness/fleet_test.go
@@ -286,3 +286,14 @@
 		}
 	}
 }
+
+// Guards against new processes that are taken for those at whose addresses they come up: engines end, and others with new
+// ids start there cold, while the list has both. The former ones are not used, and the new ones are not overloaded.
+func TestEnginesReplacedAtTheirAddresses(t *testing.T) {
+	text := threeZones + "length = \"16s\"\nload = 0.5\noverload = 2.0\n" +
+		fault("retire", `of = "hall-a"`, `at = "4s"`, `for = "5s"`, `text = "replaced"`) +
+		fault("retire", `of = "hall-b/e0"`, `at = "5s"`, `for = "4s"`, `text = "replaced"`)
+	report := playScript(t, text)
+	checkServedShare(t, report, 1, 4, 0.9, "before")
+	checkServedShare(t, report, 13, 16, 0.8, "at the end")
+}
