--- a/internal/measure/memory.go
+++ b/internal/measure/memory.go
@@ -24,6 +24,7 @@
 	change     func(*Setup)                          // changes the setup; nil: no change
 	minLength  time.Duration                         // of the scene
 	disturb    func(ctx context.Context, t *Testbed) // injects faults until the context ends; nil: none
+	besideAll  bool                                  // the well-behaved client gets all its results, if there is room for all connections
 }
 
 var mixedCrowd = []crowd.Behaviour{crowd.SendIncomplete, crowd.SendWithoutReading, crowd.SendShort, crowd.SendMalformed}
@@ -57,10 +58,25 @@
 	{name: "results", clients: 300, behaviours: []crowd.Behaviour{crowd.IgnoreResults}, change: func(s *Setup) { s.Pages = largeResult }},
 	{name: "results_read", clients: 300, behaviours: []crowd.Behaviour{crowd.SendShort}, change: func(s *Setup) { s.Pages = largeResult }},
 	{name: "patient", clients: 20, behaviours: []crowd.Behaviour{crowd.SendShort}, change: func(s *Setup) { s.Timeout = 25 * time.Second; s.ServiceTime = time.Millisecond }},
+	{name: "slow", clients: 450, behaviours: []crowd.Behaviour{crowd.WriteSlowly}, minLength: hostileLength, besideAll: true},
+	{name: "halfway", clients: 450, behaviours: []crowd.Behaviour{crowd.StopHalfway}, minLength: hostileLength, besideAll: true},
+	{name: "fields", clients: 450, behaviours: []crowd.Behaviour{crowd.SendManyFields}, minLength: hostileLength, besideAll: true},
+	{name: "flood_pings", clients: 1, behaviours: []crowd.Behaviour{crowd.FloodPings}, minLength: hostileLength, besideAll: true},
+	{name: "flood_settings", clients: 1, behaviours: []crowd.Behaviour{crowd.FloodSettings}, minLength: hostileLength, besideAll: true},
+	{name: "flood_malformed", clients: 1, behaviours: []crowd.Behaviour{crowd.FloodMalformed}, minLength: hostileLength, besideAll: true},
+	{name: "flood_unknown", clients: 1, behaviours: []crowd.Behaviour{crowd.FloodUnknown}, minLength: hostileLength, besideAll: true},
+	{name: "flood_names", clients: 1, behaviours: []crowd.Behaviour{crowd.FloodNames}, minLength: hostileLength, besideAll: true,
+		change: func(s *Setup) { s.SiteConfig = "fair {\n any_tenant = true\n}\n" }},
+	{name: "flood_names_of_one", clients: 1, behaviours: []crowd.Behaviour{crowd.FloodNamesOfOneTenant}, minLength: hostileLength, besideAll: true},
+	{name: "flood_connections", clients: 1, behaviours: []crowd.Behaviour{crowd.ConnectRepeatedly}, minLength: hostileLength, besideAll: true},
 	{name: "refused", clients: 20, behaviours: []crowd.Behaviour{crowd.SendShort}, change: func(s *Setup) { s.Timeout = 25 * time.Second },
 		disturb: func(_ context.Context, t *Testbed) { t.stopEngines() }},
 }
 
+// hostileLength is the length of scenes in which the well-behaved client is to get its results, of which the first second is
+// not counted.
+const hostileLength = 3 * time.Second
+
 // memoryLimitsMB are the memory limits that are measured.
 var memoryLimitsMB = []int{32, 64, 192}
 
