--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -358,3 +358,26 @@
 		t.Error("the gateway has not exited")
 	}
 }
+
+// Guards against requests that are never answered: a process that stalls for a short time again and again, as under a quota
+// of processor time, held back all attempts for as long as clients sent anything.
+func TestRepeatedShortStallsHoldSendsForBoundedTime(t *testing.T) {
+	gw := newTestGateway(t)
+	gw.receive(gw.sendToEngine("point"), servedAnswer(idA, "row"))
+	gw.loginClient(2)
+	gw.loginClient(3)
+	began, sent := gw.now, false
+	for n := 0; !sent && gw.now < began+2*rules.Second; n++ {
+		at, _ := gw.g.timers.next()
+		gw.now = max(gw.now, at) + gw.g.limits.StallThreshold + 10*rules.Millisecond
+		gw.step(TimerFired{})
+		gw.receive(3, pingPacket) // input extends the hold
+		if n == 2 {
+			gw.receive(2, requestPacket("point", idB))
+		}
+		sent = gw.askedFor(idB) > 0
+	}
+	if bound := gw.g.limits.LongSettleTime + gw.g.limits.MaxSettleTime + 200*rules.Millisecond; !sent || gw.now-began > bound {
+		t.Errorf("the request was sent: %v, %d ms after the first stall", sent, milliseconds(gw.now-began))
+	}
+}
