--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -15,7 +15,7 @@
 		return
 	}
 	g.stopping = true
-	g.log(Info, "stopping", Attr{keyInFlight, g.unanswered})
+	g.log(Info, "stopping", append([]Attr{{keyInFlight, g.unanswered}}, g.unreadAnswers().attrs()...)...)
 	g.reportMemory()
 	g.timers.add(timer{at: g.now + g.limits.MinDrainPeriod, kind: timerStop})
 	g.shortenStoreDeadlines()
@@ -35,7 +35,33 @@
 		for element := g.newClients.Front(); element != nil; element = g.newClients.Front() {
 			g.evictWithError(element.Value.(*clientConn), CloseShutdown, "this gateway ends")
 		}
-		g.log(Info, "stopped", Attr{"invariants_violated", g.violations.Sum()})
+		g.log(Info, "stopped", append([]Attr{{"invariants_violated", g.violations.Sum()}}, g.unreadAnswers().attrs()...)...)
 	}
 	g.emit(Exit{})
 }
+
+// unreadAnswers counts the clients that are still owed bytes of answers.
+type unreadAnswers struct {
+	reading int   // clients that read a stored result whose last chunk is not written
+	blocked int   // clients whose written bytes the operating system has not accepted
+	bytes   int64 // of the blocked clients
+}
+
+// unreadAnswers counts the clients that are still owed bytes of answers.
+func (g *Gateway) unreadAnswers() (unread unreadAnswers) {
+	for _, client := range g.clients {
+		if client.reader != nil {
+			unread.reading++
+		}
+		if client.blocked() {
+			unread.blocked++
+			unread.bytes += client.undelivered
+		}
+	}
+	return unread
+}
+
+// attrs returns the counts for a log line.
+func (u unreadAnswers) attrs() []Attr {
+	return []Attr{{"reading", u.reading}, {"blocked", u.blocked}, {"unread_bytes", u.bytes}}
+}
