Wait at shutdown until clients have read their answers, and end late reads with an error

Cause: a request counts as answered once its stored result is offered, and a read by a handle is no request; the exit waited for requests alone. Evidence: stopped says reading 1, blocked 0, unread_bytes 0 while the client reads. Clients that had not accepted what was written were given up 0.3 s after the drain period for the same reason.

Change: the exit waits for readers of stored results and blocked clients until the deadline that requests have; then reads end with error 1053 at a row's end. During a read the kernel holds 16 KB unsent at most (TCP_NOTSENT_LOWAT), so that it has room for the error when the client reads slowly, or only after the exit. Short memory lifts that limit first.

Why it works: every byte that is owed is a request, a reader or a blocked client, and each is part of the exit's condition with one bound.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -26,6 +26,7 @@
 	MaxLoginBytes          int        // size of a packet before the login
 	MaxStatementBytes      int        // size of a packet after the login
 	ClientSendBuffer       int        // bytes buffered for a client that does not read
+	UnsentBytes            int        // bytes of a stored result that the operating system holds before it sends them
 	MaxInputBytes          int        // statements of all open requests; the same bound holds for all incomplete packets
 	MaxRequests            int        // open requests
 	FormerRequests         int        // requests that were sent to engines and have ended, remembered by ID
@@ -149,6 +150,7 @@
 	l.MaxLoginBytes = 4096
 	l.MaxStatementBytes = 64 << 10 // observed statements have a few hundred bytes
 	l.ClientSendBuffer = 128 << 10 // two results
+	l.UnsentBytes = 16 << 10       // half a chunk of the result store
 	l.MaxRequests = l.connectionDescriptors() / 2
 	l.FormerRequests = int(memory / formerRequestShare)
 	l.LoginTimeout = 2200 * rules.Millisecond
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -92,6 +92,13 @@
 // NotifyDrained requests WriteDrained once the operating system has accepted all bytes written to a connection.
 type NotifyDrained struct{ Conn ConnID }
 
+// LimitUnsent sets how many bytes written to a connection the operating system may hold before it sends them. What it does
+// not take waits in the process. Bytes is 0 for no limit.
+type LimitUnsent struct {
+	Conn  ConnID
+	Bytes int
+}
+
 // SendToMember sends Data to a member on a channel. The message may be lost.
 type SendToMember struct {
 	To      string
@@ -129,6 +136,7 @@
 func (PauseAccepting) effect()  {}
 func (SubmitSpool) effect()     {}
 func (NotifyDrained) effect()   {}
+func (LimitUnsent) effect()     {}
 func (SendToMember) effect()    {}
 func (JoinMembers) effect()     {}
 func (LeaveMembers) effect()    {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,7 @@
 	priorAttemptBuffer []guard.PriorAttempt  // scratch space of priorAttempts
 	closeCounts        [closeReasonCount]int // closed connections by CloseReason
 	stopping           bool
+	answersDue         rules.Time // while stopping: when every answer must be complete
 	stopped            bool
 	drainPeriodOver    bool
 }
--- a/internal/gateway/resultfill.go
+++ b/internal/gateway/resultfill.go
@@ -110,7 +110,7 @@
 	// Timers due at the same time run in the order in which they were added, which must not depend on map iteration.
 	slices.SortFunc(waiting, func(left, right *queryRequest) int { return cmp.Compare(left.id, right.id) })
 	for _, req := range waiting {
-		g.timers.add(timer{at: g.now + g.limits.ShutdownTimeout, kind: timerResultStored, request: req})
+		g.timers.add(timer{at: g.answersDue, kind: timerResultStored, request: req})
 	}
 }
 
--- a/internal/gateway/resultread.go
+++ b/internal/gateway/resultread.go
@@ -24,9 +24,19 @@
 	resumable     bool // the client receives the handle and may read the result again
 	lastChunk     int  // index of the last written chunk
 	complete      bool // all chunks were written
+	unsentLimit   unsentLimit
 	handle        spool.Handle
 }
 
+// unsentLimit is the state of the limit on what the operating system holds unsent of a read.
+type unsentLimit uint8
+
+const (
+	unsentUnlimited unsentLimit = iota // the read has one chunk, or has not begun
+	unsentLimited
+	unsentLifted // for the rest of the read
+)
+
 // serveStoredResult starts the answer to a request whose stored result is complete.
 func (g *Gateway) serveStoredResult(req *queryRequest) {
 	delete(g.results.filling, req.result.handle.ID)
@@ -45,6 +55,9 @@
 	reader := client.reader
 	reader.slot = g.results.readers.allocate(client)
 	g.notifySpool(spool.Attach{Reader: spool.ReaderID(reader.slot), ID: reader.id, Secret: reader.handle.Secret(), Tenant: owner, Index: from})
+	if g.answersOverdue() {
+		g.endRead(client)
+	}
 }
 
 // resumeResult handles a client's command to read a stored result again or to release it.
@@ -84,9 +97,11 @@
 	reader.lastChunk, reader.complete = effect.Index, effect.Last
 	g.markDirty(&client.outputBuffer)
 	if !effect.Last {
+		g.limitUnsent(client)
 		g.notifyWhenDrained(client)
 		return
 	}
+	g.liftUnsentLimit(client)
 	client.output = mysql.AppendEnd(client.output, reader.nextSeq)
 	if reader.resumable { // stored until the client acknowledges it or its lease ends
 		g.notifySpool(spool.Detach{Reader: spool.ReaderID(reader.slot)})
@@ -130,6 +145,23 @@
 	}
 }
 
+// limitUnsent leaves the operating system room for the error that ends an interrupted answer: a client that reads too slowly,
+// or not before the process has ended, gets what the operating system has taken.
+func (g *Gateway) limitUnsent(client *clientConn) {
+	if client.reader.unsentLimit == unsentUnlimited {
+		client.reader.unsentLimit = unsentLimited
+		g.emit(LimitUnsent{Conn: client.id, Bytes: g.limits.UnsentBytes})
+	}
+}
+
+// liftUnsentLimit lets the operating system take all that is written to a client that reads a stored result.
+func (g *Gateway) liftUnsentLimit(client *clientConn) {
+	if client.reader.unsentLimit == unsentLimited {
+		client.reader.unsentLimit, client.unsentLiftedAt = unsentLifted, g.now
+		g.emit(LimitUnsent{Conn: client.id})
+	}
+}
+
 // removeReader ends a client's read of a stored result.
 func (g *Gateway) removeReader(client *clientConn) {
 	if client.reader != nil {
@@ -138,25 +170,49 @@
 	}
 }
 
-// detachReader ends the read of a client that has disconnected. A result that is not resumable is released, since
-// no client can request it again.
+// detachReader ends the read of a client that has disconnected.
 func (g *Gateway) detachReader(client *clientConn) {
-	reader := client.reader
-	if reader == nil {
-		return
+	if reader := client.reader; reader != nil {
+		g.removeReader(client)
+		g.leaveResult(reader)
 	}
-	g.removeReader(client)
+}
+
+// leaveResult notifies the spool that a read has ended before its last chunk. A result that is not resumable is released,
+// since no client can request it again.
+func (g *Gateway) leaveResult(reader *resultReader) {
 	g.notifySpool(spool.Detach{Reader: spool.ReaderID(reader.slot)})
 	if !reader.resumable {
 		g.notifySpool(spool.Release{ID: reader.id})
 	}
 }
 
-// abortReader ends an interrupted answer with an error, so that the client can distinguish it from a complete one.
+// abortReader ends the answer of a client whose result was lost.
 func (g *Gateway) abortReader(client *clientConn, reason spool.Reason) {
-	reader := client.reader
 	g.log(Warn, "spool: result lost while being read", Attr{keySession, client.session}, Attr{keyReason, reason.String()})
-	client.output = mysql.AppendErr(client.output, reader.nextSeq, mysql.CodeUnknownError, "the result was lost: "+reason.String())
+	g.failRead(client, mysql.CodeUnknownError, "the result was lost: "+reason.String())
+}
+
+// endRead ends the read of a client that has not got its whole answer by the deadline of the shutdown.
+func (g *Gateway) endRead(client *clientConn) {
+	reader := client.reader
+	if reader == nil {
+		return
+	}
+	text := "the gateway shuts down"
+	if reader.resumable && g.cfg.Site.Spool.Folder != "" {
+		text += ": the result is kept, read it again by its handle"
+	}
+	g.log(Info, "spool: answer ended by the shutdown", Attr{keySession, client.session}, Attr{"chunks", reader.lastChunk + 1},
+		Attr{"resumable", reader.resumable})
+	g.failRead(client, mysql.CodeServerShutdown, text)
+	g.leaveResult(reader)
+}
+
+// failRead ends an interrupted answer with an error, so that the client can distinguish it from a complete one.
+func (g *Gateway) failRead(client *clientConn, code uint16, text string) {
+	g.liftUnsentLimit(client)
+	client.output = mysql.AppendErr(client.output, client.reader.nextSeq, code, text)
 	g.markDirty(&client.outputBuffer)
 	g.removeReader(client)
 	g.handleClientIdle(client)
--- a/internal/gateway/resultstore_test.go
+++ b/internal/gateway/resultstore_test.go
@@ -57,10 +57,12 @@
 	diskPaused    bool
 	diskFails     bool
 	awaitingDrain map[ConnID]bool
+	unsentLimits  map[ConnID][]int // by LimitUnsent, in order
 }
 
 func newSpoolGateway(t *testing.T, text string) *spoolGateway {
-	gw := &spoolGateway{testGateway: startTestGateway(t, withSpool(t, text), oneHost), awaitingDrain: map[ConnID]bool{}}
+	gw := &spoolGateway{testGateway: startTestGateway(t, withSpool(t, text), oneHost), awaitingDrain: map[ConnID]bool{},
+		unsentLimits: map[ConnID][]int{}}
 	gw.stepWithDisk(nil)
 	return gw
 }
@@ -82,6 +84,8 @@
 				gw.dials = append(gw.dials, effect.Conn)
 			case NotifyDrained:
 				gw.awaitingDrain[effect.Conn] = true
+			case LimitUnsent:
+				gw.unsentLimits[effect.Conn] = append(gw.unsentLimits[effect.Conn], effect.Bytes)
 			case Exit:
 				gw.exited = true
 			case SubmitSpool:
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
+
 	"foxlane/internal/admission"
 	"foxlane/rules"
 )
 
-// This file implements the graceful shutdown, which answers all accepted requests before the process exits.
+// This file implements the graceful shutdown, which answers all accepted requests before the process exits. Clients have until
+// answersDue to read their answers. Then reads of stored results end with an error, and the process exits.
 
 // beginShutdown notifies the module and admission control of the deadline by which all requests must be answered,
 // and limits the time for storing results. New requests are still accepted, since clients are not yet aware of the
@@ -14,20 +18,46 @@
 	if g.stopping {
 		return
 	}
-	g.stopping = true
+	g.stopping, g.answersDue = true, g.now+g.limits.ShutdownTimeout
 	g.log(Info, "stopping", append([]Attr{{keyInFlight, g.unanswered}}, g.unreadAnswers().attrs()...)...)
 	g.reportMemory()
 	g.timers.add(timer{at: g.now + g.limits.MinDrainPeriod, kind: timerStop})
+	g.timers.add(timer{at: g.answersDue, kind: timerAnswersDue})
 	g.shortenStoreDeadlines()
-	g.notifyAdmission(admission.Event{Kind: admission.Stopping, Deadline: g.now + g.limits.ShutdownTimeout})
-	g.notifyModule(rules.ShutdownStarted{Deadline: g.now + g.limits.ShutdownTimeout})
+	g.notifyAdmission(admission.Event{Kind: admission.Stopping, Deadline: g.answersDue})
+	g.notifyModule(rules.ShutdownStarted{Deadline: g.answersDue})
+}
+
+// answersOverdue reports whether the deadline of the shutdown has passed.
+func (g *Gateway) answersOverdue() bool { return g.stopping && g.now >= g.answersDue }
+
+// endReads ends the reads of stored results that are not complete at the deadline of the shutdown, in the order in which
+// their clients have connected.
+func (g *Gateway) endReads() {
+	var reading []*clientConn
+	for _, client := range g.clients {
+		if client.reader != nil {
+			reading = append(reading, client)
+		}
+	}
+	slices.SortFunc(reading, func(left, right *clientConn) int { return cmp.Compare(left.id, right.id) })
+	for _, client := range reading {
+		g.endRead(client)
+	}
+}
+
+// awaitsClients reports whether the exit waits for clients to read: until the deadline of the shutdown for those whose
+// written bytes the operating system has not accepted, and for those that read a stored result, which end by then.
+func (g *Gateway) awaitsClients() bool {
+	unread := g.unreadAnswers()
+	return unread.reading > 0 || unread.blocked > 0 && !g.answersOverdue()
 }
 
-// exitWhenDone emits Exit once the drain period is over and all requests are answered, also those that arrived during a
-// stall. It emits Exit in each batch from then on, since requests that are read while the process exits are answered
+// exitWhenDone emits Exit once the drain period is over, all requests are answered, also those that arrived during a stall,
+// and no client is still owed bytes of an answer. It emits Exit in each batch from then on, since requests that are read while the process exits are answered
 // first. Clients that have not sent a command receive an error.
 func (g *Gateway) exitWhenDone() {
-	if !g.drainPeriodOver || g.unanswered > 0 || g.inputPending() {
+	if !g.drainPeriodOver || g.unanswered > 0 || g.inputPending() || g.awaitsClients() {
 		return
 	}
 	if !g.stopped {
@@ -43,7 +73,7 @@
 // unreadAnswers counts the clients that are still owed bytes of answers.
 type unreadAnswers struct {
 	reading int   // clients that read a stored result whose last chunk is not written
-	blocked int   // clients whose written bytes the operating system has not accepted
+	blocked int   // clients whose written bytes the operating system has not accepted, unless their query was killed
 	bytes   int64 // of the blocked clients
 }
 
@@ -53,7 +83,7 @@
 		if client.reader != nil {
 			unread.reading++
 		}
-		if client.blocked() {
+		if client.blocked() && !client.killed {
 			unread.blocked++
 			unread.bytes += client.undelivered
 		}
--- /dev/null
+++ b/internal/gateway/shutdown_test.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"foxlane/rules"
+)
+
+// play moves the clock forward by a duration in steps of 10 ms and executes the disk operations.
+func (gw *spoolGateway) play(duration rules.Time) {
+	for end := gw.now + duration; gw.now < end; {
+		gw.now += 10 * rules.Millisecond
+		gw.stepWithDisk(TimerFired{})
+	}
+}
+
+// startRead has client 1 ask for a result of 60 pages, whose first chunk is written.
+func startRead(t *testing.T, site, fields string) *spoolGateway {
+	gw := newSpoolGateway(t, site)
+	gw.login(1)
+	gw.serveEngine(gw.startResult(1, "point", idA, fields, 60))
+	if gw.g.clients[1].reader == nil {
+		t.Fatal("the result is not being read")
+	}
+	return gw
+}
+
+const afterDrainPeriod = rules.Second
+
+// Guards against answers that SIGTERM cuts off: the exit waits for a client that reads a stored result.
+func TestExitWaitsForReader(t *testing.T) {
+	for name, text := range map[string]string{"memory": memorySpoolSite, "disk": diskSpoolSite} {
+		gw := startRead(t, text, "")
+		gw.stepWithDisk(ShutdownRequested{})
+		gw.play(afterDrainPeriod)
+		if gw.exited {
+			t.Fatalf("%s: the gateway exits while its client reads", name)
+		}
+		rows, end := gw.readRows(1, 1000)
+		if end != "end" || !slices.Equal(rows, wantRows(0, 60)) || !gw.exited {
+			t.Errorf("%s: %d rows of %d, ended with %q, exited: %v", name, len(rows), len(wantRows(0, 60)), end, gw.exited)
+		}
+	}
+}
+
+// Guards against answers that break off without an error: at the deadline of the shutdown a read that is not complete ends
+// with an error, also one whose chunk is still being loaded, or which begins only then. The gateway exits.
+func TestReadsEndWithErrorAtShutdownDeadline(t *testing.T) {
+	const kept, notKept = "the gateway shuts down: the result is kept, read it again by its handle", "the gateway shuts down"
+	for _, c := range []struct {
+		name, site, fields, want string
+		results                  int // left in the spool
+	}{
+		{"without a handle", diskSpoolSite, "", notKept, 0},
+		{"with a handle", diskSpoolSite, ",spool=1", kept, 1},
+		{"in memory, with a handle", memorySpoolSite, ",spool=1", notKept, 1},
+	} {
+		gw := startRead(t, c.site, c.fields)
+		gw.login(2)
+		gw.receiveData(2, string(queryPacket("SET x = 1")))
+		gw.takeOutput(2)
+		gw.stepWithDisk(ShutdownRequested{})
+		gw.play(gw.g.limits.ShutdownTimeout - 20*rules.Millisecond)
+		if gw.exited {
+			t.Fatalf("%s: the gateway exits before the deadline", c.name)
+		}
+		gw.play(40 * rules.Millisecond)
+		rows, end := gw.readRows(1, 1)
+		if end != c.want || len(rows) == 0 || !gw.exited {
+			t.Errorf("%s: %d rows, ended with %q, exited: %v", c.name, len(rows), end, gw.exited)
+		}
+		if stats := gw.g.results.spool.Stats(); stats.Results != c.results || stats.Readers != 0 {
+			t.Errorf("%s: left %+v", c.name, stats)
+		}
+		if _, handle, _ := splitRows(t, rows); handle != "" {
+			gw.receiveData(2, string(queryPacket(fmt.Sprintf("/* resume=%s */ FETCH", handle))))
+			if _, end := gw.readRows(2, 1); end != c.want {
+				t.Errorf("%s: a read after the deadline ended with %q", c.name, end)
+			}
+		}
+	}
+	gw := startRead(t, diskSpoolSite, ",spool=1")
+	rows, _ := gw.readRows(1, 1000)
+	_, handle, _ := splitRows(t, rows)
+	gw.diskPaused = true
+	gw.receiveData(1, string(queryPacket(fmt.Sprintf("/* resume=%s */ FETCH", handle))))
+	gw.stepWithDisk(ShutdownRequested{})
+	gw.play(gw.g.limits.ShutdownTimeout + 20*rules.Millisecond)
+	if rows, end := gw.readRows(1, 1); end != kept || len(rows) != 0 || !gw.exited {
+		t.Errorf("while a chunk is loaded: %d rows, ended with %q, exited: %v", len(rows), end, gw.exited)
+	}
+}
+
+// Guards against the loss of what a client has not read yet: the exit waits until the operating system has accepted all
+// that was written, within the deadline of the shutdown. A client whose query was killed is owed nothing.
+func TestExitWaitsForBlockedClients(t *testing.T) {
+	for name, c := range map[string]struct {
+		event     func(gw *testGateway) // 1.5 s after SIGTERM; nil: none
+		exitAfter rules.Time            // from SIGTERM, within 0.2 s
+	}{
+		"reads":         {func(gw *testGateway) { gw.step(WriteUnblocked{Conn: 1}) }, 1500 * rules.Millisecond},
+		"leaves":        {func(gw *testGateway) { gw.closeConn(1) }, 1500 * rules.Millisecond},
+		"does not read": {nil, 3300 * rules.Millisecond},
+		"is killed":     {func(gw *testGateway) { gw.g.clients[1].killed = true }, 1500 * rules.Millisecond},
+	} {
+		gw := newTestGateway(t)
+		gw.loginClient(1)
+		gw.receive(1, string(queryPacket("SET x = 1")))
+		gw.step(WriteBlocked{Conn: 1, Pending: 1000})
+		gw.step(ShutdownRequested{})
+		exitedAfter := rules.Time(0)
+		const step = 100 * rules.Millisecond
+		for at := step; at <= 4*rules.Second && !gw.exited; at += step {
+			gw.advance(step)
+			if at == 1500*rules.Millisecond && c.event != nil {
+				c.event(gw)
+			}
+			if gw.step(TimerFired{}); gw.exited {
+				exitedAfter = at
+			}
+		}
+		if exitedAfter < c.exitAfter || exitedAfter > c.exitAfter+2*step {
+			t.Errorf("%s: exited after %v ms, want %v", name, exitedAfter/rules.Millisecond, c.exitAfter/rules.Millisecond)
+		}
+	}
+}
+
+// Guards against an interrupted answer whose error the operating system does not take: it holds little that is unsent of a
+// stored result, until the answer ends.
+func TestUnsentBytesOfReadsAreLimited(t *testing.T) {
+	gw := startRead(t, diskSpoolSite, ",spool=1")
+	limit := gw.g.limits.UnsentBytes
+	if got := gw.unsentLimits[1]; !slices.Equal(got, []int{limit}) {
+		t.Errorf("limits during the read: %v, want %d", got, limit)
+	}
+	gw.readRows(1, 1000)
+	if got := gw.unsentLimits[1]; !slices.Equal(got, []int{limit, 0}) {
+		t.Errorf("limits after the read: %v", got)
+	}
+	gw = startRead(t, diskSpoolSite, ",spool=1")
+	gw.stepWithDisk(ShutdownRequested{})
+	gw.play(gw.g.limits.ShutdownTimeout + 20*rules.Millisecond)
+	if got := gw.unsentLimits[1]; !slices.Equal(got, []int{limit, 0}) || !strings.Contains(gw.takeOutput(1), "shuts down") {
+		t.Errorf("limits after the shutdown's deadline: %v", got)
+	}
+}
+
+// Guards against the loss of answers for the lack of memory: before a client is closed for what it has not read, the operating
+// system may take what readers of stored results hold. Those that it takes nothing of are closed as any other.
+func TestReadsAreHandedOverBeforeClientsAreClosed(t *testing.T) {
+	gw := startRead(t, diskSpoolSite, ",spool=1")
+	limit := gw.g.limits.ResultBufferBytes
+	gw.stepWithDisk(WriteBlocked{Conn: 1, Pending: int64(limit) / 2})
+	gw.login(2)
+	gw.receiveData(2, string(queryPacket("SET x = 1")))
+	gw.play(10 * rules.Millisecond)
+	gw.stepWithDisk(WriteBlocked{Conn: 2, Pending: int64(limit)/2 + 2})
+	if got := gw.unsentLimits[1]; !slices.Equal(got, []int{gw.g.limits.UnsentBytes, 0}) {
+		t.Fatalf("limits: %v", got)
+	}
+	if len(gw.g.clients) != 2 {
+		t.Fatal("a client was closed before the operating system could take what is written to it")
+	}
+	gw.play(250 * rules.Millisecond) // the operating system takes nothing
+	if gw.g.clients[1] != nil || gw.g.clients[2] == nil {
+		t.Errorf("%d clients are left: the one that has been blocked for longest is not closed", len(gw.g.clients))
+	}
+}
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -17,6 +17,7 @@
 	timerSweep                           // idle connections and zones are swept
 	timerPoll                            // the name service is polled
 	timerStop                            // the minimum drain period of a shutdown ends
+	timerAnswersDue                      // every answer must be complete, since the gateway shuts down
 	timerStats                           // statistics are logged
 	timerAnswerComplete                  // a partially received answer is checked for progress
 	timerResultStored                    // deadline for storing a received result
@@ -169,6 +170,8 @@
 		g.tickDirectives()
 	case timerStop:
 		g.drainPeriodOver = true
+	case timerAnswersDue:
+		g.endReads()
 	case timerStats:
 		g.logStats()
 	case timerResultStored:
--- a/internal/mysql/packet.go
+++ b/internal/mysql/packet.go
@@ -29,6 +29,7 @@
 	CodeAccessDenied       = 1045
 	CodeUnknownDatabase    = 1049
 	CodeUnknownCommand     = 1047
+	CodeServerShutdown     = 1053
 	CodeParse              = 1064
 	CodeNoSuchThread       = 1094 // KILL of an unknown session
 	CodeUnknownError       = 1105
@@ -39,7 +40,7 @@
 )
 
 var sqlStates = map[uint16]string{
-	CodeBadHandshake: "08S01", CodeAccessDenied: "28000", CodeUnknownDatabase: "42000", CodeUnknownCommand: "08S01", CodeParse: "42000",
+	CodeBadHandshake: "08S01", CodeAccessDenied: "28000", CodeUnknownDatabase: "42000", CodeUnknownCommand: "08S01", CodeServerShutdown: "08S01", CodeParse: "42000",
 	CodePacketTooLarge: "08S01", CodePacketsOutOfOrder: "08S01", CodeTooManyConnections: "08004", CodeUserLimitReached: "42000",
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/lesismal/nbio"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"foxlane/internal/gateway"
 	"foxlane/rules"
@@ -153,6 +155,20 @@
 	}
 }
 
+// limitUnsent sets how many bytes the kernel holds for a connection before it sends them; 0: as many as it likes. Bytes on
+// their way to the peer don't count, so the limit costs no throughput.
+func (s *Server) limitUnsent(c *conn, bytes int) {
+	if bytes == 0 {
+		bytes = math.MaxInt32
+	}
+	if !c.ownsDescriptor() {
+		return
+	}
+	if err := unix.SetsockoptInt(c.nb.Hash(), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes); err != nil {
+		s.log.Debug("unsent bytes not limited", zap.Error(err))
+	}
+}
+
 // reportDrained sends WriteDrained to the reducer if requested, once per request.
 func (s *Server) reportDrained(c *conn) {
 	if c.notifyDrained.Swap(false) {
--- a/internal/transport/execute.go
+++ b/internal/transport/execute.go
@@ -28,6 +28,10 @@
 		if c := s.connByID(effect.Conn); c != nil {
 			s.notifyWhenDrained(c)
 		}
+	case gateway.LimitUnsent:
+		if c := s.connByID(effect.Conn); c != nil {
+			s.limitUnsent(c, effect.Bytes)
+		}
 	case gateway.Dial:
 		s.startDial(effect.Conn, effect.Addr, effect.Timeout)
 	case gateway.QueryDNS:
--- a/internal/transport/helpers_test.go
+++ b/internal/transport/helpers_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -52,7 +53,9 @@
 	nameServer *standin.NameServer
 	engines    []*standin.Engine
 	hosts      []standin.Host
+	platform   Platform
 	config     string
+	sitePath   string // of the operator's own file; empty: none
 	stop       chan os.Signal
 	hup        chan os.Signal
 	exited     chan error
@@ -74,7 +77,22 @@
 // newTestbedOn is like newTestbed, with the given platform and limits.
 func newTestbedOn(t *testing.T, platform Platform, limits string, answers ...func(standin.Request) standin.Reply) *testbed {
 	t.Helper()
-	s := &testbed{t: t, stop: make(chan os.Signal, 1), hup: make(chan os.Signal, 1), exited: make(chan error, 1)}
+	return startTestbed(t, platform, limits, "", answers...)
+}
+
+// newTestbedWithSite is like newTestbed, with an operator's own file of the given text.
+func newTestbedWithSite(t *testing.T, text string, answers ...func(standin.Request) standin.Reply) *testbed {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "site.hcl")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return startTestbed(t, System(), defaultLimits, path, answers...)
+}
+
+func startTestbed(t *testing.T, platform Platform, limits, sitePath string, answers ...func(standin.Request) standin.Reply) *testbed {
+	t.Helper()
+	s := &testbed{t: t, platform: platform, sitePath: sitePath, stop: make(chan os.Signal, 1), hup: make(chan os.Signal, 1), exited: make(chan error, 1)}
 	goroutines, files, heap := runtime.NumGoroutine(), countDescriptors(t), heapAlloc()
 	t.Cleanup(func() { s.checkNoLeaks(goroutines, files, heap) }) // runs after the deferred calls of the test
 	var err error
@@ -96,26 +114,38 @@
 	s.config = `{"name":"n0","listen":"` + s.addr + `","seed":"01","limits":` + limits + `,
 		"dns":"` + s.nameServer.Addr() + `","known":{"seq":1,"results":[{"seq":1,"fleet":{"full":true,"servers":[` +
 		strings.Join(servers, ",") + `]}}]},"settings":` + testSettings + `}`
-	cfg, err := config.Parse([]byte(s.config))
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { s.exited <- RunOn(platform, cfg, zap.NewNop(), Signals{Reload: s.hup, Terminate: s.stop}) }()
 	if s.db, err = sql.Open("mysql", "app@tcp("+s.addr+")/main?interpolateParams=true"); err != nil {
 		t.Fatal(err)
 	}
+	s.start()
+	return s
+}
+
+// start starts the gateway, for the first time or again, and waits until it answers.
+func (s *testbed) start() {
+	s.t.Helper()
+	cfg, err := config.Parse([]byte(s.config))
+	if err == nil {
+		cfg, err = cfg.WithSite(s.sitePath)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	go func() {
+		s.exited <- RunOn(s.platform, cfg, zap.NewNop(), Signals{Reload: s.hup, Terminate: s.stop})
+	}()
 	for i := 0; s.db.Ping() != nil; i++ {
 		if i > 200 {
-			t.Fatal("the gateway does not answer pings")
+			s.t.Fatal("the gateway does not answer pings")
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	return s
 }
 
-// shutdown sends SIGTERM to the gateway, waits for it to exit and closes the fake servers.
-func (s *testbed) shutdown() {
+// terminate sends SIGTERM to the gateway and returns how long it took to exit.
+func (s *testbed) terminate() time.Duration {
 	s.t.Helper()
+	began := time.Now()
 	s.stop <- syscall.SIGTERM
 	select {
 	case err := <-s.exited:
@@ -125,6 +155,19 @@
 	case <-time.After(5 * time.Second):
 		s.t.Error("still running 5 s after SIGTERM")
 	}
+	return time.Since(began)
+}
+
+// shutdown sends SIGTERM to the gateway, waits for it to exit and closes the fake servers.
+func (s *testbed) shutdown() {
+	s.t.Helper()
+	s.terminate()
+	s.closeFakeServers()
+}
+
+// closeFakeServers closes the fake servers of a gateway that has exited.
+func (s *testbed) closeFakeServers() {
+	s.t.Helper()
 	mustClose(s.t, s.db)
 	for _, e := range s.engines {
 		e.Close()
