Answer a result that waits for a hanging disk by the deadline of the shutdown

What callers saw: with a disk that hangs, a query whose engine sends its last page after SIGTERM is not answered until its own deadline; the exit waits, and SIGKILL finds it unanswered.

Cause: the deadlines of results that wait for the disk are cut at SIGTERM; one that begins to wait later got its client's.

Evidence: TestResultThatWaitsForDiskIsAnsweredByShutdownDeadline fails without the change (no answer and no exit 3.3 s after SIGTERM, for a result received after it).

Why it works: there is one place where such a result gets its deadline, and it now takes the earlier of both.

--- a/internal/gateway/resultfill.go
+++ b/internal/gateway/resultfill.go
@@ -93,10 +93,14 @@
 		g.markDirty(&attempt.conn.outputBuffer)
 	}
 	g.concludeAttempt(attempt, rules.StatusOK)
-	g.timers.add(timer{at: req.dueAt, kind: timerResultStored, request: req})
+	due := req.dueAt
+	if g.stopping {
+		due = min(due, g.answersDue)
+	}
+	g.timers.add(timer{at: due, kind: timerResultStored, request: req})
 }
 
-// shortenStoreDeadlines gives results that only wait for the disk at most ShutdownTimeout from now.
+// shortenStoreDeadlines gives results that only wait for the disk until the deadline of the shutdown.
 func (g *Gateway) shortenStoreDeadlines() {
 	if g.results == nil {
 		return
--- a/internal/gateway/resultstore_test.go
+++ b/internal/gateway/resultstore_test.go
@@ -151,7 +151,12 @@
 
 // startResult sends a request for a result of the given number of pages and answers with the first page.
 func (gw *spoolGateway) startResult(client ConnID, class, id, extraFields string, pages int) (connID ConnID) {
-	gw.receiveData(client, string(queryPacket(fmt.Sprintf("/* kind=%s,req=%s,timeout=2000%s */ SELECT 1 FROM sales_1.x", class, id, extraFields))))
+	return gw.startResultWithin(client, class, id, extraFields, pages, 2*rules.Second)
+}
+
+// startResultWithin is like startResult, for a client that waits for the given time.
+func (gw *spoolGateway) startResultWithin(client ConnID, class, id, extraFields string, pages int, timeout rules.Time) (connID ConnID) {
+	gw.receiveData(client, string(queryPacket(fmt.Sprintf("/* kind=%s,req=%s,timeout=%d%s */ SELECT 1 FROM sales_1.x", class, id, timeout/rules.Millisecond, extraFields))))
 	if len(gw.dials) == 0 {
 		return 0
 	}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -148,6 +148,31 @@
 	}
 }
 
+// Guards against a request that is left unanswered until SIGKILL: a result that only waits for its disk, which hangs, is answered by
+// the deadline of the shutdown, whether its engine had sent all of it before SIGTERM or after it.
+func TestResultThatWaitsForDiskIsAnsweredByShutdownDeadline(t *testing.T) {
+	for name, termFirst := range map[string]bool{"received before SIGTERM": false, "received after SIGTERM": true} {
+		gw := newSpoolGateway(t, diskSpoolSite)
+		gw.login(1)
+		gw.diskPaused = true
+		conn := gw.startResultWithin(1, "load", idA, ",spool=1", 3, 15*rules.Second)
+		if termFirst {
+			gw.stepWithDisk(ShutdownRequested{})
+		}
+		gw.serveEngine(conn)
+		if !termFirst {
+			gw.stepWithDisk(ShutdownRequested{})
+		}
+		if out := gw.takeOutput(1); out != "" || gw.g.unanswered != 1 {
+			t.Fatalf("%s: answered before the result is on the disk: %q", name, out)
+		}
+		gw.play(gw.g.limits.ShutdownTimeout + 20*rules.Millisecond)
+		if out := gw.takeOutput(1); !strings.Contains(out, "failed") || !gw.exited {
+			t.Errorf("%s: answered with %q, exited: %v", name, out, gw.exited)
+		}
+	}
+}
+
 // Guards against the loss of answers for the lack of memory: before a client is closed for what it has not read, the operating
 // system may take what readers of stored results hold. Those that it takes nothing of are closed as any other.
 func TestReadsAreHandedOverBeforeClientsAreClosed(t *testing.T) {
