Exit in time after SIGTERM while a disk hangs or members do not answer

What callers saw: with a disk that hangs, a process that had answered everything exited 4.6 s after SIGTERM; SIGKILL may come after 3.7 s.

Cause: the closes of the members, the voter's log and the result store may each take 1 s from their own begin, whatever is left.

Evidence: TestExitIsInTimeWhileDiskHangs fails without the change: the gateway took 4.615 s to exit. With it, it passes.

Why it works: all three waits have one end, when the process is to have exited; what was acknowledged is on the disk by then.

--- a/internal/transport/helpers_test.go
+++ b/internal/transport/helpers_test.go
@@ -80,14 +80,14 @@
 	return startTestbed(t, platform, limits, "", answers...)
 }
 
-// newTestbedWithSite is like newTestbed, with an operator's own file of the given text.
-func newTestbedWithSite(t *testing.T, text string, answers ...func(standin.Request) standin.Reply) *testbed {
+// newTestbedWithSite is like newTestbed, on the given platform and with an operator's own file of the given text.
+func newTestbedWithSite(t *testing.T, platform Platform, text string, answers ...func(standin.Request) standin.Reply) *testbed {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "site.hcl")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return startTestbed(t, System(), defaultLimits, path, answers...)
+	return startTestbed(t, platform, defaultLimits, path, answers...)
 }
 
 func startTestbed(t *testing.T, platform Platform, limits, sitePath string, answers ...func(standin.Request) standin.Reply) *testbed {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -103,6 +103,7 @@
 	case <-l.timer.C:
 	case <-l.shutdown.tick:
 	case <-signals.Terminate:
+		l.setExitBy()
 		l.reducer.Step(l.now(), gateway.ShutdownRequested{})
 	case <-reload:
 		l.startReload(&l.reload)
--- a/internal/transport/members.go
+++ b/internal/transport/members.go
@@ -137,9 +137,9 @@
 	}
 }
 
-// awaitLeave waits until all memberships have ended, for leaveTimeout at most.
+// awaitLeave waits until all memberships have ended, for leaveTimeout at most, or until the process is to have exited.
 func (s *Server) awaitLeave() {
-	if !returnsWithin(leaveTimeout, s.leaveWorkers.Wait) {
+	if !returnsWithin(s.closeTimeout(leaveTimeout), s.leaveWorkers.Wait) {
 		s.log.Warn("members: not left in time, the process ends without")
 	}
 }
--- a/internal/transport/resultstore.go
+++ b/internal/transport/resultstore.go
@@ -83,12 +83,12 @@
 	}
 }
 
-// closeResultStore finishes queued writes and unlocks the folder, within diskCloseTimeout.
+// closeResultStore finishes queued writes and unlocks the folder, within diskCloseTimeout and before the process is to have exited.
 func (s *Server) closeResultStore() {
 	if s.results == nil {
 		return
 	}
-	if !returnsWithin(diskCloseTimeout, func() {
+	if !returnsWithin(s.closeTimeout(diskCloseTimeout), func() {
 		if err := s.results.worker.Close(); err != nil {
 			s.log.Warn("spool: not closed in order", zap.Error(err))
 		}
--- a/internal/transport/resultstore_shutdown_test.go
+++ b/internal/transport/resultstore_shutdown_test.go
@@ -7,9 +7,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"foxlane/internal/spool/disk"
 	"foxlane/internal/standin"
 )
 
@@ -176,7 +178,7 @@
 // Guards against answers that SIGTERM cuts off: whoever reads a stored result, from the disk or from memory, evenly, with a
 // pause, or from late in the drain period on, gets all rows if it reads them within the time that the shutdown has.
 func TestShutdownWaitsForReadersOfStoredResults(t *testing.T) {
-	s := &readersAtShutdown{testbed: newTestbedWithSite(t, fmt.Sprintf(resultStoreSite, t.TempDir()), serveTable, serveTable)}
+	s := &readersAtShutdown{testbed: newTestbedWithSite(t, System(), fmt.Sprintf(resultStoreSite, t.TempDir()), serveTable, serveTable)}
 	const large, medium, small, tiny = 160_000, 60_000, 10_000, 2_000 // rows of 100 bytes
 	resume := map[int]string{}
 	for _, count := range []int{large, medium, small} {
@@ -213,7 +215,7 @@
 // shutdown has gets an error, also if it reads only once the process has exited. It keeps back neither the exit nor a client
 // beside it, and reads the rest by its handle after the restart.
 func TestShutdownEndsSlowReadsWithAnError(t *testing.T) {
-	s := &readersAtShutdown{testbed: newTestbedWithSite(t, fmt.Sprintf(resultStoreSite, t.TempDir()), serveTable, serveTable)}
+	s := &readersAtShutdown{testbed: newTestbedWithSite(t, System(), fmt.Sprintf(resultStoreSite, t.TempDir()), serveTable, serveTable)}
 	const large, medium = 200_000, 60_000 // rows of 100 bytes
 	exited := make(chan struct{})
 	untilExit := func(rows int) {
@@ -247,3 +249,63 @@
 	}
 	s.shutdown()
 }
+
+// hangingFolder is a folder whose disk stands still once hang is set, until released is closed.
+type hangingFolder struct {
+	Folder
+	hang     *atomic.Bool
+	released chan struct{}
+}
+
+type hangingFile struct {
+	disk.File
+	folder *hangingFolder
+}
+
+func (f *hangingFolder) Open(name string, create bool) (disk.File, error) {
+	file, err := f.Folder.Open(name, create)
+	return &hangingFile{file, f}, err
+}
+
+func (f *hangingFolder) wait() {
+	if f.hang.Load() {
+		<-f.released
+	}
+}
+
+func (f *hangingFile) ReadAt(p []byte, offset int64) (int, error) {
+	f.folder.wait()
+	return f.File.ReadAt(p, offset)
+}
+
+func (f *hangingFile) WriteAt(p []byte, offset int64) (int, error) {
+	f.folder.wait()
+	return f.File.WriteAt(p, offset)
+}
+
+// Guards against a SIGKILL that comes before the exit: while the disk hangs, a read ends with an error at the deadline of the
+// shutdown, and the process exits without the disk before the earliest SIGKILL.
+func TestExitIsInTimeWhileDiskHangs(t *testing.T) {
+	var hang atomic.Bool
+	released := make(chan struct{})
+	platform := System()
+	platform.OpenFolder = func(path string) (Folder, error) {
+		folder, err := System().OpenFolder(path)
+		return &hangingFolder{Folder: folder, hang: &hang, released: released}, err
+	}
+	s := &readersAtShutdown{testbed: newTestbedWithSite(t, platform, fmt.Sprintf(resultStoreSite, t.TempDir()), serveTable, serveTable)}
+	const medium = 60_000
+	read := s.start("while the disk hangs", medium, s.query(medium, true), func(rows int) {
+		if rows == medium/10 {
+			hang.Store(true)
+		}
+	})
+	took := s.terminate()
+	close(released)
+	if took < 3*time.Second || took > exitLimit {
+		t.Errorf("the gateway took %v to exit", took)
+	}
+	s.ended.Wait()
+	read.checkEndedByShutdown(t, "the gateway shuts down")
+	s.closeFakeServers()
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -61,6 +61,7 @@
 	devNull      *os.File
 	listener     net.Listener
 	shuttingDown atomic.Bool // no more connections are accepted
+	exitBy       time.Time   // when the process is to have exited; zero: there was no SIGTERM. Used only by the reducer's goroutine
 
 	results *resultStore // nil: results are not stored on disk
 	voter   *voterWorker // nil: this gateway does not vote on directives
--- a/internal/transport/voter.go
+++ b/internal/transport/voter.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// closeVoterLog persists the queued batches and closes the log, within diskCloseTimeout.
+// closeVoterLog persists the queued batches and closes the log, within diskCloseTimeout and before the process is to have exited.
 func (s *Server) closeVoterLog() {
 	v := s.voter
 	if v == nil {
@@ -87,7 +87,7 @@
 	}
 	s.cancel() // ends retries
 	close(v.batches)
-	if !returnsWithin(diskCloseTimeout, func() { v.writer.Wait(); v.log.Close() }) {
+	if !returnsWithin(s.closeTimeout(diskCloseTimeout), func() { v.writer.Wait(); v.log.Close() }) {
 		s.log.Warn("directives: the voter's disk hangs, left as it is")
 	}
 }
--- a/internal/transport/wait.go
+++ b/internal/transport/wait.go
@@ -8,6 +8,25 @@
 // diskCloseTimeout is how long shutdown waits for a disk. Acknowledged data is already on the disk.
 const diskCloseTimeout = time.Second
 
+// minCloseTimeout is how long shutdown waits for a disk or a member once the process should have exited.
+const minCloseTimeout = 10 * time.Millisecond
+
+// setExitBy notes, at the first SIGTERM, when the process is to have exited: as soon as all answers are due and flushed.
+func (s *Server) setExitBy() {
+	if s.exitBy.IsZero() {
+		s.exitBy = time.Now().Add(time.Duration(s.limits.ShutdownTimeout+s.limits.FlushTimeout) * time.Microsecond)
+	}
+}
+
+// closeTimeout returns how long shutdown may wait for something that can take up to limit, so that several that hang do not
+// together delay the exit.
+func (s *Server) closeTimeout(limit time.Duration) time.Duration {
+	if s.exitBy.IsZero() { // the gateway ends without SIGTERM
+		return limit
+	}
+	return max(min(limit, time.Until(s.exitBy)), minCloseTimeout)
+}
+
 // sleep waits for d and returns true, or returns false as soon as the context is done.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
