Write responses to operators' commands to their end when the control server stops

What callers saw: a command on the control socket got an end of file in the middle of its response when its gateway ended, or a reload took out the block members.

Cause: the stop of the control server closed all connections, also those whose response was being written.

Evidence: TestResponseIsWrittenThoughServerStops fails without the change (3,919,872 of 8,388,609 bytes).

Why it works: a connection counts as responding from the moment the response is handed over, and gets 0.2 s from the stop on.

--- a/internal/transport/control.go
+++ b/internal/transport/control.go
@@ -20,7 +20,8 @@
 	maxControlConns         = 8
 	maxControlRequestSize   = 64 << 10 // bytes of a request
 	controlTimeout          = 6 * time.Second
-	controlAcceptRetryDelay = 10 * time.Millisecond // between a failed accept and the next
+	controlAcceptRetryDelay = 10 * time.Millisecond  // between a failed accept and the next
+	responseFlushTimeout    = 200 * time.Millisecond // for writing responses once the server stops
 )
 
 // controlServer reads one request line from each control connection, passes it to the reducer and writes the
@@ -34,10 +35,16 @@
 	lastConn *atomic.Uint64 // number of the last connection, of this server or an earlier one
 
 	mu     sync.Mutex
-	conns  map[gateway.ConnID]net.Conn // connections without a complete response
+	conns  map[gateway.ConnID]*controlConn // connections without a complete response
 	closed bool
 }
 
+// controlConn is a connection from an operator's command.
+type controlConn struct {
+	net.Conn
+	responding bool // its response is being written
+}
+
 // startControl starts a control server. It numbers connections from lastConn on, which outlives it: a reload may replace
 // the server while the reducer still has a response to a command that came to the former one.
 func startControl(addr netip.AddrPort, queue *eventQueue, log *zap.Logger, lastConn *atomic.Uint64) (*controlServer, error) {
@@ -45,19 +52,24 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &controlServer{listener: listener, queue: queue, log: log, lastConn: lastConn, conns: map[gateway.ConnID]net.Conn{}}
+	c := &controlServer{listener: listener, queue: queue, log: log, lastConn: lastConn, conns: map[gateway.ConnID]*controlConn{}}
 	c.workers.Go(c.accept)
 	return c, nil
 }
 
-// stop closes the listener and all connections without waiting for their goroutines.
+// stop closes the listener and all connections without waiting for their goroutines. Responses that are being written get
+// responseFlushTimeout first.
 func (c *controlServer) stop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
 	_ = c.listener.Close() // an error has no consequence: the server is stopping
 	for _, conn := range c.conns {
-		_ = conn.Close() // the command gets no response
+		if conn.responding {
+			_ = conn.SetDeadline(time.Now().Add(responseFlushTimeout)) // fails only on a closed connection
+		} else {
+			_ = conn.Close() // the command gets no response
+		}
 	}
 }
 
@@ -97,7 +109,7 @@
 		return 0, false
 	}
 	id = gateway.ConnID(c.lastConn.Add(1))
-	c.conns[id] = conn
+	c.conns[id] = &controlConn{Conn: conn}
 	return id, true
 }
 
@@ -117,6 +129,9 @@
 func (c *controlServer) respond(response gateway.ControlResponse) {
 	c.mu.Lock()
 	conn := c.conns[response.Conn]
+	if conn != nil {
+		conn.responding = true
+	}
 	c.mu.Unlock()
 	if conn == nil {
 		return
--- a/internal/transport/control_test.go
+++ b/internal/transport/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -148,3 +149,16 @@
 		t.Errorf("the command got %q, %v", line, err)
 	}
 }
+
+// Guards against a response that is cut off: one that is being written when the server stops is written to its end.
+func TestResponseIsWrittenThoughServerStops(t *testing.T) {
+	c, dial := newTestControlServer(t)
+	_, in := dial("copies\n")
+	request := c.takeRequest(t)
+	response := append(bytes.Repeat([]byte("x"), 8<<20), '\n') // more than the sockets hold
+	c.respond(gateway.ControlResponse{Conn: request.Conn, Data: response})
+	c.stop()
+	if line, err := in.ReadBytes('\n'); err != nil || len(line) != len(response) {
+		t.Errorf("the command got %d of %d bytes, %v", len(line), len(response), err)
+	}
+}
