Answer directives that are not committed by the deadline of the shutdown

What callers saw: foxlane directive set got an end of file from a gateway that had got SIGTERM, and did not say whether the directive may come into force.

Cause: the exit waited for clients' requests alone, as for readers of stored results.

Evidence: TestPendingDirectiveIsAnsweredByShutdownDeadline fails without the wait (exit before the deadline) and without the answer at the deadline.

Why it works: proposals are counted where they wait for their answer, and the exit's condition includes that count; at the deadline the rest is answered, and later ones at once.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"foxlane/internal/directives"
@@ -17,6 +19,9 @@
 // errDirectivesOff is the answer if the operator's file has no block `directives`.
 var errDirectivesOff = errors.New("directives are off")
 
+// errCommandAtShutdown is the answer to a directive command on which the voters have not agreed when the gateway shuts down.
+var errCommandAtShutdown = errors.New("the gateway shuts down: the command may or may not come to hold; ask for the list")
+
 // errMembersOff is the answer if the operator's file has no block `members`.
 var errMembersOff = errors.New("talk is off")
 
@@ -190,6 +195,9 @@
 	case err == nil:
 		err = command.Validate()
 	}
+	if err == nil && g.answersOverdue() {
+		err = errCommandAtShutdown
+	}
 	if err != nil {
 		g.reply(conn, errorAnswer(err))
 		return
@@ -212,3 +220,21 @@
 	}
 	g.reply(conn, map[string]uint64{"index": index})
 }
+
+// pendingProposals returns the number of directive commands that are not answered yet.
+func (g *Gateway) pendingProposals() int {
+	if g.directives == nil {
+		return 0
+	}
+	return len(g.directives.pendingCommands)
+}
+
+// endProposals answers the pending directive commands at the deadline of the shutdown, in the order in which they came.
+func (g *Gateway) endProposals() {
+	if g.directives == nil {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(g.directives.pendingCommands)) {
+		g.answerProposal(id, 0, errCommandAtShutdown)
+	}
+}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -46,18 +46,19 @@
 	}
 }
 
-// awaitsClients reports whether the exit waits for clients to read: until the deadline of the shutdown for those whose
-// written bytes the operating system has not accepted, and for those that read a stored result, which end by then.
-func (g *Gateway) awaitsClients() bool {
+// answersOwed reports whether the exit waits for answers beside those to requests: for clients whose written bytes the
+// operating system has not accepted, until the deadline of the shutdown, and for reads of stored results and operators'
+// commands, which end by then.
+func (g *Gateway) answersOwed() bool {
 	unread := g.unreadAnswers()
-	return unread.reading > 0 || unread.blocked > 0 && !g.answersOverdue()
+	return unread.reading > 0 || g.pendingProposals() > 0 || unread.blocked > 0 && !g.answersOverdue()
 }
 
 // exitWhenDone emits Exit once the drain period is over, all requests are answered, also those that arrived during a stall,
-// and no client is still owed bytes of an answer. It emits Exit in each batch from then on, since requests that are read while the process exits are answered
+// and no other answer is owed. It emits Exit in each batch from then on, since requests that are read while the process exits are answered
 // first. Clients that have not sent a command receive an error.
 func (g *Gateway) exitWhenDone() {
-	if !g.drainPeriodOver || g.unanswered > 0 || g.inputPending() || g.awaitsClients() {
+	if !g.drainPeriodOver || g.unanswered > 0 || g.inputPending() || g.answersOwed() {
 		return
 	}
 	if !g.stopped {
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"foxlane/internal/directives"
 	"foxlane/rules"
 )
 
@@ -194,3 +195,56 @@
 		t.Errorf("%d clients are left: the one that has been blocked for longest is not closed", len(gw.g.clients))
 	}
 }
+
+// Guards against an operator's command that gets no answer: the exit waits for a directive that is not committed yet, here since
+// the voter's disk hangs, and answers it at the deadline of the shutdown. One that comes later is answered at once.
+func TestPendingDirectiveIsAnsweredByShutdownDeadline(t *testing.T) {
+	gw := startTestGateway(t, withSite(t, membersSite+"directives {\n  voters = [\"n0\"]\n}\n"), oneHost)
+	diskHangs, exited := false, false
+	var answers []string
+	var step func(event Event)
+	step = func(event Event) {
+		gw.g.Step(gw.now, event)
+		for _, effect := range slices.Clone(gw.g.Flush()) {
+			switch effect := effect.(type) {
+			case PersistVoterLog:
+				if !diskHangs {
+					step(VoterLogPersisted{})
+				}
+			case ControlResponse:
+				answers = append(answers, string(effect.Data))
+			case Exit:
+				exited = true
+			}
+		}
+	}
+	play := func(duration rules.Time) {
+		for end := gw.now + duration; gw.now < end; {
+			gw.now += 10 * rules.Millisecond
+			step(TimerFired{})
+		}
+	}
+	command := func(subject string) {
+		step(ControlRequest{Conn: 7, Data: fmt.Appendf(nil, `{"id":%q,"op":"set","kind":"refuse-class","subject":%q}`, subject, subject)})
+	}
+	step(VoterLogOpened{State: &directives.PersistedState{Initialized: true}})
+	play(5 * rules.Second) // the voter becomes the leader
+	command("point")
+	if len(answers) != 1 || !strings.HasPrefix(answers[0], `{"index":`) {
+		t.Fatalf("the first command was answered with %q", answers)
+	}
+	diskHangs = true
+	command("load")
+	step(ShutdownRequested{})
+	play(gw.g.limits.ShutdownTimeout - 20*rules.Millisecond)
+	if len(answers) != 1 || exited {
+		t.Fatalf("before the deadline: answers %q, exited: %v", answers, exited)
+	}
+	play(40 * rules.Millisecond)
+	if len(answers) != 2 || !strings.Contains(answers[1], "the gateway shuts down") || !exited {
+		t.Errorf("after the deadline: answers %q, exited: %v", answers, exited)
+	}
+	if command("report"); len(answers) != 3 || !strings.Contains(answers[2], "the gateway shuts down") {
+		t.Errorf("a late command: answers %q", answers)
+	}
+}
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -172,6 +172,7 @@
 		g.drainPeriodOver = true
 	case timerAnswersDue:
 		g.endReads()
+		g.endProposals()
 	case timerStats:
 		g.logStats()
 	case timerResultStored:
