End a read by handle with an error when admission control closes its connection

What callers saw: with the blocks spool and fair, a client that read a stored result by its handle lost its connection in the middle of the rows, without an error, when another connection needed room.

Cause: a read by handle is no request, so its connection counts as idle and was closed as any idle one.

Why it works: each end of a read by the gateway now goes through failRead, which writes an error at a row's end ahead of the close. What remains without one is a reset for lack of memory (docs/memory.md).

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -6,6 +6,7 @@
 
 	"foxlane/internal/admission"
 	"foxlane/internal/config"
+	"foxlane/internal/mysql"
 	"foxlane/rules"
 )
 
@@ -119,6 +120,7 @@
 		return
 	}
 	g.log(Info, "client: evicted", Attr{keySession, client.session}, Attr{keyReason, effect.Reason.String()})
+	g.endRead(client, mysql.CodeUnknownError, "no room for this connection")
 	g.closeClient(client, CloseAdmission)
 }
 
--- a/internal/gateway/resultread.go
+++ b/internal/gateway/resultread.go
@@ -56,7 +56,7 @@
 	reader.slot = g.results.readers.allocate(client)
 	g.notifySpool(spool.Attach{Reader: spool.ReaderID(reader.slot), ID: reader.id, Secret: reader.handle.Secret(), Tenant: owner, Index: from})
 	if g.answersOverdue() {
-		g.endRead(client)
+		g.endReadForShutdown(client)
 	}
 }
 
@@ -191,21 +191,23 @@
 func (g *Gateway) abortReader(client *clientConn, reason spool.Reason) {
 	g.log(Warn, "spool: result lost while being read", Attr{keySession, client.session}, Attr{keyReason, reason.String()})
 	g.failRead(client, mysql.CodeUnknownError, "the result was lost: "+reason.String())
+	g.handleClientIdle(client)
 }
 
-// endRead ends the read of a client that has not got its whole answer by the deadline of the shutdown.
-func (g *Gateway) endRead(client *clientConn) {
+// endRead ends the answer of a client that reads a stored result, for a reason that does not lie in the result. The error says
+// whether the result is kept.
+func (g *Gateway) endRead(client *clientConn, code uint16, reason string) {
 	reader := client.reader
 	if reader == nil {
 		return
 	}
-	text := "the gateway shuts down"
+	text := reason
 	if reader.resumable && g.cfg.Site.Spool.Folder != "" {
 		text += ": the result is kept, read it again by its handle"
 	}
-	g.log(Info, "spool: answer ended by the shutdown", Attr{keySession, client.session}, Attr{"chunks", reader.lastChunk + 1},
-		Attr{"resumable", reader.resumable})
-	g.failRead(client, mysql.CodeServerShutdown, text)
+	g.log(Info, "spool: answer ended early", Attr{keySession, client.session}, Attr{"chunks", reader.lastChunk + 1},
+		Attr{"resumable", reader.resumable}, Attr{keyReason, reason})
+	g.failRead(client, code, text)
 	g.leaveResult(reader)
 }
 
@@ -215,5 +217,4 @@
 	client.output = mysql.AppendErr(client.output, client.reader.nextSeq, code, text)
 	g.markDirty(&client.outputBuffer)
 	g.removeReader(client)
-	g.handleClientIdle(client)
 }
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"foxlane/internal/admission"
+	"foxlane/internal/mysql"
 	"foxlane/rules"
 )
 
@@ -42,7 +43,15 @@
 	}
 	slices.SortFunc(reading, func(left, right *clientConn) int { return cmp.Compare(left.id, right.id) })
 	for _, client := range reading {
-		g.endRead(client)
+		g.endReadForShutdown(client)
+	}
+}
+
+// endReadForShutdown ends the read of a client that has not got its whole answer by the deadline of the shutdown.
+func (g *Gateway) endReadForShutdown(client *clientConn) {
+	if client.reader != nil {
+		g.endRead(client, mysql.CodeServerShutdown, "the gateway shuts down")
+		g.handleClientIdle(client)
 	}
 }
 
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -174,6 +174,33 @@
 	}
 }
 
+// Guards against an answer that breaks off without an error because admission control makes room for another connection.
+func TestEvictedReadEndsWithError(t *testing.T) {
+	const maxConns = 3
+	site := diskSpoolSite + fmt.Sprintf(admissionSiteFormat, 1)
+	gw := &spoolGateway{testGateway: startTestGateway(t, withAdmission(t, site, maxConns, 60), oneHost), awaitingDrain: map[ConnID]bool{},
+		unsentLimits: map[ConnID][]int{}}
+	gw.stepWithDisk(nil)
+	gw.login(1)
+	gw.serveEngine(gw.startResult(1, "point", idA, ",spool=1", 60))
+	rows, _ := gw.readRows(1, 1000)
+	_, handle, _ := splitRows(t, rows)
+	gw.receiveData(1, string(queryPacket(fmt.Sprintf("/* resume=%s */ FETCH", handle))))
+	for id := ConnID(2); id <= maxConns+1 && !gw.closed[1]; id++ {
+		gw.play(10 * rules.Millisecond)
+		gw.login(id)
+		gw.receiveData(id, requestPacket("point", fmt.Sprintf("%016x", id))) // unanswered, so its connection stays
+	}
+	const want = "no room for this connection: the result is kept, read it again by its handle"
+	if rows, end := gw.readRows(1, 1); end != want || len(rows) == 0 || !gw.closed[1] {
+		t.Errorf("%d rows, ended with %q, closed: %v", len(rows), end, gw.closed[1])
+	}
+	// The result is kept beside the reservations of the other clients.
+	if stats := gw.g.results.spool.Stats(); stats.Results != 1+maxConns || stats.Readers != 0 {
+		t.Errorf("left %+v", stats)
+	}
+}
+
 // Guards against the loss of answers for the lack of memory: before a client is closed for what it has not read, the operating
 // system may take what readers of stored results hold. Those that it takes nothing of are closed as any other.
 func TestReadsAreHandedOverBeforeClientsAreClosed(t *testing.T) {
