Load the next chunk of a stored result while the last one is being accepted

What callers saw: a client that paused, and then read as fast as it could, got 6 MB/s, so the shutdown ended its read although it was fast enough.

Cause: a chunk of 32 KB took two rounds through the reducer one after the other, accepted and loaded, 5.4 ms together.

TestNextChunkIsLoadedAhead.

Why it works: both rounds run at the same time. One chunk is kept at most, counts as the client's output, and none is loaded while that has taken half of its memory.

--- a/internal/gateway/resultread.go
+++ b/internal/gateway/resultread.go
@@ -4,12 +4,13 @@
 	"bytes"
 	"strconv"
 
+	"foxlane/internal/memory"
 	"foxlane/internal/mysql"
 	"foxlane/internal/spool"
 )
 
 // This file delivers stored results to clients. A chunk is written once the client's connection has accepted the
-// previous one, so a slow client occupies the memory of one chunk.
+// previous one. It is loaded ahead of that while there is memory, so a slow client occupies the memory of two chunks at most.
 
 // noSuchResult is the error text for any invalid handle. It does not say what is wrong, so that guessing handles
 // reveals nothing.
@@ -19,11 +20,14 @@
 type resultReader struct {
 	slot          slotID // in resultStore.readers
 	id            spool.ID
-	nextSeq       byte // sequence number of the next packet
-	headerWritten bool // the column definitions were written
-	resumable     bool // the client receives the handle and may read the result again
-	lastChunk     int  // index of the last written chunk
-	complete      bool // all chunks were written
+	nextSeq       byte                // sequence number of the next packet
+	headerWritten bool                // the column definitions were written
+	resumable     bool                // the client receives the handle and may read the result again
+	lastChunk     int                 // index of the last written chunk
+	complete      bool                // all chunks were written
+	undrained     bool                // the client's connection has not accepted the last written chunk
+	requested     bool                // the chunk after the last written one was requested from the spool
+	ahead         *spool.DeliverChunk // that chunk, if it came before the last written one was accepted
 	unsentLimit   unsentLimit
 	handle        spool.Handle
 }
@@ -76,9 +80,20 @@
 	g.attachReader(client, tenantKey(resume.Tenant), resume.FromChunk)
 }
 
+// deliverChunk writes a chunk, or keeps it until the client's connection has accepted the last one.
+func (g *Gateway) deliverChunk(client *clientConn, effect spool.DeliverChunk) {
+	if reader := client.reader; reader.undrained {
+		reader.ahead = &effect
+		g.memory.Add(memory.ClientOutput, int64(len(effect.Data)))
+		return
+	}
+	g.writeChunk(client, effect)
+}
+
 // writeChunk writes a chunk and requests a notification once the client's connection has accepted it.
 func (g *Gateway) writeChunk(client *clientConn, effect spool.DeliverChunk) {
 	reader := client.reader
+	reader.requested = false
 	if !reader.headerWritten {
 		reader.headerWritten = true
 		client.output, reader.nextSeq = mysql.AppendColumns(client.output, reader.nextSeq, columnNames)
@@ -99,6 +114,7 @@
 	if !effect.Last {
 		g.limitUnsent(client)
 		g.notifyWhenDrained(client)
+		g.loadAhead(client)
 		return
 	}
 	g.liftUnsentLimit(client)
@@ -134,17 +150,48 @@
 
 // notifyWhenDrained requests a WriteDrained event once the client's connection has accepted all its output.
 func (g *Gateway) notifyWhenDrained(client *clientConn) {
+	client.reader.undrained = true
 	g.flushNow(&client.outputBuffer)
 	g.emit(NotifyDrained{Conn: client.id})
 }
 
-// handleClientDrained requests the next chunk for a client whose connection has accepted the last one.
+// loadAhead requests the next chunk while the last one is being accepted, unless clients that do not read have taken half of
+// the memory for results.
+func (g *Gateway) loadAhead(client *clientConn) {
+	if g.memory.Fits(memory.ClientOutput, int64(g.limits.ResultBufferBytes/2)) {
+		g.requestChunk(client.reader)
+	}
+}
+
+// requestChunk requests the chunk after the last written one.
+func (g *Gateway) requestChunk(reader *resultReader) {
+	reader.requested = true
+	g.notifySpool(spool.NextChunk{Reader: spool.ReaderID(reader.slot), Index: reader.lastChunk + 1})
+}
+
+// handleClientDrained writes the next chunk for a client whose connection has accepted the last one, or requests it.
 func (g *Gateway) handleClientDrained(client *clientConn) {
-	if reader := client.reader; reader != nil && reader.headerWritten && !reader.complete {
-		g.notifySpool(spool.NextChunk{Reader: spool.ReaderID(reader.slot), Index: reader.lastChunk + 1})
+	reader := client.reader
+	if reader == nil || !reader.headerWritten || reader.complete {
+		return
+	}
+	reader.undrained = false
+	switch {
+	case reader.ahead != nil:
+		g.writeChunk(client, g.takeAhead(reader))
+	case !reader.requested:
+		g.requestChunk(reader)
 	}
 }
 
+// takeAhead returns the chunk that was loaded ahead, and credits its memory.
+func (g *Gateway) takeAhead(reader *resultReader) spool.DeliverChunk {
+	chunk := *reader.ahead
+	reader.ahead = nil
+	g.memory.Add(memory.ClientOutput, -int64(len(chunk.Data)))
+	return chunk
+}
+
 // limitUnsent leaves the operating system room for the error that ends an interrupted answer: a client that reads too slowly,
 // or not before the process has ended, gets what the operating system has taken.
 func (g *Gateway) limitUnsent(client *clientConn) {
@@ -165,6 +212,9 @@
 // removeReader ends a client's read of a stored result.
 func (g *Gateway) removeReader(client *clientConn) {
 	if client.reader != nil {
+		if client.reader.ahead != nil {
+			g.takeAhead(client.reader)
+		}
 		g.results.readers.release(client.reader.slot)
 		client.reader, client.answeredInEvent = nil, g.eventNumber
 	}
--- a/internal/gateway/resultstore.go
+++ b/internal/gateway/resultstore.go
@@ -77,7 +77,7 @@
 		store.wakeAt = wakeTime(effect.At)
 	case spool.DeliverChunk:
 		if client := store.readers.lookup(slotID(effect.Reader)); client != nil {
-			g.writeChunk(client, effect)
+			g.deliverChunk(client, effect)
 		}
 	case spool.Acknowledged:
 		if client := store.readers.lookup(slotID(effect.Reader)); client != nil {
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"foxlane/internal/directives"
+	"foxlane/internal/memory"
 	"foxlane/rules"
 )
 
@@ -174,6 +175,52 @@
 	}
 }
 
+// Guards against a client that is ended by the shutdown because the gateway is slower than it reads: the next chunk is loaded
+// while the last one is being accepted, one at most, and none while the clients that do not read have taken half of the memory.
+func TestNextChunkIsLoadedAhead(t *testing.T) {
+	gw := startRead(t, diskSpoolSite, ",spool=1")
+	reader := gw.g.clients[1].reader
+	first := reader.lastChunk
+	if reader.ahead == nil || reader.ahead.Index != first+1 || gw.g.memory.Used(memory.ClientOutput) != int64(len(reader.ahead.Data)) {
+		t.Fatalf("ahead: %v", reader.ahead)
+	}
+	gw.diskPaused = true
+	gw.stepWithDisk(WriteDrained{Conn: 1})
+	if reader.lastChunk != first+1 || len(gw.pendingDisk) != 1 {
+		t.Errorf("chunk %d was written, %d requests for the disk", reader.lastChunk, len(gw.pendingDisk))
+	}
+	gw.stepWithDisk(WriteDrained{Conn: 1}) // the disk is slower than the client
+	if reader.lastChunk != first+1 || len(gw.pendingDisk) != 1 {
+		t.Errorf("ahead of the disk: chunk %d was written, %d requests for the disk", reader.lastChunk, len(gw.pendingDisk))
+	}
+	gw.diskPaused = false
+	gw.stepWithDisk(TimerFired{})
+	if reader.lastChunk != first+2 {
+		t.Errorf("chunk %d was written once it was loaded", reader.lastChunk)
+	}
+	gw.stepWithDisk(WriteBlocked{Conn: 1, Pending: int64(gw.g.limits.ResultBufferBytes/2 + 1)})
+	gw.stepWithDisk(WriteDrained{Conn: 1})
+	if reader.requested || reader.ahead != nil {
+		t.Error("a chunk was loaded ahead while memory is short")
+	}
+	gw.stepWithDisk(WriteUnblocked{Conn: 1})
+	rows, end := gw.readRows(1, 1000)
+	if data, _, _ := splitRows(t, rows); end != "end" || !slices.Equal(data, wantRows(0, 60)) {
+		t.Errorf("%d rows, ended with %q", len(data), end)
+	}
+	gw.receiveData(1, string(queryPacket(fmt.Sprintf("/* resume=%s */ FETCH", splitHandle(t, rows)))))
+	gw.stepWithDisk(ConnectionClosed{Conn: 1})
+	if used := gw.g.memory.Used(memory.ClientOutput); used != 0 {
+		t.Errorf("%d bytes are charged though no client is there", used)
+	}
+}
+
+// splitHandle returns the handle in the rows of a result.
+func splitHandle(t *testing.T, rows []string) string {
+	_, handle, _ := splitRows(t, rows)
+	return handle
+}
+
 // Guards against an answer that breaks off without an error because admission control makes room for another connection.
 func TestEvictedReadEndsWithError(t *testing.T) {
 	const maxConns = 3
