Bound the last flush of a shutdown by the time for the exit

What callers saw: a shutdown that was held up, as by a stall late in it, exited up to 0.3 s after the time at which it was to have exited, so that SIGKILL could find it with its folder open.

Cause: the last flush takes up to 0.3 s from whenever it begins, whatever is left.

Evidence: TestLastFlushEndsWithTheTimeForTheExit fails without the change.

Why it works: the flush ends when the process is to have exited, as the closes behind it do, with 20 ms each at the least.

--- a/internal/transport/shutdown.go
+++ b/internal/transport/shutdown.go
@@ -29,10 +29,10 @@
 
 // advanceShutdown stops accepting connections and half closes each client connection that has no unread bytes; unread
 // bytes go to the reducer first. It reports whether the shutdown is complete: all client connections are closed, and
-// no written bytes or queued events are pending, or FlushTimeout has passed.
+// no written bytes or queued events are pending, or FlushTimeout or the time for the exit has passed.
 func (s *Server) advanceShutdown(state *shutdownState) bool {
 	if state.deadline.IsZero() {
-		state.deadline = time.Now().Add(time.Duration(s.limits.FlushTimeout) * time.Microsecond)
+		state.deadline = time.Now().Add(s.closeTimeout(time.Duration(s.limits.FlushTimeout) * time.Microsecond))
 		s.shuttingDown.Store(true)
 		_ = s.listener.Close() // already closed if the shutdown was reverted before
 	}
--- a/internal/transport/shutdown_test.go
+++ b/internal/transport/shutdown_test.go
@@ -163,3 +163,19 @@
 	}
 	s.shutdown()
 }
+
+// Guards against a SIGKILL that comes before the exit, after a shutdown that was held up: the last flush, here for a client that
+// does not close, ends when the process is to have exited.
+func TestLastFlushEndsWithTheTimeForTheExit(t *testing.T) {
+	server := newBareServer(t)
+	server.connectClient(t)
+	server.exitBy = time.Now().Add(50 * time.Millisecond)
+	s := shutdownState{}.next(true)
+	if server.advanceShutdown(&s) {
+		t.Fatal("the shutdown is complete with a client connection open")
+	}
+	time.Sleep(70 * time.Millisecond)
+	if s = s.next(true); !server.advanceShutdown(&s) {
+		t.Errorf("the shutdown is not complete %v after the time for the exit", time.Since(server.exitBy))
+	}
+}
--- a/internal/transport/wait.go
+++ b/internal/transport/wait.go
@@ -8,8 +8,8 @@
 // diskCloseTimeout is how long shutdown waits for a disk. Acknowledged data is already on the disk.
 const diskCloseTimeout = time.Second
 
-// minCloseTimeout is how long shutdown waits for a disk or a member once the process should have exited.
-const minCloseTimeout = 10 * time.Millisecond
+// minCloseTimeout is how long shutdown waits for clients, a disk or a member once the process should have exited.
+const minCloseTimeout = 20 * time.Millisecond
 
 // setExitBy notes, at the first SIGTERM, when the process is to have exited: as soon as all answers are due and flushed.
 func (s *Server) setExitBy() {
