--- a/internal/transport/resultstore_shutdown_test.go
+++ b/internal/transport/resultstore_shutdown_test.go
@@ -1,16 +1,15 @@
 package transport
 
 import (
-	"errors"
 	"fmt"
 	"net/netip"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"foxlane/internal/mysql"
 	"foxlane/internal/spool/disk"
 	"foxlane/internal/standin"
 )
@@ -22,90 +21,28 @@
 	exitLimit = 3700 * time.Millisecond
 	// readTimeout is how long a client of these tests reads at the most.
 	readTimeout = 25 * time.Second
-	// resultRowBytes is the size of a row of serveTable.
-	resultRowBytes = 100
 )
 
-// serveTable is an engine that answers with as many rows as the name of the table says behind its last underscore.
-func serveTable(request standin.Request) standin.Reply {
-	table := request.Statement[strings.LastIndexByte(request.Statement, '.')+1:]
-	count, err := strconv.Atoi(table[strings.LastIndexByte(table, '_')+1:])
-	if err != nil {
-		return standin.Reply{Status: "crashed"}
-	}
-	reply := standin.Reply{Status: "served"}
-	var page strings.Builder
-	for n := range count {
-		page.WriteString(tableRow(n) + "\n")
-		if page.Len()+resultRowBytes > 6000 || n == count-1 {
-			reply.Pages = append(reply.Pages, page.String())
-			page.Reset()
-		}
-	}
-	return reply
-}
-
-// tableRow returns row n of serveTable, with tabs between its columns.
-func tableRow(n int) string {
-	return fmt.Sprintf("%d\tnote\t%0*d", n, resultRowBytes-7-len(strconv.Itoa(n)), n)
-}
-
-// storedRead is what a client reads of a stored result.
-type storedRead struct {
-	name     string
-	count    int // rows of the result
-	handle   string
-	rows     int    // rows that have come, each of which has to be the next one
-	pages    int    // complete chunks
-	pageRows int    // rows when the last chunk was complete
-	wrong    string // the first row that is not the next one
-	err      error  // how the answer ended; nil: with its last row
-}
-
-// read sends a statement and reads its answer. afterRow is called with the number of rows that have come.
-func (r *storedRead) read(client *standin.Client, statement string, afterRow func(rows int)) {
-	r.err = client.QueryRows(statement, readTimeout, func(packet []byte) {
-		switch columns := textColumns(packet); {
-		case columns[0] == "#handle":
-			r.handle = columns[1]
-			return
-		case columns[0] == "#page":
-			r.pages, r.pageRows = r.pages+1, r.rows
-			return
-		case r.wrong == "" && strings.Join(columns, "\t") != tableRow(r.rows):
-			r.wrong = fmt.Sprintf("row %d is %q", r.rows, columns)
-		}
-		r.rows++
-		afterRow(r.rows)
-	})
+// shutdownRead is a client of these tests and what it reads.
+type shutdownRead struct {
+	standin.StoredRead
+	name string
 }
 
 // checkWhole checks that the whole result has come.
-func (r *storedRead) checkWhole(t *testing.T) {
+func (r *shutdownRead) checkWhole(t *testing.T) {
 	t.Helper()
-	if r.err != nil || r.rows != r.count || r.wrong != "" {
-		t.Errorf("%s: %d of %d rows, error %v, wrong: %q", r.name, r.rows, r.count, r.err, r.wrong)
+	if !r.Whole() {
+		t.Errorf("%s: %v", r.name, &r.StoredRead)
 	}
 }
 
-// checkEndedByShutdown checks that the answer ended with the error of a shutdown, with the given words, and not with its
-// last row.
-func (r *storedRead) checkEndedByShutdown(t *testing.T, words string) {
+// checkEndedByShutdown checks that the answer ended with the error of a shutdown, which has the given words.
+func (r *shutdownRead) checkEndedByShutdown(t *testing.T, words string) {
 	t.Helper()
-	var serverErr *standin.ServerError
-	if !errors.As(r.err, &serverErr) || serverErr.Code != 1053 || !strings.Contains(serverErr.Message, words) || r.rows >= r.count || r.wrong != "" {
-		t.Errorf("%s: %d of %d rows, error %v, wrong: %q", r.name, r.rows, r.count, r.err, r.wrong)
-	}
-}
-
-// textColumns decodes a row of text columns, each shorter than 251 bytes.
-func textColumns(packet []byte) (row []string) {
-	for len(packet) > 0 && int(packet[0]) < len(packet) {
-		end := 1 + int(packet[0])
-		row = append(row, string(packet[1:end]))
-		packet = packet[end:]
+	if !r.EndedBy(mysql.CodeServerShutdown) || !strings.Contains(r.Err.Error(), words) || r.Rows >= r.Count {
+		t.Errorf("%s: %v", r.name, &r.StoredRead)
 	}
-	return append(row, make([]string, max(0, 3-len(row)))...)
 }
 
 // pace returns a function to call after each row, which spreads the rows evenly over a time.
@@ -124,7 +61,7 @@
 // readersAtShutdown runs clients of stored results beside a shutdown.
 type readersAtShutdown struct {
 	*testbed
-	reads     []*storedRead
+	reads     []*shutdownRead
 	firstRows sync.WaitGroup // clients that have not got their first row
 	ended     sync.WaitGroup
 }
@@ -147,19 +84,19 @@
 }
 
 // start starts a client that reads the answer to a statement in its own goroutine, and waits for its first row.
-func (s *readersAtShutdown) start(name string, count int, statement string, afterRow func(rows int)) *storedRead {
+func (s *readersAtShutdown) start(name string, count int, statement string, afterRow func(rows int)) *shutdownRead {
 	s.t.Helper()
 	return s.startFrom(0, name, count, statement, afterRow)
 }
 
 // startFrom is like start, for an answer that begins with a later row.
-func (s *readersAtShutdown) startFrom(firstRow int, name string, count int, statement string, afterRow func(rows int)) *storedRead {
+func (s *readersAtShutdown) startFrom(firstRow int, name string, count int, statement string, afterRow func(rows int)) *shutdownRead {
 	s.t.Helper()
 	client, err := standin.Connect(s.addr, netip.Addr{}, time.Second)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	read := &storedRead{name: name, count: count, rows: firstRow}
+	read := &shutdownRead{name: name, StoredRead: standin.StoredRead{Count: count, Rows: firstRow}}
 	s.reads = append(s.reads, read)
 	s.firstRows.Add(1)
 	defer s.firstRows.Wait() // so that no query is rejected because the results of others are still being stored
@@ -167,7 +104,7 @@
 		defer client.Close()
 		first := sync.OnceFunc(s.firstRows.Done)
 		defer first()
-		read.read(client, statement, func(rows int) {
+		read.Read(client, statement, readTimeout, func(rows int) {
 			first()
 			afterRow(rows)
 		})
@@ -178,13 +115,13 @@
 // Guards against answers that SIGTERM cuts off: whoever reads a stored result, from the disk or from memory, evenly, with a
 // pause, or from late in the drain period on, gets all rows if it reads them within the time that the shutdown has.
 func TestShutdownWaitsForReadersOfStoredResults(t *testing.T) {
-	s := &readersAtShutdown{testbed: newTestbedWithSite(t, System(), fmt.Sprintf(resultStoreSite, t.TempDir()), serveTable, serveTable)}
+	s := &readersAtShutdown{testbed: newTestbedWithSite(t, System(), fmt.Sprintf(resultStoreSite, t.TempDir()), standin.ServeTable, standin.ServeTable)}
 	const large, medium, small, tiny = 160_000, 60_000, 10_000, 2_000 // rows of 100 bytes
 	resume := map[int]string{}
 	for _, count := range []int{large, medium, small} {
 		stored := s.start("a result that is read again", count, s.query(count, true), func(int) {})
 		s.ended.Wait()
-		resume[count] = fmt.Sprintf("/* resume=%s */ FETCH", stored.handle)
+		resume[count] = fmt.Sprintf("/* resume=%s */ FETCH", stored.Handle)
 	}
 	s.start("without a handle", large, s.query(large, false), pace(large, 2500*time.Millisecond))
 	s.start("from memory", tiny, s.query(tiny, false), pace(tiny, 2500*time.Millisecond))
@@ -215,7 +152,7 @@
 // shutdown has gets an error, also if it reads only once the process has exited. It keeps back neither the exit nor a client
 // beside it, and reads the rest by its handle after the restart.
 func TestShutdownEndsSlowReadsWithAnError(t *testing.T) {
-	s := &readersAtShutdown{testbed: newTestbedWithSite(t, System(), fmt.Sprintf(resultStoreSite, t.TempDir()), serveTable, serveTable)}
+	s := &readersAtShutdown{testbed: newTestbedWithSite(t, System(), fmt.Sprintf(resultStoreSite, t.TempDir()), standin.ServeTable, standin.ServeTable)}
 	const large, medium = 200_000, 60_000 // rows of 100 bytes
 	exited := make(chan struct{})
 	untilExit := func(rows int) {
@@ -239,9 +176,9 @@
 	slow.checkEndedByShutdown(t, kept)
 	stopped.checkEndedByShutdown(t, kept)
 	s.testbed.start()
-	for _, read := range []*storedRead{slow, stopped} {
-		statement := fmt.Sprintf("/* resume=%s,page=%d */ FETCH", read.handle, read.pages)
-		s.startFrom(read.pageRows, read.name+", after the restart", large, statement, func(int) {})
+	for _, read := range []*shutdownRead{slow, stopped} {
+		statement := fmt.Sprintf("/* resume=%s,page=%d */ FETCH", read.Handle, read.Chunks)
+		s.startFrom(read.ChunkRows, read.name+", after the restart", large, statement, func(int) {})
 	}
 	s.ended.Wait()
 	for _, read := range s.reads[len(s.reads)-2:] {
@@ -293,7 +230,7 @@
 		folder, err := System().OpenFolder(path)
 		return &hangingFolder{Folder: folder, hang: &hang, released: released}, err
 	}
-	s := &readersAtShutdown{testbed: newTestbedWithSite(t, platform, fmt.Sprintf(resultStoreSite, t.TempDir()), serveTable, serveTable)}
+	s := &readersAtShutdown{testbed: newTestbedWithSite(t, platform, fmt.Sprintf(resultStoreSite, t.TempDir()), standin.ServeTable, standin.ServeTable)}
 	const medium = 60_000
 	read := s.start("while the disk hangs", medium, s.query(medium, true), func(rows int) {
 		if rows == medium/10 {
