Load a few chunks of stored results from the disk at a time

Callers saw: nothing by itself, but a gateway of 32 MB took up to 47 MB resident when 150 clients read a stored result at once, which ends it where the limit is enforced.

Cause: each reader had a load pending at the same time, and a disk that has hung answers all of them together. Nothing bounded the chunks that were loaded.

Change: the budget has MaxLoads, an eighth of the spool's memory in chunks, two at least. Further readers wait in order; one that leaves is taken out. TestLoadsAreBoundedAndInOrder fails without the bound ("3 loads are pending"), and every test of the store now checks that loads are bounded and that no reader waits for a chunk that nobody loads.

--- a/internal/site/spool.go
+++ b/internal/site/spool.go
@@ -38,6 +38,8 @@
 	enginePageBytes = 6000
 	minPages        = 256
 	fetchWindow     = 16
+	minLoads        = 2
+	loadDivisor     = 8 // chunks that are read from the disk at a time take 1/loadDivisor of the memory for results at most
 )
 
 func (b *spoolBlock) decode(r *attributeReader) *Spool {
@@ -60,6 +62,7 @@
 	r.count(b.Results, 1, 10_000_000, &budget.MaxResults)
 	r.duration(b.Lease, &budget.LeaseTime)
 	budget.MaxUnwritten = budget.MemoryBytes / 2
+	budget.MaxLoads = max(minLoads, int(budget.MemoryBytes/(loadDivisor*chunkBytes)))
 	budget.MaxPages = max(minPages, int(budget.MaxResultBytes/enginePageBytes*4))
 	if !r.failed() {
 		if err := budget.Validate(); err != nil {
--- a/internal/spool/budget.go
+++ b/internal/spool/budget.go
@@ -17,6 +17,7 @@
 	ChunkBytes     int        // target bytes of a chunk, the page that clients read; engine pages are not split
 	MaxUnwritten   int64      // bytes of pending writes above which no more pages are requested from engines
 	FetchWindow    int        // number of pages to request from an engine in advance
+	MaxLoads       int        // chunks that are read from the disk at a time; further readers wait for their turn
 	MaxPages       int        // maximum number of pages of one engine result
 	LeaseTime      rules.Time // time after the last read for which a result is kept; doubled unless capacity is needed
 }
@@ -26,8 +27,8 @@
 	switch {
 	case b.DiskBytes < 0 || b.MemoryBytes <= 0 || b.MaxResultBytes <= 0 || b.MaxTenantBytes <= 0:
 		return errors.New("spool: memory, result and tenant must be over 0, and disk must not be negative")
-	case b.ChunkBytes <= 0 || int64(b.ChunkBytes) > b.MemoryBytes || b.FetchWindow < 1 || b.MaxPages < 1 || b.MaxResults < 1:
-		return errors.New("spool: chunk, window, pages and results must be 1 or more, and a chunk must fit in memory")
+	case b.ChunkBytes <= 0 || int64(b.ChunkBytes) > b.MemoryBytes || b.FetchWindow < 1 || b.MaxLoads < 1 || b.MaxPages < 1 || b.MaxResults < 1:
+		return errors.New("spool: chunk, window, loads, pages and results must be 1 or more, and a chunk must fit in memory")
 	case b.MaxUnwritten < int64(b.ChunkBytes) || b.MaxUnwritten > b.MemoryBytes:
 		return errors.New("spool: the unwritten limit must hold a chunk and must not exceed memory")
 	case b.LeaseTime < rules.Second:
--- a/internal/spool/read.go
+++ b/internal/spool/read.go
@@ -99,13 +99,36 @@
 	}
 	c := &r.chunks[rd.index]
 	if c.data == nil {
-		rd.loading = true
-		s.emit(LoadChunk{Reader: id, ID: r.id, Index: rd.index, Location: c.location})
+		s.loadChunk(id, rd)
 		return
 	}
 	s.deliver(id, rd, c.data)
 }
 
+// loadChunk requests the chunk that a reader waits for from the disk, or queues the reader while MaxLoads are pending.
+func (s *Store) loadChunk(id ReaderID, rd *reader) {
+	if s.loads >= s.budget.MaxLoads {
+		if !rd.queued {
+			rd.queued = true
+			s.loadQueue = append(s.loadQueue, id)
+		}
+		return
+	}
+	rd.loading = true
+	s.loads++
+	s.emit(LoadChunk{Reader: id, ID: rd.result.id, Index: rd.index, Location: rd.result.chunks[rd.index].location})
+}
+
+// serveLoadQueue serves readers in the order in which they were queued, while loads are free.
+func (s *Store) serveLoadQueue() {
+	for len(s.loadQueue) > 0 && s.loads < s.budget.MaxLoads {
+		id := s.loadQueue[0]
+		s.loadQueue = s.loadQueue[1:]
+		s.readers[id].queued = false
+		s.serveReader(id)
+	}
+}
+
 func (s *Store) deliver(id ReaderID, rd *reader, data []byte) {
 	rd.waiting = false
 	s.stats.Delivered++
@@ -136,6 +159,8 @@
 }
 
 func (s *Store) handleChunkLoaded(e ChunkLoaded) {
+	s.loads--
+	defer s.serveLoadQueue()
 	rd := s.readers[e.Reader]
 	if rd == nil || !rd.loading {
 		return
@@ -157,6 +182,14 @@
 func (s *Store) detach(id ReaderID) {
 	if rd := s.readers[id]; rd != nil {
 		rd.result.readerCount--
-		delete(s.readers, id)
+		s.removeReader(id)
+	}
+}
+
+// removeReader removes a reader, also from the queue for loads.
+func (s *Store) removeReader(id ReaderID) {
+	if s.readers[id].queued {
+		s.loadQueue = slices.DeleteFunc(s.loadQueue, func(queued ReaderID) bool { return queued == id })
 	}
+	delete(s.readers, id)
 }
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -20,7 +21,7 @@
 
 func budget() Budget {
 	return Budget{DiskBytes: 40_000, MemoryBytes: 8_000, MaxResultBytes: 20_000, MaxTenantBytes: 30_000, MaxResults: 8, DiskThreshold: 1_500, ChunkBytes: 500,
-		MaxUnwritten: 2_000, FetchWindow: 3, MaxPages: 200, LeaseTime: 10 * rules.Second}
+		MaxUnwritten: 2_000, FetchWindow: 3, MaxLoads: 4, MaxPages: 200, LeaseTime: 10 * rules.Second}
 }
 
 func TestResultsAreReadUnchanged(t *testing.T) {
@@ -401,3 +402,40 @@
 		t.Errorf("read %d bytes after the disk worked again that differ from the pages; denied readers %v", len(got), ts.denied)
 	}
 }
+
+// Guards against a process that passes its memory limit because many readers have a chunk loaded at once: a few chunks are loaded at
+// a time, the other readers have their turn in order, and one that leaves makes room for the next.
+func TestLoadsAreBoundedAndInOrder(t *testing.T) {
+	b := budget()
+	b.MaxLoads = 2
+	ts := newTestStore(t, b)
+	resultID := ts.reserve(1, 30, 300, true)
+	ts.deliverAllPages(resultID)
+	loading := func() (readers []ReaderID) {
+		for _, effect := range ts.diskQueue {
+			readers = append(readers, effect.(LoadChunk).Reader)
+		}
+		return readers
+	}
+	for reader := ReaderID(1); reader <= 6; reader++ {
+		ts.attach(reader, resultID, 1, 0)
+	}
+	if got := loading(); !slices.Equal(got, []ReaderID{1, 2}) {
+		t.Fatalf("chunks are loaded for %v", got)
+	}
+	ts.handle(Detach{Reader: 1}) // its chunk is still being loaded
+	ts.handle(Detach{Reader: 3})
+	if got := loading(); !slices.Equal(got, []ReaderID{1, 2}) {
+		t.Errorf("after two readers left, chunks are loaded for %v", got)
+	}
+	ts.runDiskEffect(0)
+	if got := loading(); !slices.Equal(got, []ReaderID{2, 4}) {
+		t.Errorf("after the first load, chunks are loaded for %v", got)
+	}
+	ts.runDisk()
+	for _, reader := range []ReaderID{2, 4, 5, 6} {
+		if got := ts.readers[reader].received; len(got) == 0 {
+			t.Errorf("reader %d has got nothing", reader)
+		}
+	}
+}
--- a/internal/spool/store.go
+++ b/internal/spool/store.go
@@ -70,6 +70,7 @@
 	index   int  // index of the requested chunk
 	waiting bool // the requested chunk has not been delivered
 	loading bool // a LoadChunk is pending
+	queued  bool // listed in Store.loadQueue
 }
 
 // Store holds the state of all results and readers. It is not safe for concurrent use.
@@ -81,9 +82,11 @@
 	readers        map[ReaderID]*reader // by reader ID
 	tenantBytes    map[uint64]int64     // stored and reserved bytes by tenant
 	leases         leaseHeap
-	diskBytes      int64 // stored and reserved bytes of all tenants
-	memoryBytes    int64 // bytes held in memory
-	unwrittenBytes int64 // the part of memoryBytes whose write is pending
+	diskBytes      int64      // stored and reserved bytes of all tenants
+	memoryBytes    int64      // bytes held in memory
+	unwrittenBytes int64      // the part of memoryBytes whose write is pending
+	loads          int        // LoadChunk effects that are not answered
+	loadQueue      []ReaderID // readers that wait for their turn to load a chunk
 	diskLost       bool
 	timerAt        rules.Time
 	sizes          sizeEstimator
@@ -249,7 +252,7 @@
 		s.emit(DiscardRecords{ID: r.id, Locations: locations})
 	}
 	for _, id := range s.readersOf(r, func(*reader) bool { return true }) {
-		delete(s.readers, id)
+		s.removeReader(id)
 		s.emit(AbortRead{Reader: id, Reason: reason})
 	}
 }
--- a/internal/spool/teststore_test.go
+++ b/internal/spool/teststore_test.go
@@ -124,6 +124,25 @@
 	if sum != s.diskBytes {
 		ts.t.Fatalf("tenants are charged %d bytes, the store %d", sum, s.diskBytes)
 	}
+	ts.checkLoads()
+}
+
+// checkLoads checks that loads are bounded, and that each reader that waits for a chunk on the disk has its turn or is queued.
+func (ts *testStore) checkLoads() {
+	s, pending := ts.store, 0
+	for _, effect := range ts.diskQueue {
+		if _, ok := effect.(LoadChunk); ok {
+			pending++
+		}
+	}
+	if s.loads != pending || pending > s.budget.MaxLoads || len(s.loadQueue) > 0 && pending < s.budget.MaxLoads || len(s.loadQueue) > len(s.readers) {
+		ts.t.Fatalf("%d loads are pending, %d are counted, %d of %d readers are queued", pending, s.loads, len(s.loadQueue), len(s.readers))
+	}
+	for id, rd := range s.readers {
+		if rd.waiting && rd.result.state == completed && !rd.loading && !rd.queued {
+			ts.t.Fatalf("reader %d waits for a chunk that nobody loads", id)
+		}
+	}
 }
 
 // runDiskEffect executes the queued disk effect at index i.
