Write the next chunk once most of the last one is sent, so that readers hold no memory

Callers saw: on a gateway of 32 MB, clients that read a stored result slowly, or stop, had their answers cut within a row, by an end of file or a reset, at SIGTERM or before it (docs/incidents/readers-closed-for-memory.md).

Cause: the next chunk was written when the kernel had taken the last one. During a read the kernel holds 16 KB unsent at most, so it takes little of the next one then, and the process holds the rest for each reader that is slower than the gateway. When that filled the account, the limits were lifted, the kernel's buffers filled with rows, and the errors at the end had no room.

Change: during a limited read WriteDrained comes once most of the unsent bytes are sent. The kernel tells that by EPOLLOUT, but nbio waits for it only while it holds bytes itself, so an epoll instance beside it waits for one event for each notification.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -37,7 +37,6 @@
 	newElement       *list.Element // entry in newClients until the first command
 	idleElement      *list.Element // entry in idleClients while it has no request
 	reader           *resultReader // non-nil while the client reads a stored result
-	unsentLiftedAt   rules.Time    // when the operating system was last allowed to take all that is written
 }
 
 // acceptClient greets a new client, or rejects it with an error if there are too many connections.
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -89,7 +89,7 @@
 // operation.
 type SubmitSpool struct{ Effect spool.DiskEffect }
 
-// NotifyDrained requests WriteDrained once the operating system has accepted all bytes written to a connection.
+// NotifyDrained requests a WriteDrained for the bytes written to a connection so far.
 type NotifyDrained struct{ Conn ConnID }
 
 // LimitUnsent sets how many bytes written to a connection the operating system may hold before it sends them. What it does
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -83,8 +83,8 @@
 // SpoolCompleted reports the spool disk operations completed after SubmitSpool.
 type SpoolCompleted struct{ Events []spool.Event }
 
-// WriteDrained reports that the operating system has accepted all bytes written to a connection. It follows
-// NotifyDrained.
+// WriteDrained reports that the operating system has accepted all bytes written to a connection and, if LimitUnsent is in
+// effect, has sent most of them. It follows NotifyDrained.
 type WriteDrained struct{ Conn ConnID }
 
 // WriteBlocked reports that the operating system does not accept all bytes written to a connection, since the peer does
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -113,45 +113,22 @@
 // while other results wait for memory, those that have been blocked for FlushTimeout. The client that has been blocked
 // for longest goes first. A client with an open request stays, since it is owed an answer. The end of one client may
 // close others, such as those over the quota of idle connections. After a stall it is not known yet who has read meanwhile.
-// What readers of stored results hold is given to the operating system first, as far as it takes it.
 func (g *Gateway) closeUnreadClients() {
 	if !g.memory.Exceeded(memory.ClientOutput) && len(g.pageQueue) == 0 {
 		return
 	}
-	unread := g.unreadClients()
-	handedOver := g.handOverReads(unread)
-	for _, client := range unread {
-		if client.closed || g.beingHandedOver(client) {
+	for _, client := range g.unreadClients() {
+		if client.closed {
 			continue
 		}
 		overdue := len(g.pageQueue) > 0 && !g.inputPending() && g.now-client.blockedSince >= g.limits.FlushTimeout
-		if !overdue && g.memory.Fits(memory.ClientOutput, -handedOver) {
+		if !overdue && !g.memory.Exceeded(memory.ClientOutput) {
 			return
 		}
 		g.closeUnread(client)
 	}
 }
 
-// handOverReads lets the operating system take what blocked readers of stored results have not read, if memory is short. It
-// returns the bytes that it may still take.
-func (g *Gateway) handOverReads(unread []*clientConn) (bytes int64) {
-	for _, client := range unread {
-		if client.reader != nil && g.memory.Exceeded(memory.ClientOutput) {
-			g.liftUnsentLimit(client)
-		}
-		if g.beingHandedOver(client) {
-			bytes += client.undelivered
-		}
-	}
-	return bytes
-}
-
-// beingHandedOver reports whether the operating system may still take what is written to a client, because its limit was
-// lifted just now.
-func (g *Gateway) beingHandedOver(client *clientConn) bool {
-	return client.unsentLiftedAt != 0 && g.now-client.unsentLiftedAt < g.limits.SettleTime
-}
-
 // unreadClients returns the blocked clients without an open request, by the time for which they have been blocked and
 // then by ID, so that the order does not depend on map iteration.
 func (g *Gateway) unreadClients() (unread []*clientConn) {
--- a/internal/gateway/resultread.go
+++ b/internal/gateway/resultread.go
@@ -38,7 +38,7 @@
 const (
 	unsentUnlimited unsentLimit = iota // the read has one chunk, or has not begun
 	unsentLimited
-	unsentLifted // for the rest of the read
+	unsentLifted // the read ends
 )
 
 // serveStoredResult starts the answer to a request whose stored result is complete.
@@ -204,7 +204,7 @@
 // liftUnsentLimit lets the operating system take all that is written to a client that reads a stored result.
 func (g *Gateway) liftUnsentLimit(client *clientConn) {
 	if client.reader.unsentLimit == unsentLimited {
-		client.reader.unsentLimit, client.unsentLiftedAt = unsentLifted, g.now
+		client.reader.unsentLimit = unsentLifted
 		g.emit(LimitUnsent{Conn: client.id})
 	}
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -31,6 +31,7 @@
 	acceptedBytes    atomic.Int64 // total bytes that the kernel has accepted
 	closeWhenDrained atomic.Bool  // close the connection once no bytes are pending
 	notifyDrained    atomic.Bool  // the reducer requested WriteDrained once no bytes are pending
+	unsentLimited    atomic.Bool  // the kernel holds few unsent bytes: WriteDrained comes once it has sent most of them
 
 	blockedMu    sync.Mutex   // keeps WriteBlocked and WriteUnblocked in order
 	blockedSince atomic.Int64 // server time at which bytes became pending; 0: no bytes are pending
@@ -158,22 +159,30 @@
 // limitUnsent sets how many bytes the kernel holds for a connection before it sends them; 0: as many as it likes. Bytes on
 // their way to the peer don't count, so the limit costs no throughput.
 func (s *Server) limitUnsent(c *conn, bytes int) {
-	if bytes == 0 {
+	limited := bytes > 0
+	if !limited {
 		bytes = math.MaxInt32
 	}
 	if !c.ownsDescriptor() {
 		return
 	}
-	if err := unix.SetsockoptInt(c.nb.Hash(), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes); err != nil {
+	err := unix.SetsockoptInt(c.nb.Hash(), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes)
+	if err != nil {
 		s.log.Debug("unsent bytes not limited", zap.Error(err))
 	}
+	c.unsentLimited.Store(err == nil && limited)
 }
 
-// reportDrained sends WriteDrained to the reducer if requested, once per request.
+// reportDrained sends WriteDrained to the reducer if requested, once per request. Where unsent bytes are limited, the watcher
+// sends it once most of them are sent.
 func (s *Server) reportDrained(c *conn) {
-	if c.notifyDrained.Swap(false) {
-		s.queue.enqueue(gateway.WriteDrained{Conn: c.id})
+	if !c.notifyDrained.Swap(false) {
+		return
+	}
+	if s.watcher != nil && c.unsentLimited.Load() && s.watcher.watch(c) {
+		return
 	}
+	s.queue.enqueue(gateway.WriteDrained{Conn: c.id})
 }
 
 // reportBlocked sends WriteBlocked to the reducer if bytes have become pending.
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -63,8 +63,9 @@
 	shuttingDown atomic.Bool // no more connections are accepted
 	exitBy       time.Time   // when the process is to have exited; zero: there was no SIGTERM. Used only by the reducer's goroutine
 
-	results *resultStore // nil: results are not stored on disk
-	voter   *voterWorker // nil: this gateway does not vote on directives
+	results *resultStore     // nil: results are not stored on disk
+	watcher *writableWatcher // nil: no results are stored
+	voter   *voterWorker     // nil: this gateway does not vote on directives
 
 	collecting  atomic.Bool // collectMemory runs
 	pollerEnded chan error  // the poller's loop has ended, and nothing is read or written any more
@@ -144,6 +145,7 @@
 		if err != nil {
 			s.closeDNS()
 			s.dnsReaders.Wait()
+			s.closeWatcher()
 			if s.devNull != nil {
 				_ = s.devNull.Close() // opened read-only
 			}
@@ -156,9 +158,27 @@
 	if err := s.retryStart("name service", func() error { return s.openDNS(s.cfg.DNS) }); err != nil {
 		return err
 	}
+	if s.cfg.Site != nil && s.cfg.Site.Spool != nil {
+		if err := s.retryStart("watcher", s.startWatcher); err != nil {
+			return err
+		}
+	}
 	return s.retryStart("listen", s.startPoller)
 }
 
+// startWatcher starts the watcher of the connections that read stored results.
+func (s *Server) startWatcher() (err error) {
+	s.watcher, err = startWritableWatcher(s.queue, s.log)
+	return err
+}
+
+// closeWatcher ends the watcher, if there is one.
+func (s *Server) closeWatcher() {
+	if s.watcher != nil {
+		s.watcher.close()
+	}
+}
+
 // minConnTableSize is the minimum size of nbio's connection table, which is indexed by descriptor.
 const minConnTableSize = 4096
 
@@ -198,6 +218,7 @@
 	s.dnsReaders.Wait()
 	s.dialWorkers.Wait()
 	s.poller.Stop()
+	s.closeWatcher()
 	s.releaseReservedDescriptors()
 	_ = s.devNull.Close() // opened read-only
 }
