Request a few chunks of stored results in a batch, so that many readers stay within memory

Callers saw: nothing by itself, but 150 clients that read a result kept in memory at once took a gateway of 32 MB to 34 to 36 MB resident (docs/incidents/memory-of-many-readers.md), which ends it where the limit is enforced.

Cause: a chunk that is in memory is delivered as soon as it is asked for, and all events of a batch are handled before any of its writes is carried out. So one chunk for each reader was in the process, as packets, at the same time.

Change: a batch requests as many chunks as half of the memory for results holds. The other requests wait, in order, for the next batches, which a timer that is due at once begins. A client that leaves takes its request along.

TestFewChunksAreRequestedInABatch fails without the bound (40 chunks in the first batch, limit 4).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,6 +231,9 @@
 		g.armedFor = at
 		g.effects.setTimer(at)
 	}
+	if g.results != nil {
+		g.results.turns.sent = 0
+	}
 	g.effects, g.lastEffects = g.lastEffects, g.effects
 	g.effects.reset()
 	return g.lastEffects.list
--- a/internal/gateway/resultread.go
+++ b/internal/gateway/resultread.go
@@ -58,7 +58,7 @@
 func (g *Gateway) attachReader(client *clientConn, owner uint64, from int) {
 	reader := client.reader
 	reader.slot = g.results.readers.allocate(client)
-	g.notifySpool(spool.Attach{Reader: spool.ReaderID(reader.slot), ID: reader.id, Secret: reader.handle.Secret(), Tenant: owner, Index: from})
+	g.requestInTurn(reader, spool.Attach{Reader: spool.ReaderID(reader.slot), ID: reader.id, Secret: reader.handle.Secret(), Tenant: owner, Index: from})
 	if g.answersOverdue() {
 		g.endReadForShutdown(client)
 	}
@@ -166,7 +166,7 @@
 // requestChunk requests the chunk after the last written one.
 func (g *Gateway) requestChunk(reader *resultReader) {
 	reader.requested = true
-	g.notifySpool(spool.NextChunk{Reader: spool.ReaderID(reader.slot), Index: reader.lastChunk + 1})
+	g.requestInTurn(reader, spool.NextChunk{Reader: spool.ReaderID(reader.slot), Index: reader.lastChunk + 1})
 }
 
 // handleClientDrained writes the next chunk for a client whose connection has accepted the last one, or requests it.
@@ -215,6 +215,7 @@
 		if client.reader.ahead != nil {
 			g.takeAhead(client.reader)
 		}
+		g.results.turns.remove(client.reader)
 		g.results.readers.release(client.reader.slot)
 		client.reader, client.answeredInEvent = nil, g.eventNumber
 	}
--- a/internal/gateway/resultstore.go
+++ b/internal/gateway/resultstore.go
@@ -22,6 +22,7 @@
 	random    *rand.ChaCha8              // generates handles
 	filling   map[spool.ID]*queryRequest // requests whose results are incomplete
 	readers   slotTable[clientConn]
+	turns     chunkTurns
 	lastStats spool.Stats // as of the last statistics log line
 }
 
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -215,6 +216,55 @@
 	}
 }
 
+// Guards against a process that passes its memory limit because many clients read at once: few chunks are requested in a batch,
+// and the others in the next ones, in order, however fast the first clients read. A client that leaves holds up nobody.
+func TestFewChunksAreRequestedInABatch(t *testing.T) {
+	gw := startRead(t, memorySpoolSite, ",spool=1")
+	rows, _ := gw.readRows(1, 1000)
+	resume := string(queryPacket(fmt.Sprintf("/* resume=%s */ FETCH", splitHandle(t, rows))))
+	const clients, chunksPerBatch = 20, 4
+	gw.g.limits.ResultBufferBytes = 2 * chunksPerBatch * int(gw.g.cfg.Site.Spool.Budget.ChunkBytes)
+	for id := ConnID(2); id < 2+clients; id++ {
+		gw.login(id)
+	}
+	delivered := gw.g.results.spool.Stats().Delivered
+	for id := ConnID(2); id < 2+clients; id++ {
+		gw.g.Step(gw.now, &DataReceived{Conn: id, Data: []byte(resume)})
+	}
+	gw.g.Step(gw.now, ConnectionClosed{Conn: 1 + clients})
+	served := map[ConnID]bool{}
+	for batch := 1; len(served) < clients-1; batch++ {
+		before := delivered
+		delivered = gw.g.results.spool.Stats().Delivered
+		if delivered == before || delivered > before+chunksPerBatch {
+			t.Fatalf("batch %d: %d chunks were delivered", batch, delivered-before)
+		}
+		gw.stepWithDisk(nil)
+		for id := range gw.awaitingDrain {
+			served[id] = true
+		}
+		if batch > 2*clients {
+			t.Fatalf("%d clients are served after %d batches", len(served), batch)
+		}
+		gw.g.Step(gw.now, TimerFired{})
+		gw.acceptAll()
+	}
+	for id := ConnID(1); id < 2+clients; id++ {
+		gw.stepWithDisk(ConnectionClosed{Conn: id})
+	}
+	if used := gw.g.memory.Used(memory.ClientOutput); used != 0 || len(gw.g.results.turns.queue) != 0 {
+		t.Errorf("%d bytes are charged and %d requests wait though no client is there", used, len(gw.g.results.turns.queue))
+	}
+}
+
+// acceptAll has all connections accept what was written to them, by their IDs, without a Flush.
+func (gw *spoolGateway) acceptAll() {
+	for _, id := range slices.Sorted(maps.Keys(gw.awaitingDrain)) {
+		delete(gw.awaitingDrain, id)
+		gw.g.Step(gw.now, WriteDrained{Conn: id})
+	}
+}
+
 // splitHandle returns the handle in the rows of a result.
 func splitHandle(t *testing.T, rows []string) string {
 	_, handle, _ := splitRows(t, rows)
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -114,6 +114,7 @@
 	}
 	if g.results != nil {
 		earlier(g.results.wakeAt)
+		earlier(g.results.turns.wakeAt(g.now))
 	}
 	return at, ok
 }
@@ -130,6 +131,7 @@
 	g.armedFor = 0
 	g.wakeAdmission()
 	g.wakeSpool()
+	g.serveTurns()
 	for {
 		at, ok := g.timers.next()
 		if !ok || at > g.now {
