Keep the planned time of SIGTERM apart from the actual one in the scenes with readers

The race detector reported a write of readerScene.termAt beside its reads by the clients, which could move a client's start by as much as SIGTERM was late. Each client now keeps its time of start.

--- a/internal/harness/readers_test.go
+++ b/internal/harness/readers_test.go
@@ -280,9 +280,9 @@
 		if read.plan.resume == "" {
 			statement = s.query(read.plan.rows, s.rng.IntN(2) == 0)
 		}
-		exited := s.exited
+		exited, startAt := s.exited, s.termAt.Add(read.plan.startAt)
 		reading.Go(func() {
-			time.Sleep(time.Until(s.termAt.Add(read.plan.startAt)))
+			time.Sleep(time.Until(startAt))
 			s.read(&read.StoredRead, statement, read.plan.follow(exited))
 		})
 	}
