Write renewed leases of stored results to the disk, so that a kill does not lose them

Cause: the format has a record for leases and recovery reads it, but nothing wrote one, so a recovered result had the lease of its first record.

Change: a renewal is written if the disk's lease would end before the result's; the disk's is half a lease time longer than needed, and records are written every 100 ms at most, 100 at a time. A lease that is not taken, or that a failed sync may have cut off, is written again. Compaction takes renewed leases along, and a lease that can't be written does not break its result.

TestRenewedLeaseReachesDisk and TestRenewedLeases fail without the fix.

--- a/internal/spool/disk/disk_test.go
+++ b/internal/spool/disk/disk_test.go
@@ -460,3 +460,44 @@
 		}
 	})
 }
+
+// Guards against a kill that takes a result back to an earlier lease: renewed leases are recovered, also after a compaction, and the
+// longest counts. A lease that is damaged, or can't be written, harms neither its result nor the other leases.
+func TestRenewedLeases(t *testing.T) {
+	leaseWrite := func(end int64) []spool.WriteRecord {
+		return []spool.WriteRecord{{ID: id(1), Record: segment.Lease, Data: segment.AppendLease(nil, end)}}
+	}
+	fs, _ := folderWithResults(t, 3, 7)
+	s, _ := open(t, fs)
+	check := func(when string, want int64) {
+		t.Helper()
+		reopened, recovery := open(t, truncatedCopy(fs, 1<<40))
+		result, ok := findResult(recovery, 1)
+		if !ok || verifyResult(reopened, result, 1, 7) != nil || result.Meta.LeaseEnd != want {
+			t.Fatalf("%s: found %v with a lease until %d, want %d", when, ok, result.Meta.LeaseEnd, want)
+		}
+	}
+	s.Commit(leaseWrite(300))
+	check("renewed", 300)
+	s.Commit(leaseWrite(200))
+	check("a shorter lease later", 300)
+	fs.failWrite = 1
+	s.Commit(leaseWrite(400))
+	fs.failWrite = 0
+	check("a failed write", 300)
+	s.Commit(dropWrite(0))
+	for range 5 {
+		if _, err := s.Compact(); err != nil {
+			t.Fatal(err)
+		}
+		check("compacted", 300)
+	}
+	if s.segments[0].number == 1 {
+		t.Error("nothing was compacted")
+	}
+	s.Commit(leaseWrite(500))
+	last := fs.files[segmentName(s.segments[len(s.segments)-1].number)]
+	last.data[len(last.data)-1] ^= 1
+	s.Commit(dropWrite(7)) // the damage is not at the end
+	check("a damaged lease", 300)
+}
--- a/internal/spool/disk/index.go
+++ b/internal/spool/disk/index.go
@@ -28,6 +28,9 @@
 	return e
 }
 
+// renew notes a renewed lease. The longer one counts, whichever was written later.
+func (e *entry) renew(leaseEnd int64) { e.meta.LeaseEnd = max(e.meta.LeaseEnd, leaseEnd) }
+
 // complete reports whether the result is sealed and all chunks that its Seal counts are stored.
 func (e *entry) complete() bool {
 	if e.sealRecord.Size == 0 || e.broken || len(e.chunks) != int(e.summary.Chunks) {
@@ -96,6 +99,10 @@
 			e.summary, _ = segment.ParseSummary(write.Data)
 			e.sealRecord = location
 		}
+	case segment.Lease:
+		if end, ok := segment.ParseLease(write.Data); ok && e != nil {
+			e.renew(end)
+		}
 	case segment.Drop:
 		if e != nil {
 			s.addLive(e, -1)
--- a/internal/spool/disk/recovery.go
+++ b/internal/spool/disk/recovery.go
@@ -219,7 +219,8 @@
 		}
 	case segment.Lease:
 		if end, ok := segment.ParseLease(record.Payload); ok && e != nil {
-			e.meta.LeaseEnd = end
+			e.renew(end)
+			e.current().renew(end)
 		}
 	case segment.Drop:
 		delete(s.entries, record.ID)
--- a/internal/spool/disk/write.go
+++ b/internal/spool/disk/write.go
@@ -27,7 +27,7 @@
 		if err != nil {
 			written.Failed = true
 			completions = append(completions, Completion{written, err})
-			if e := s.entries[write.ID]; e != nil {
+			if e := s.entries[write.ID]; e != nil && write.Record != segment.Lease {
 				e.broken = true // its Seal must not be reported as synced
 			}
 			continue
--- a/internal/spool/lease.go
+++ b/internal/spool/lease.go
@@ -1,13 +1,83 @@
 package spool
 
-import "slices"
+import (
+	"slices"
+
+	"foxlane/internal/spool/segment"
+	"foxlane/rules"
+)
 
 // This file handles leases. A completed result is kept until its lease expires, and for another lease time unless its
-// capacity is needed. Store.leases holds exactly the completed results.
+// capacity is needed. Store.leases holds exactly the completed results. The disk has a lease that ends later than that of
+// a durable result, so that most renewals need no write, and that a result is not dropped at a start while its lease runs.
+
+const (
+	leaseExtensionDivisor = 2 // the disk's lease ends 1/leaseExtensionDivisor of a lease time later
+	leaseWriteInterval    = 100 * rules.Millisecond
+	maxLeaseWrites        = 100 // records that are written together
+)
 
 func (s *Store) renewLease(r *result) {
 	r.leaseEnd = s.now + s.budget.LeaseTime
 	s.leases.fix(r)
+	s.storeLease(r)
+}
+
+// leaseToStore returns the end of the lease to write to the disk for a result.
+func (s *Store) leaseToStore(r *result) rules.Time {
+	return r.leaseEnd + s.budget.LeaseTime/leaseExtensionDivisor
+}
+
+// storeLease queues a write of the result's lease if the disk's ends before it.
+func (s *Store) storeLease(r *result) {
+	if !r.durable || !r.openWritten || r.leaseQueued || r.leaseEnd <= r.leaseStored {
+		return
+	}
+	r.leaseQueued = true
+	s.leaseWrites = append(s.leaseWrites, r)
+}
+
+// leaseWritesDue returns the time from which on queued leases may be written; 0: there is nothing to write.
+func (s *Store) leaseWritesDue() rules.Time {
+	if len(s.leaseWrites) == 0 || s.diskLost {
+		return 0
+	}
+	return max(s.leaseWriteAt, s.now)
+}
+
+// writeLeases writes queued leases, maxLeaseWrites in a leaseWriteInterval, in the order in which they were queued.
+func (s *Store) writeLeases() {
+	if due := s.leaseWritesDue(); due == 0 || due > s.now {
+		return
+	}
+	s.leaseWriteAt = s.now + leaseWriteInterval
+	batch := s.leaseWrites[:min(len(s.leaseWrites), maxLeaseWrites)]
+	s.leaseWrites = s.leaseWrites[len(batch):]
+	for _, r := range batch {
+		r.leaseQueued = false
+		if s.results[r.id] == r {
+			r.leaseStored = s.leaseToStore(r)
+			s.writeRecord(r, segment.Lease, 0, segment.AppendLease(nil, int64(r.leaseStored)))
+		}
+	}
+}
+
+// storeLeasesAgain writes the leases of all results again whose last records may be lost.
+func (s *Store) storeLeasesAgain() {
+	again := slices.Clone(s.leases)
+	sortByID(again) // so that the order of effects is deterministic
+	for _, r := range again {
+		r.leaseStored = 0
+		s.storeLease(r)
+	}
+}
+
+// handleLeaseWritten writes a lease again that the disk has not taken. The result itself is unharmed.
+func (s *Store) handleLeaseWritten(r *result, failed bool) {
+	if failed {
+		r.leaseStored = 0
+		s.storeLease(r)
+	}
 }
 
 // expire removes the results whose lease expired at least one lease time ago. A result with a reader gets a new lease
@@ -29,14 +99,16 @@
 
 // setTimer requests the next TimerFired event if its time has changed.
 func (s *Store) setTimer() {
-	if len(s.leases) == 0 {
-		s.timerAt = 0
-		return
+	at := s.leaseWritesDue()
+	if len(s.leases) > 0 {
+		if expiry := s.leases[0].leaseEnd + s.budget.LeaseTime; at == 0 || expiry < at {
+			at = expiry
+		}
 	}
-	if at := s.leases[0].leaseEnd + s.budget.LeaseTime; at != s.timerAt {
-		s.timerAt = at
+	if at != 0 && at != s.timerAt {
 		s.emit(SetTimer{At: at})
 	}
+	s.timerAt = at
 }
 
 // leaseHeap is a min-heap of results, ordered by the end of their lease. Each result stores its index in the heap.
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"foxlane/internal/rapidtest"
+	"foxlane/internal/spool/segment"
 	"foxlane/rules"
 )
 
@@ -439,3 +440,98 @@
 		}
 	}
 }
+
+// Guards against results that a kill loses although they were read just now: the disk's lease ends no earlier than the result's.
+// It is written at a bounded rate, and again if the disk does not take it, which harms the result no further.
+func TestRenewedLeaseReachesDisk(t *testing.T) {
+	ts := newTestStore(t, budget())
+	resultID := ts.reserve(1, 10, 300, true)
+	ts.deliverAllPages(resultID)
+	reader := ReaderID(0)
+	read := func() {
+		reader++
+		ts.attach(reader, resultID, 1, 0)
+		ts.runDisk()
+		ts.handle(Detach{Reader: reader})
+	}
+	for range 20 { // a lease of 10 s, read every 6 s
+		ts.now += 6 * rules.Second
+		read()
+	}
+	if restartLater(ts, resultID, 9*rules.Second) == nil {
+		t.Error("a result that was read 9 s ago is lost by a kill")
+	}
+	ts.now += 9 * rules.Second
+	ts.diskFails = true
+	read()
+	if ts.states[resultID] != "completed" || ts.store.results[resultID] == nil {
+		t.Fatal("a result is lost since its lease could not be written")
+	}
+	ts.diskFails = false
+	ts.now += 100 * rules.Millisecond
+	ts.handle(TimerFired{})
+	ts.runDisk()
+	if restartLater(ts, resultID, 9*rules.Second) == nil {
+		t.Error("the lease was not written again after the disk had failed")
+	}
+	ts.handle(SegmentTailLost{Segment: 1, Offset: ts.diskEnd})
+	ts.diskLeases[resultID] = 0
+	ts.now += 100 * rules.Millisecond
+	ts.handle(TimerFired{})
+	if ts.diskLeases[resultID] == 0 {
+		t.Error("the lease was not written again after the disk had lost its last records")
+	}
+}
+
+// restartLater returns the result of a Store that is started with the disk's records a while later, after a kill.
+func restartLater(ts *testStore, resultID ID, later rules.Time) *result {
+	r := ts.store.results[resultID]
+	var locations []Location
+	for _, c := range r.chunks {
+		locations = append(locations, c.location)
+	}
+	restarted := newTestStore(ts.t, ts.store.budget)
+	restarted.now = ts.now + later
+	restarted.handle(ResultRecovered{ID: resultID, Secret: r.secret, Tenant: r.tenant, LeaseEnd: ts.diskLeases[resultID], Locations: locations})
+	if recovered := restarted.store.results[resultID]; recovered != nil && recovered.leaseEnd > restarted.now {
+		return recovered
+	}
+	return nil
+}
+
+// Guards against a disk that renewed leases keep busy: 1,000 results that are read all the time.
+func TestLeaseWritesOfManyResults(t *testing.T) {
+	const results, leaseTime = 1000, 10 * 60 * rules.Second
+	b := budget()
+	b.MaxResults, b.DiskBytes, b.MaxTenantBytes, b.LeaseTime = results, 1<<20, 1<<20, leaseTime
+	b.ChunkBytes, b.DiskThreshold = 10, 0
+	ts := newTestStore(t, b)
+	for n := range results {
+		ts.deliverAllPages(ts.reserve(n, 1, 10, true))
+	}
+	records := 0
+	reader, began := ReaderID(0), ts.now
+	for ts.now < began+2*leaseTime {
+		ts.now += 50 * rules.Second
+		for n := range results {
+			reader++
+			ts.handle(Attach{Reader: reader, ID: id(n), Secret: secret(n), Tenant: uint64(n%2 + 1)})
+			ts.handle(Detach{Reader: reader})
+			for _, effect := range ts.diskQueue {
+				if write, ok := effect.(WriteRecord); ok && write.Record == segment.Lease {
+					records++
+				}
+			}
+			ts.runDisk()
+		}
+		for range results / 100 {
+			ts.now += 100 * rules.Millisecond
+			ts.handle(TimerFired{})
+		}
+	}
+	seconds := int((ts.now - began) / rules.Second)
+	t.Logf("%d leases in %d s", records, seconds)
+	if records > 10*seconds {
+		t.Errorf("%d leases were written in %d s", records, seconds)
+	}
+}
--- a/internal/spool/store.go
+++ b/internal/spool/store.go
@@ -51,7 +51,9 @@
 	bytes       int64 // bytes that have arrived, including pages received out of order
 	created     rules.Time
 	leaseEnd    rules.Time
-	heapIndex   int // position in Store.leases; -1: not in the heap
+	leaseStored rules.Time // the end of the lease that the disk has, or soon has; 0: none
+	leaseQueued bool       // listed in Store.leaseWrites
+	heapIndex   int        // position in Store.leases; -1: not in the heap
 	readerCount int
 
 	pageCount   int            // total pages of the engine's result; 0: unknown
@@ -82,6 +84,8 @@
 	readers        map[ReaderID]*reader // by reader ID
 	tenantBytes    map[uint64]int64     // stored and reserved bytes by tenant
 	leases         leaseHeap
+	leaseWrites    []*result  // results whose renewed lease is to be written
+	leaseWriteAt   rules.Time // time from which on leases may be written again
 	diskBytes      int64      // stored and reserved bytes of all tenants
 	memoryBytes    int64      // bytes held in memory
 	unwrittenBytes int64      // the part of memoryBytes whose write is pending
@@ -167,6 +171,7 @@
 		s.handleChunkMoved(e)
 	}
 	s.expire()
+	s.writeLeases()
 	s.setTimer()
 	return s.effects
 }
@@ -214,6 +219,7 @@
 	s.failResultsWith(func(c *chunk) bool {
 		return c.location.Size > 0 && c.location.Segment == e.Segment && c.location.Offset >= e.Offset
 	})
+	s.storeLeasesAgain()
 }
 
 // handleChunkMoved updates the location of a chunk that a compaction moved.
@@ -263,7 +269,7 @@
 // if a limit would be exceeded or its lease has long expired.
 func (s *Store) handleResultRecovered(e ResultRecovered) {
 	r := &result{id: e.ID, secret: e.Secret, tenant: e.Tenant, class: e.Class, durable: true, state: completed, created: e.Created,
-		leaseEnd: e.LeaseEnd, heapIndex: -1, onDisk: true, openWritten: true}
+		leaseEnd: e.LeaseEnd, leaseStored: e.LeaseEnd, heapIndex: -1, onDisk: true, openWritten: true}
 	for _, l := range e.Locations {
 		size := l.Size - segment.RecordOverhead
 		r.chunks = append(r.chunks, chunk{size: size, location: l})
--- a/internal/spool/teststore_test.go
+++ b/internal/spool/teststore_test.go
@@ -30,6 +30,9 @@
 	reasons      map[ID]Reason
 	retryAfter   map[ID]rules.Time
 	discarded    []Location
+	diskLeases   map[ID]rules.Time // ends of leases, as the disk has them once it has executed its queue
+	leaseBatchAt rules.Time        // time of the last Lease records
+	leaseBatch   int               // their number
 }
 
 type testReader struct {
@@ -45,10 +48,13 @@
 		t.Fatal(err)
 	}
 	return &testStore{t: t, store: New(b, 1), now: rules.Second, disk: map[int64][]byte{}, enginePages: map[ID][][]byte{}, requested: map[ID]int{},
-		states: map[ID]string{}, readers: map[ReaderID]*testReader{}, reasons: map[ID]Reason{}, retryAfter: map[ID]rules.Time{}}
+		states: map[ID]string{}, readers: map[ReaderID]*testReader{}, reasons: map[ID]Reason{}, retryAfter: map[ID]rules.Time{}, diskLeases: map[ID]rules.Time{}}
 }
 
 func (ts *testStore) handle(e Event) {
+	if e, ok := e.(ResultRecovered); ok {
+		ts.diskLeases[e.ID] = e.LeaseEnd
+	}
 	for _, effect := range append([]Effect(nil), ts.store.Handle(ts.now, e)...) {
 		switch effect := effect.(type) {
 		case Granted:
@@ -77,6 +83,7 @@
 			ts.states[effect.ID], ts.reasons[effect.ID] = "failed", effect.Reason
 		case WriteRecord:
 			effect.Data = bytes.Clone(effect.Data)
+			ts.noteLease(effect)
 			ts.diskQueue = append(ts.diskQueue, effect)
 		case LoadChunk:
 			ts.diskQueue = append(ts.diskQueue, effect)
@@ -125,6 +132,37 @@
 		ts.t.Fatalf("tenants are charged %d bytes, the store %d", sum, s.diskBytes)
 	}
 	ts.checkLoads()
+	ts.checkLeases()
+}
+
+// noteLease notes the lease in a record, and checks that Lease records are written at a bounded rate.
+func (ts *testStore) noteLease(write WriteRecord) {
+	if meta, ok := segment.ParseMeta(write.Data); ok && write.Record == segment.Open {
+		ts.diskLeases[write.ID] = rules.Time(meta.LeaseEnd)
+	}
+	if write.Record != segment.Lease {
+		return
+	}
+	end, _ := segment.ParseLease(write.Data)
+	ts.diskLeases[write.ID] = rules.Time(end)
+	if ts.now != ts.leaseBatchAt {
+		if ts.leaseBatchAt != 0 && ts.now-ts.leaseBatchAt < 100*rules.Millisecond {
+			ts.t.Fatalf("leases are written %d ms after the last ones", (ts.now-ts.leaseBatchAt)/rules.Millisecond)
+		}
+		ts.leaseBatchAt, ts.leaseBatch = ts.now, 0
+	}
+	if ts.leaseBatch++; ts.leaseBatch > 100 {
+		ts.t.Fatalf("%d leases are written at a time", ts.leaseBatch)
+	}
+}
+
+// checkLeases checks that the disk's lease of a durable result ends no earlier than its lease, unless a write of it is queued.
+func (ts *testStore) checkLeases() {
+	for id, r := range ts.store.results {
+		if r.state == completed && r.durable && r.openWritten && !r.leaseQueued && !ts.diskFails && ts.diskLeases[id] < r.leaseEnd {
+			ts.t.Fatalf("the lease of %v ends at %d, on the disk at %d", id, r.leaseEnd, ts.diskLeases[id])
+		}
+	}
 }
 
 // checkLoads checks that loads are bounded, and that each reader that waits for a chunk on the disk has its turn or is queued.
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -85,7 +85,8 @@
 func (s *Store) writeChunks(r *result) {
 	if !r.openWritten {
 		r.openWritten = true
-		meta := segment.Meta{Tenant: r.tenant, Secret: r.secret, Class: uint32(r.class), Created: int64(r.created), LeaseEnd: int64(r.leaseEnd)}
+		r.leaseStored = s.leaseToStore(r)
+		meta := segment.Meta{Tenant: r.tenant, Secret: r.secret, Class: uint32(r.class), Created: int64(r.created), LeaseEnd: int64(r.leaseStored)}
 		s.writeRecord(r, segment.Open, 0, segment.AppendMeta(nil, meta))
 	}
 	for i := range r.chunks {
@@ -125,6 +126,7 @@
 	r.state = completed
 	r.leaseEnd = s.now + s.budget.LeaseTime
 	s.leases.push(r)
+	s.storeLease(r)
 	s.stats.Completed++
 	s.emit(Completed{ID: r.id})
 	s.serveWaitingReaders(r)
@@ -138,6 +140,10 @@
 	if r == nil {
 		return
 	}
+	if e.Record == segment.Lease {
+		s.handleLeaseWritten(r, e.Failed)
+		return
+	}
 	if e.Failed {
 		s.failResult(r, ReasonDiskFailed)
 		return
