Do not count a result again that needs more than was reserved for it

Callers saw: with as many results stored as may be (`results`), a query whose result needs more than was reserved failed with "count" after it had run, or a result whose lease had expired was evicted for it.

Cause: ensureCapacity looked at the count of results also where the reservation of a result that is one of them grows. Found by reading, beside the recovery under a smaller budget.

Change: only reservations look at the count, and evict until it fits. TestResultGrowsWhileStoreHasAllResults fails without the change.

--- a/internal/spool/capacity.go
+++ b/internal/spool/capacity.go
@@ -10,7 +10,10 @@
 // reserve reserves capacity before a query is sent, so that a full store rejects a query before it has run.
 func (s *Store) reserve(e Reserve) {
 	need := min(s.sizes.estimate(e.Class, e.Shape), s.budget.MaxResultBytes)
-	reason, retryAfter := s.ensureCapacity(e.Tenant, need)
+	reason, retryAfter := s.ensureResultCount()
+	if reason == ReasonNone {
+		reason, retryAfter = s.ensureCapacity(e.Tenant, need)
+	}
 	if reason == ReasonNone && e.Durable && s.diskLost {
 		reason = ReasonDiskFailed
 	}
@@ -32,6 +35,17 @@
 
 func anyResult(*result) bool { return true }
 
+// ensureResultCount ensures that one more result can be stored, evicting results with an expired lease if necessary. It returns
+// the same as ensureCapacity.
+func (s *Store) ensureResultCount() (Reason, rules.Time) {
+	for len(s.results) >= s.budget.MaxResults {
+		if !s.evictOne(anyResult) {
+			return ReasonTooMany, s.timeToNextEviction(anyResult)
+		}
+	}
+	return ReasonNone, 0
+}
+
 // ensureCapacity ensures that need more bytes of a tenant can be stored, evicting results with an expired lease if
 // necessary. If the tenant's quota is exhausted, only results of that tenant are evicted. On failure it returns the
 // reason, and the time after which a retry may succeed (0: unknown).
@@ -39,9 +53,6 @@
 	if need > s.budget.MaxResultBytes {
 		return ReasonTooLarge, 0
 	}
-	if len(s.results) >= s.budget.MaxResults && !s.evictOne(anyResult) {
-		return ReasonTooMany, s.timeToNextEviction(anyResult)
-	}
 	ofTenant := func(r *result) bool { return r.tenant == tenant }
 	for s.tenantBytes[tenant]+need > s.budget.MaxTenantBytes {
 		if !s.evictOne(ofTenant) {
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -535,3 +535,19 @@
 		t.Errorf("%d leases were written in %d s", records, seconds)
 	}
 }
+
+// Guards against a result that fails, or takes the place of another, since it needs more than was reserved for it while as many
+// results are stored as there may be: it is one of them.
+func TestResultGrowsWhileStoreHasAllResults(t *testing.T) {
+	b := budget()
+	b.MaxResults = 2
+	ts := newTestStore(t, b)
+	other := ts.reserve(1, 1, 100, true)
+	ts.deliverAllPages(other)
+	ts.now += b.LeaseTime + rules.Second // its lease has expired
+	growing := ts.reserve(2, 40, 300, true)
+	ts.deliverAllPages(growing)
+	if ts.states[growing] != "completed" || ts.store.results[other] == nil {
+		t.Errorf("the result is %s (%v), the other is stored: %v", ts.states[growing], ts.reasons[growing], ts.store.results[other] != nil)
+	}
+}
