Keep recovered results while their leases run, also under a smaller budget

Cause: recovery dropped whatever did not fit into the budget, in the order of ids, while SIGHUP evicts only results whose lease has expired. The count of results was treated differently still: a smaller one evicted nothing at SIGHUP, and each query then evicted one.

Change: recovery keeps results as the running store does and evicts to the budget, by bytes and by count. Nothing is granted until the rest fits, and a warning says so.

TestRecoveryUnderSmallerBudget and TestReducedBudgetIsLogged fail without the fix.

--- a/internal/gateway/nameservice.go
+++ b/internal/gateway/nameservice.go
@@ -24,6 +24,7 @@
 	g.reconfigureDirectives()
 	if g.results != nil {
 		g.notifySpool(spool.SetBudget{Budget: cfg.Site.Spool.Budget})
+		g.logBudget()
 	}
 	g.renewSocket(cfg.DNS)
 	g.endpointList.Reload(g.now, cfg.InitialList.Seq, cfg.InitialList.Engines)
--- a/internal/gateway/resultstore.go
+++ b/internal/gateway/resultstore.go
@@ -24,6 +24,7 @@
 	readers   slotTable[clientConn]
 	turns     chunkTurns
 	lastStats spool.Stats // as of the last statistics log line
+	over      bool        // more is stored than the budget allows, as of the last log line about it
 }
 
 // resultState is the state of a request's stored result.
@@ -199,6 +200,23 @@
 	for _, event := range events {
 		g.notifySpool(event)
 	}
+	g.logBudget()
+}
+
+// logBudget logs that more results are stored than the budget allows, and that this is over.
+func (g *Gateway) logBudget() {
+	store := g.results
+	if store == nil || store.over == store.spool.OverBudget() {
+		return
+	}
+	store.over = !store.over
+	stats := store.spool.Stats()
+	attrs := []Attr{{"results", stats.Results}, {"disk_bytes", stats.DiskBytes}, {"memory_bytes", stats.MemoryBytes}}
+	if store.over {
+		g.log(Warn, "spool: over its budget, nothing new is stored", attrs...)
+		return
+	}
+	g.log(Info, "spool: within its budget again", attrs...)
 }
 
 // wakeSpool notifies the spool if its timer has fired.
@@ -216,6 +234,7 @@
 	}
 	stats, last := store.spool.Stats(), store.lastStats
 	store.lastStats = stats
+	g.logBudget()
 	g.log(Info, "spool", Attr{"results", stats.Results}, Attr{"readers", stats.Readers},
 		Attr{"disk_bytes", stats.DiskBytes}, Attr{"memory_bytes", stats.MemoryBytes},
 		Attr{"reserved", stats.Reserved - last.Reserved}, Attr{keyRejected, stats.Rejected - last.Rejected},
--- a/internal/gateway/resultstore_test.go
+++ b/internal/gateway/resultstore_test.go
@@ -534,6 +534,32 @@
 	}
 }
 
+// Guards against a store that rejects all queries after its budget was reduced, and does not say why.
+func TestReducedBudgetIsLogged(t *testing.T) {
+	gw := startRead(t, memorySpoolSite, ",spool=1")
+	reload := func(maxResults int) (lines []string) {
+		cfg, site, spoolCfg := gw.g.cfg, *gw.g.cfg.Site, *gw.g.cfg.Site.Spool
+		spoolCfg.Budget.MaxResults = maxResults
+		site.Spool, cfg.Site = &spoolCfg, &site
+		gw.g.Step(gw.now, ConfigReloaded{Config: &cfg})
+		for _, effect := range gw.g.Flush() {
+			if line, ok := effect.(Log); ok && strings.HasPrefix(line.Text, "spool: ") {
+				lines = append(lines, line.Text)
+			}
+		}
+		return lines
+	}
+	if lines := reload(1); len(lines) != 0 {
+		t.Errorf("within the budget: logged %q", lines)
+	}
+	if lines := reload(0); !slices.Equal(lines, []string{"spool: over its budget, nothing new is stored"}) {
+		t.Errorf("over the budget: logged %q", lines)
+	}
+	if lines := reload(10); !slices.Equal(lines, []string{"spool: within its budget again"}) {
+		t.Errorf("within the budget again: logged %q", lines)
+	}
+}
+
 // Guards against a slot's entry being taken for an earlier one of the same slot.
 func TestSlotIDsAreNotUsedAgain(t *testing.T) {
 	table := newSlotTable[int](2)
--- a/internal/spool/capacity.go
+++ b/internal/spool/capacity.go
@@ -106,10 +106,16 @@
 // evictToBudget evicts results after the budget was reduced. Results with a running lease are kept until it expires;
 // until then no capacity is reserved.
 func (s *Store) evictToBudget() {
-	for s.diskBytes > s.capacity() && s.evictOne(anyResult) {
+	for (s.diskBytes > s.capacity() || len(s.results) > s.budget.MaxResults) && s.evictOne(anyResult) {
 	}
 }
 
+// OverBudget reports whether more is stored than the budget allows, since it was reduced or the disk is lost. Until the
+// leases of enough results have expired, no capacity is reserved.
+func (s *Store) OverBudget() bool {
+	return s.diskBytes > s.capacity() || len(s.results) > s.budget.MaxResults
+}
+
 func (s *Store) addReservation(r *result, n int64) {
 	r.reserved += n
 	s.tenantBytes[r.tenant] += n
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -536,6 +536,37 @@
 	}
 }
 
+// Guards against a restart that drops results whose lease runs, since the budget is smaller now: it keeps them and stores nothing
+// new until the rest fits. Expired ones make room, whatever the order in which results are found.
+func TestRecoveryUnderSmallerBudget(t *testing.T) {
+	for name, reduce := range map[string]func(*Budget){
+		"bytes":   func(b *Budget) { b.DiskBytes, b.MaxResultBytes, b.MaxTenantBytes = 6_000, 6_000, 6_000 },
+		"results": func(b *Budget) { b.MaxResults = 2 },
+	} {
+		b := budget()
+		reduce(&b)
+		restarted := newTestStore(t, b)
+		restarted.now = 100 * rules.Second
+		for n, lease := range []rules.Time{-2, 5, -1, 6, 7, -3} { // seconds from now
+			restarted.handle(ResultRecovered{ID: id(n), Secret: secret(n), Tenant: 1, LeaseEnd: restarted.now + lease*rules.Second,
+				Locations: []Location{{Segment: 1, Offset: int64(n), Size: int32(segment.RecordSize(2_500))}}})
+		}
+		for n, want := range []bool{false, true, false, true, true, false} {
+			if got := restarted.store.results[id(n)] != nil; got != want {
+				t.Errorf("%s: result %d is stored: %v, want %v", name, n, got, want)
+			}
+		}
+		if restarted.reserve(10, 1, 10, false); restarted.states[id(10)] != "rejected" || !restarted.store.OverBudget() {
+			t.Errorf("%s: a query is %s over the budget", name, restarted.states[id(10)])
+		}
+		restarted.now += 6 * rules.Second // two leases have expired
+		restarted.handle(TimerFired{})
+		if restarted.reserve(11, 1, 10, false); restarted.states[id(11)] != "granted" || restarted.store.OverBudget() {
+			t.Errorf("%s: a query is %s once leases have expired", name, restarted.states[id(11)])
+		}
+	}
+}
+
 // Guards against a result that fails, or takes the place of another, since it needs more than was reserved for it while as many
 // results are stored as there may be: it is one of them.
 func TestResultGrowsWhileStoreHasAllResults(t *testing.T) {
--- a/internal/spool/store.go
+++ b/internal/spool/store.go
@@ -265,8 +265,8 @@
 
 // ---- recovery
 
-// handleResultRecovered adds a complete, sealed result that was found on the disk at the start. It discards the result
-// if a limit would be exceeded or its lease has long expired.
+// handleResultRecovered adds a complete, sealed result that was found on the disk at the start, unless its lease has long
+// expired. As in a running store whose budget was reduced, it is kept while its lease runs.
 func (s *Store) handleResultRecovered(e ResultRecovered) {
 	r := &result{id: e.ID, secret: e.Secret, tenant: e.Tenant, class: e.Class, durable: true, state: completed, created: e.Created,
 		leaseEnd: e.LeaseEnd, leaseStored: e.LeaseEnd, heapIndex: -1, onDisk: true, openWritten: true}
@@ -275,8 +275,7 @@
 		r.chunks = append(r.chunks, chunk{size: size, location: l})
 		r.bytes += int64(size)
 	}
-	if s.results[e.ID] != nil || len(s.results) >= s.budget.MaxResults || s.diskBytes+r.bytes > s.budget.DiskBytes ||
-		e.LeaseEnd+s.budget.LeaseTime <= s.now {
+	if s.results[e.ID] != nil || e.LeaseEnd+s.budget.LeaseTime <= s.now {
 		s.emit(WriteRecord{ID: e.ID, Record: segment.Drop})
 		s.emit(DiscardRecords{ID: e.ID, Locations: e.Locations})
 		return
@@ -286,4 +285,5 @@
 	s.diskBytes += r.bytes
 	s.tenantBytes[r.tenant] += r.bytes
 	s.leases.push(r)
+	s.evictToBudget()
 }
