Find the chunk of a queued read where a compaction has moved it

Cause: a queued read has the location that the chunk had when the reducer asked for it. The worker executed it after it had removed that segment; the reducer learns the new locations only after the batch.

Change: the worker looks a read's chunk up in its own index, which is always up to date. Nothing is kept longer, and nothing waits.

--- a/internal/spool/disk/disk_test.go
+++ b/internal/spool/disk/disk_test.go
@@ -501,3 +501,32 @@
 	s.Commit(dropWrite(7)) // the damage is not at the end
 	check("a damaged lease", 300)
 }
+
+// Guards against reads that break off while a segment is compacted: a read that is queued with the former location of its chunk
+// finds the chunk where it is now.
+func TestReadFindsChunkMovedByCompaction(t *testing.T) {
+	fs, _ := folderWithResults(t, 12, 5)
+	s, recovery := open(t, fs)
+	kept, _ := findResult(recovery, 3)
+	for _, number := range []int{0, 1, 2, 4, 5} {
+		s.Commit(dropWrite(number))
+	}
+	worker := &Worker{store: s, onError: func(err error) { t.Error(err) }}
+	moved := 0
+	for range len(fs.files) {
+		completions, err := s.Compact()
+		if err != nil {
+			t.Fatal(err)
+		}
+		moved += len(completions)
+		for index, location := range kept.Locations { // of before the compaction
+			event := worker.load(spool.LoadChunk{Reader: 1, ID: kept.ID, Index: index, Location: location})
+			if loaded, ok := event.(spool.ChunkLoaded); !ok || loaded.Failed || !bytes.Equal(loaded.Data, chunkData(3, index)) {
+				t.Fatalf("chunk %d: %+v", index, event)
+			}
+		}
+	}
+	if moved == 0 || s.segmentByNumber(kept.Locations[0].Segment) != nil {
+		t.Errorf("%d chunks were moved, and the former segment is still there", moved)
+	}
+}
--- a/internal/spool/disk/index.go
+++ b/internal/spool/disk/index.go
@@ -68,6 +68,14 @@
 	return false
 }
 
+// locate returns the present location of a chunk, or the given one if the result is not in the index.
+func (s *Store) locate(id spool.ID, index int, location spool.Location) spool.Location {
+	if e := s.entries[id]; e != nil && e.chunks[index].Size > 0 {
+		return e.chunks[index]
+	}
+	return location
+}
+
 // addLive adds the sizes of a result's records to the live bytes of their segments. With sign -1 it subtracts them.
 func (s *Store) addLive(e *entry, sign int64) {
 	add := func(l spool.Location) {
--- a/internal/spool/disk/worker.go
+++ b/internal/spool/disk/worker.go
@@ -126,9 +126,10 @@
 	return events
 }
 
-// load reads a chunk and returns the event that answers the effect.
+// load reads a chunk and returns the event that answers the effect. A compaction may have moved the chunk since the effect
+// was submitted, so the index has its location.
 func (w *Worker) load(effect spool.LoadChunk) spool.Event {
-	data, err := w.store.Read(effect.ID, effect.Index, effect.Location)
+	data, err := w.store.Read(effect.ID, effect.Index, w.store.locate(effect.ID, effect.Index, effect.Location))
 	if err != nil {
 		w.onError(err)
 	}
