Use one implementation for the heaps of admission control and of the result store

Both had binary heaps whose items record their own index, written twice. The order of equal leases differs from the former one; nothing depends on it.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -1,6 +1,9 @@
 package admission
 
-import "foxlane/rules"
+import (
+	"foxlane/internal/indexheap"
+	"foxlane/rules"
+)
 
 // This file decides the order of admission by start-time fair queueing over predicted work, on two levels: tenants,
 // and the clients of each tenant. It never holds back a request while the decision module has room for one of its
@@ -58,10 +61,10 @@
 	for class := range tenant.flows {
 		flow := &tenant.flows[class]
 		if flow.heapIndex != noSlot {
-			heapFix(c.flows[class].heap, int(flow.heapIndex), int32(class))
+			indexheap.Fix(c.flows[class].heap, int(flow.heapIndex), int32(class))
 		}
 		if queue := &client.queues[class]; queue.heapIndex != noSlot {
-			heapFix(flow.heap, int(queue.heapIndex), int32(class))
+			indexheap.Fix(flow.heap, int(queue.heapIndex), int32(class))
 		}
 	}
 }
--- a/internal/admission/heap.go
+++ b/internal/admission/heap.go
@@ -1,76 +1,36 @@
 package admission
 
-// heapItem is an element of a binary heap that records its own index, so that it can be moved or removed from any
-// position. Accounts are in one heap per class; items that are in a single heap ignore the class.
-type heapItem[T any] interface {
-	before(other T) bool
-	setHeapIndex(class, index int32)
-}
-
-func heapPush[T heapItem[T]](h []T, item T, class int32) []T {
-	h = append(h, item)
-	heapFix(h, len(h)-1, class)
-	return h
-}
+import "foxlane/internal/indexheap"
 
-// heapFix restores the heap order after the item at i has changed.
-func heapFix[T heapItem[T]](h []T, i int, class int32) {
-	item := h[i]
-	for ; i > 0 && item.before(h[(i-1)/2]); i = (i - 1) / 2 {
-		h[i] = h[(i-1)/2]
-		h[i].setHeapIndex(class, int32(i))
-	}
-	for {
-		least := 2*i + 1
-		if least >= len(h) {
-			break
-		}
-		if least+1 < len(h) && h[least+1].before(h[least]) {
-			least++
-		}
-		if !h[least].before(item) {
-			break
-		}
-		h[i] = h[least]
-		h[i].setHeapIndex(class, int32(i))
-		i = least
-	}
-	h[i] = item
-	item.setHeapIndex(class, int32(i))
-}
-
-// heapRemove removes the item at i.
-func heapRemove[T heapItem[T]](h []T, i int, class int32) []T {
-	var none T
-	last := len(h) - 1
-	h[i], h[last] = h[last], none
-	if h = h[:last]; i < last {
-		heapFix(h, i, class)
-	}
-	return h
-}
+// This file puts accounts and requests into heaps. Accounts are in one heap for each class, whose number is that of the class.
 
-func (t *tenantAccount) before(other *tenantAccount) bool { return t.virtualTime < other.virtualTime }
+// Before reports whether the tenant is served before another.
+func (t *tenantAccount) Before(other *tenantAccount) bool { return t.virtualTime < other.virtualTime }
 
-func (t *tenantAccount) setHeapIndex(class, index int32) { t.flows[class].heapIndex = index }
+// SetHeapIndex records the tenant's index in the heap of a class.
+func (t *tenantAccount) SetHeapIndex(class, index int32) { t.flows[class].heapIndex = index }
 
-func (c *clientAccount) before(other *clientAccount) bool { return c.virtualTime < other.virtualTime }
+// Before reports whether the client is served before another.
+func (c *clientAccount) Before(other *clientAccount) bool { return c.virtualTime < other.virtualTime }
 
-func (c *clientAccount) setHeapIndex(class, index int32) { c.queues[class].heapIndex = index }
+// SetHeapIndex records the client's index in the heap of a class.
+func (c *clientAccount) SetHeapIndex(class, index int32) { c.queues[class].heapIndex = index }
 
-func (r *openRequest) before(other *openRequest) bool { return r.expiresAt < other.expiresAt }
+// Before reports whether the request expires before another.
+func (r *openRequest) Before(other *openRequest) bool { return r.expiresAt < other.expiresAt }
 
-func (r *openRequest) setHeapIndex(_, index int32) { r.expiryIndex = index }
+// SetHeapIndex records the request's index in the expiryHeap.
+func (r *openRequest) SetHeapIndex(_, index int32) { r.expiryIndex = index }
 
 // expiryHeap holds all queued requests, ordered by expiresAt.
 type expiryHeap []*openRequest
 
-func (h *expiryHeap) push(request *openRequest) { *h = heapPush(*h, request, 0) }
+func (h *expiryHeap) push(request *openRequest) { *h = indexheap.Push(*h, request, 0) }
 
-func (h expiryHeap) fix(request *openRequest) { heapFix(h, int(request.expiryIndex), 0) }
+func (h expiryHeap) fix(request *openRequest) { indexheap.Fix(h, int(request.expiryIndex), 0) }
 
 func (h *expiryHeap) remove(request *openRequest) {
 	i := int(request.expiryIndex)
 	request.expiryIndex = noSlot
-	*h = heapRemove(*h, i, 0)
+	*h = indexheap.Remove(*h, i, 0)
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,6 +1,9 @@
 package admission
 
-import "foxlane/rules"
+import (
+	"foxlane/internal/indexheap"
+	"foxlane/rules"
+)
 
 // This file implements the queues. Each class has a heap of tenants, each tenant has a heap of clients per class, and
 // each client has a list of requests per class. Only the first queued request of an order key is in the list of its
@@ -80,9 +83,9 @@
 	}
 	tenant, class := request.client.tenant, request.class
 	flow := &tenant.flows[class]
-	flow.heap = heapPush(flow.heap, request.client, class)
+	flow.heap = indexheap.Push(flow.heap, request.client, class)
 	if flow.heapIndex == noSlot {
-		c.flows[class].heap = heapPush(c.flows[class].heap, tenant, class)
+		c.flows[class].heap = indexheap.Push(c.flows[class].heap, tenant, class)
 	}
 }
 
@@ -140,10 +143,10 @@
 		return
 	}
 	flow := &request.client.tenant.flows[class]
-	flow.heap = heapRemove(flow.heap, int(queue.heapIndex), class)
+	flow.heap = indexheap.Remove(flow.heap, int(queue.heapIndex), class)
 	queue.heapIndex = noSlot
 	if len(flow.heap) == 0 {
-		c.flows[class].heap = heapRemove(c.flows[class].heap, int(flow.heapIndex), class)
+		c.flows[class].heap = indexheap.Remove(c.flows[class].heap, int(flow.heapIndex), class)
 		flow.heapIndex = noSlot
 	}
 }
--- a/internal/spool/capacity.go
+++ b/internal/spool/capacity.go
@@ -26,7 +26,7 @@
 		return
 	}
 	r := &result{id: e.ID, secret: e.Secret, tenant: e.Tenant, class: e.Class, shape: e.Shape, durable: e.Durable, state: filling,
-		created: s.now, leaseEnd: s.now + s.budget.LeaseTime, heapIndex: -1, requested: 1, onDisk: e.Durable && s.budget.DiskBytes > 0}
+		created: s.now, leaseEnd: s.now + s.budget.LeaseTime, heapIndex: noHeapIndex, requested: 1, onDisk: e.Durable && s.budget.DiskBytes > 0}
 	s.results[e.ID] = r
 	s.addReservation(r, need)
 	s.stats.Reserved++
--- a/internal/spool/lease.go
+++ b/internal/spool/lease.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"foxlane/internal/indexheap"
 	"foxlane/internal/spool/segment"
 	"foxlane/rules"
 )
@@ -111,55 +112,31 @@
 	s.timerAt = at
 }
 
-// leaseHeap is a min-heap of results, ordered by the end of their lease. Each result stores its index in the heap.
+// noHeapIndex is the heapIndex of a result outside of the heap.
+const noHeapIndex = -1
+
+// leaseHeap is a min-heap of results, ordered by the end of their lease.
 type leaseHeap []*result
 
-func (h *leaseHeap) push(r *result) {
-	r.heapIndex = len(*h)
-	*h = append(*h, r)
-	h.sift(r.heapIndex)
-}
+// Before reports whether the lease of the result ends before that of another.
+func (r *result) Before(other *result) bool { return r.leaseEnd < other.leaseEnd }
+
+// SetHeapIndex records the result's index in the leaseHeap.
+func (r *result) SetHeapIndex(_, index int32) { r.heapIndex = index }
+
+func (h *leaseHeap) push(r *result) { *h = indexheap.Push(*h, r, 0) }
 
 // fix restores the heap order after the lease of a result changed. A result outside the heap is ignored.
 func (h *leaseHeap) fix(r *result) {
-	if r.heapIndex >= 0 {
-		h.sift(r.heapIndex)
+	if r.heapIndex != noHeapIndex {
+		indexheap.Fix(*h, int(r.heapIndex), 0)
 	}
 }
 
 func (h *leaseHeap) remove(r *result) {
-	heap, i, last := *h, r.heapIndex, len(*h)-1
-	if i < 0 {
-		return
-	}
-	r.heapIndex = -1
-	heap[i], heap[last] = heap[last], nil
-	if *h = heap[:last]; i < last {
-		h.sift(i)
-	}
-}
-
-// sift moves the result at index i up or down to its place in the heap.
-func (h leaseHeap) sift(i int) {
-	less := func(a, b int) bool { return h[a].leaseEnd < h[b].leaseEnd }
-	swap := func(a, b int) { h[a], h[b] = h[b], h[a]; h[a].heapIndex, h[b].heapIndex = a, b }
-	h[i].heapIndex = i
-	for ; i > 0 && less(i, (i-1)/2); i = (i - 1) / 2 {
-		swap(i, (i-1)/2)
-	}
-	for {
-		smallest := 2*i + 1
-		if smallest >= len(h) {
-			return
-		}
-		if smallest+1 < len(h) && less(smallest+1, smallest) {
-			smallest++
-		}
-		if !less(smallest, i) {
-			return
-		}
-		swap(i, smallest)
-		i = smallest
+	if i := int(r.heapIndex); i != noHeapIndex {
+		r.heapIndex = noHeapIndex
+		*h = indexheap.Remove(*h, i, 0)
 	}
 }
 
--- a/internal/spool/store.go
+++ b/internal/spool/store.go
@@ -53,7 +53,7 @@
 	leaseEnd    rules.Time
 	leaseStored rules.Time // the end of the lease that the disk has, or soon has; 0: none
 	leaseQueued bool       // listed in Store.leaseWrites
-	heapIndex   int        // position in Store.leases; -1: not in the heap
+	heapIndex   int32      // position in Store.leases; noHeapIndex: not in the heap
 	readerCount int
 
 	pageCount   int            // total pages of the engine's result; 0: unknown
@@ -269,7 +269,7 @@
 // expired. As in a running store whose budget was reduced, it is kept while its lease runs.
 func (s *Store) handleResultRecovered(e ResultRecovered) {
 	r := &result{id: e.ID, secret: e.Secret, tenant: e.Tenant, class: e.Class, durable: true, state: completed, created: e.Created,
-		leaseEnd: e.LeaseEnd, leaseStored: e.LeaseEnd, heapIndex: -1, onDisk: true, openWritten: true}
+		leaseEnd: e.LeaseEnd, leaseStored: e.LeaseEnd, heapIndex: noHeapIndex, onDisk: true, openWritten: true}
 	for _, l := range e.Locations {
 		size := l.Size - segment.RecordOverhead
 		r.chunks = append(r.chunks, chunk{size: size, location: l})
