--- a/internal/harness/faults.go
+++ b/internal/harness/faults.go
@@ -52,7 +52,7 @@
 	// Gateways get a request to set a directive; `text` is its kind and subject.
 	"order": {target: true, inject: (*fleet).setDirectives},
 	// The operator's file switches off gossip among gateways.
-	"hush": {inject: (*fleet).switchGossipOff},
+	"gossip-off": {inject: (*fleet).switchGossipOff},
 	// Engines mishandle a fraction (`factor`) of requests; `text` is hang, error, spoil or break.
 	"mode": {target: true, inject: (*fleet).breakEngines},
 	// Engines drain, stop after `for`, and return cold; `text` is empty, gone, both, flap, newid or replaced.
--- a/internal/harness/gossip_test.go
+++ b/internal/harness/gossip_test.go
@@ -22,7 +22,7 @@
 		fault("silence", `of = "hall-a/e0"`, `at = "5s"`, `for = "5s"`)+
 		fault("freeze", `of = "hall-c/g0"`, `at = "7s"`, `for = "2s"`)+
 		fault("cut", `from = "hall-a/g1"`, `to = "hall-b/g0"`, `at = "8s"`, `for = "4s"`)+
-		fault("hush", `at = "15s"`))
+		fault("gossip-off", `at = "15s"`))
 	checkServedShare(t, report, 11, 17, 0.95, "towards the end")
 	joined, left := map[string]bool{}, map[string]bool{} // by gateway
 	for _, e := range report.Events {
